--- /dev/null
+++ b/core/call/budget.go
@@ -0,0 +1,54 @@
+package call
+
+import "sync"
+
+// Budget bounds extra attempts: at most Burst, and Ratio more for each request
+// that was noted. Set the fields before first use. A Budget may be used by many
+// goroutines; a nil Budget allows nothing.
+type Budget struct {
+	Ratio float64
+	Burst int
+
+	mutex    sync.Mutex
+	earned   float64
+	taken    int
+	accepted bool
+}
+
+// Note counts one request.
+func (budget *Budget) Note() {
+	budget.mutex.Lock()
+	defer budget.mutex.Unlock()
+	budget.start()
+	budget.earned = min(budget.earned+budget.Ratio, float64(budget.Burst)+1)
+}
+
+// Take uses up one extra attempt, and says whether there was one.
+func (budget *Budget) Take() bool {
+	if budget == nil {
+		return false
+	}
+	budget.mutex.Lock()
+	defer budget.mutex.Unlock()
+	budget.start()
+	if budget.earned < 1 {
+		return false
+	}
+	budget.earned--
+	budget.taken++
+	return true
+}
+
+// Taken is the number of extra attempts used up.
+func (budget *Budget) Taken() int {
+	budget.mutex.Lock()
+	defer budget.mutex.Unlock()
+	return budget.taken
+}
+
+func (budget *Budget) start() {
+	if !budget.accepted {
+		budget.accepted = true
+		budget.earned = float64(budget.Burst)
+	}
+}
--- /dev/null
+++ b/core/call/machine.go
@@ -0,0 +1,381 @@
+package call
+
+import "time"
+
+// MaxAttempts is the largest number of targets that one request is sent to.
+const MaxAttempts = 4
+
+// DefaultRetryAfter is when a refused caller may come back if no gate has said
+// more.
+const DefaultRetryAfter = time.Second
+
+// maxCrashes is how many targets a request that may be repeated may crash.
+const maxCrashes = 2
+
+// stage is how far an attempt has come.
+type stage uint8
+
+const (
+	stageSent stage = iota
+	stageGranted
+	// stageCommitted attempts may have run.
+	stageCommitted
+	stageOver
+)
+
+// Call is one request on its way. Set the exported fields before the first
+// Update. A Call is used by one goroutine at a time.
+type Call struct {
+	// Repeatable requests may run more than once.
+	Repeatable bool
+	// Keyed requests carry an idempotency key that has to be claimed.
+	Keyed bool
+	// Retries and Hedges bound the extra attempts.
+	Retries *Budget
+	Hedges  *Budget
+
+	attempts []stage
+	choosing bool
+	claimed  bool
+	claiming bool
+	granted  int
+	// uncertain says that an attempt was lost or given up after its commit.
+	uncertain bool
+	crashes   int
+	relayed   int
+	// fallback is the attempt whose failing answer is in hand, or -1.
+	fallback   int
+	finished   bool
+	retryAfter time.Duration
+	lastReason Problem
+}
+
+// Update takes one event and returns what has to be done because of it.
+func (call *Call) Update(event Event) []Effect {
+	if call.finished {
+		return call.afterwards(event)
+	}
+	switch event := event.(type) {
+	case Arrived:
+		call.relayed = -1
+		call.granted = -1
+		call.fallback = -1
+		return call.choose()
+	case Chosen:
+		return call.send(event.Target)
+	case NoneLeft:
+		return call.noneLeft()
+	case Granted:
+		return call.grant(event.Attempt)
+	case Refused:
+		return call.refuse(event)
+	case Lost:
+		return call.lose(event)
+	case Answered:
+		return call.answer(event.Attempt)
+	case Failing:
+		return call.failing(event.Attempt)
+	case Relayed:
+		return call.endRelay()
+	case ClaimGranted:
+		return call.claimGranted()
+	case ClaimRefused:
+		return call.claimRefused(event)
+	case HedgeDue:
+		return call.hedge()
+	case DeadlinePassed:
+		return call.giveUp(ProblemDeadline)
+	case CallerLeft:
+		return call.giveUp(ProblemLost)
+	default:
+		return nil
+	}
+}
+
+// afterwards handles what arrives when the caller has been told the end: a
+// claim granted too late is given back.
+func (call *Call) afterwards(event Event) []Effect {
+	if _, granted := event.(ClaimGranted); granted && call.claiming {
+		call.claiming = false
+		return []Effect{ReleaseClaim{}}
+	}
+	return nil
+}
+
+func (call *Call) choose() []Effect {
+	call.choosing = true
+	return []Effect{Choose{}}
+}
+
+func (call *Call) send(target string) []Effect {
+	if !call.choosing {
+		return nil
+	}
+	call.choosing = false
+	attempt := len(call.attempts)
+	first := stageCommitted
+	if !call.Repeatable {
+		first = stageSent
+	}
+	call.attempts = append(call.attempts, first)
+	return []Effect{Send{Attempt: attempt, Target: target, Reserve: !call.Repeatable}}
+}
+
+// noneLeft ends the call unless another attempt is still under way.
+func (call *Call) noneLeft() []Effect {
+	call.choosing = false
+	if call.underWay() {
+		return nil
+	}
+	problem := call.lastReason
+	if problem == "" {
+		problem = ProblemNoTarget
+	}
+	return call.finish(problem)
+}
+
+func (call *Call) underWay() bool {
+	for _, stage := range call.attempts {
+		if stage != stageOver {
+			return true
+		}
+	}
+	return call.choosing
+}
+
+// grant goes on with a reserved attempt: a keyed request is claimed first.
+func (call *Call) grant(attempt int) []Effect {
+	if !call.at(attempt, stageSent) {
+		return nil
+	}
+	if call.granted >= 0 {
+		call.attempts[attempt] = stageOver
+		return []Effect{Withdraw{Attempt: attempt}}
+	}
+	call.attempts[attempt] = stageGranted
+	call.granted = attempt
+	switch {
+	case call.claiming:
+		return nil
+	case call.Keyed && !call.claimed:
+		call.claiming = true
+		return []Effect{Claim{}}
+	default:
+		return call.commit()
+	}
+}
+
+func (call *Call) commit() []Effect {
+	call.attempts[call.granted] = stageCommitted
+	effects := []Effect{Commit{Attempt: call.granted}}
+	for other, stage := range call.attempts {
+		if stage == stageSent {
+			call.attempts[other] = stageOver
+			effects = append(effects, Withdraw{Attempt: other})
+		}
+	}
+	return effects
+}
+
+func (call *Call) claimGranted() []Effect {
+	call.claiming = false
+	call.claimed = true
+	if call.granted < 0 {
+		return nil
+	}
+	return call.commit()
+}
+
+func (call *Call) claimRefused(refused ClaimRefused) []Effect {
+	call.claiming = false
+	effects := call.withdrawAll()
+	problem := ProblemClaimHeld
+	if !refused.Held {
+		problem = ProblemClaimFailed
+		effects = append(effects, ReleaseClaim{})
+	}
+	call.finished = true
+	return append(effects, Finish{
+		Outcome:    OutcomeNotRun,
+		Problem:    problem,
+		RetryAfter: DefaultRetryAfter,
+		Known:      refused.Known,
+	})
+}
+
+// refuse takes a gate's proof that an attempt has not run, and tries another
+// target if the budget allows.
+func (call *Call) refuse(refused Refused) []Effect {
+	if !call.open(refused.Attempt) {
+		return nil
+	}
+	call.attempts[refused.Attempt] = stageOver
+	if call.granted == refused.Attempt {
+		call.granted = -1
+	}
+	call.lastReason = ProblemRefused
+	call.retryAfter = max(call.retryAfter, refused.RetryAfter)
+	return call.retry()
+}
+
+// lose takes the loss of an attempt. One that may have run is not repeated
+// unless the request allows it.
+func (call *Call) lose(lost Lost) []Effect {
+	if !call.open(lost.Attempt) {
+		return nil
+	}
+	committed := call.attempts[lost.Attempt] == stageCommitted
+	call.attempts[lost.Attempt] = stageOver
+	if call.granted == lost.Attempt {
+		call.granted = -1
+	}
+	call.lastReason = ProblemLost
+	if lost.Crashed {
+		call.crashes++
+		call.lastReason = ProblemCrashed
+	}
+	if committed && !lost.Unsent {
+		call.uncertain = true
+	}
+	if call.uncertain && !call.Repeatable || call.crashes >= maxCrashes {
+		return call.finish(call.lastReason)
+	}
+	return call.retry()
+}
+
+func (call *Call) retry() []Effect {
+	if call.underWay() {
+		return nil
+	}
+	if len(call.attempts) >= MaxAttempts || !call.Retries.Take() {
+		return call.finish(call.lastReason)
+	}
+	return call.choose()
+}
+
+// failing keeps an answer that tells of a failure of the server, and tries
+// another target. The kept answer is relayed if there is no better one.
+func (call *Call) failing(attempt int) []Effect {
+	if !call.at(attempt, stageCommitted) || call.relayed >= 0 {
+		return nil
+	}
+	if !call.Repeatable || call.fallback >= 0 {
+		return call.answer(attempt)
+	}
+	call.attempts[attempt] = stageOver
+	call.fallback = attempt
+	return call.retry()
+}
+
+// relayFallback relays the failing answer that is in hand.
+func (call *Call) relayFallback() []Effect {
+	call.relayed = call.fallback
+	return append(call.withdrawAll(), Relay{Attempt: call.fallback})
+}
+
+// answer relays the first answer that begins, and gives the others up.
+func (call *Call) answer(attempt int) []Effect {
+	if !call.at(attempt, stageCommitted) || call.relayed >= 0 {
+		return nil
+	}
+	call.relayed = attempt
+	var effects []Effect
+	for other, stage := range call.attempts {
+		if other != attempt && stage != stageOver {
+			call.attempts[other] = stageOver
+			effects = append(effects, Withdraw{Attempt: other})
+		}
+	}
+	return append(effects, Relay{Attempt: attempt})
+}
+
+func (call *Call) endRelay() []Effect {
+	call.finished = true
+	if call.claimed {
+		return []Effect{SettleClaim{}}
+	}
+	return nil
+}
+
+// hedge asks a second target while the first is late. A request that may not
+// be repeated is hedged only while nothing is committed.
+func (call *Call) hedge() []Effect {
+	single := len(call.attempts) == 1 && !call.choosing && call.underWay()
+	if !single || call.relayed >= 0 || call.claiming {
+		return nil
+	}
+	if !call.Repeatable && call.attempts[0] != stageSent {
+		return nil
+	}
+	if !call.Hedges.Take() {
+		return nil
+	}
+	return call.choose()
+}
+
+// giveUp ends the call for the caller. What was never committed has not run,
+// since no gate runs a reserved request without the commit. What was committed
+// is withdrawn, and the gate's word about it is waited for by the driver.
+func (call *Call) giveUp(problem Problem) []Effect {
+	if call.relayed >= 0 {
+		return append([]Effect{Withdraw{Attempt: call.relayed}}, call.endRelay()...)
+	}
+	call.lastReason = problem
+	effects := call.withdrawAll()
+	return append(effects, call.finish(problem)...)
+}
+
+func (call *Call) withdrawAll() []Effect {
+	var effects []Effect
+	for attempt, stage := range call.attempts {
+		if stage == stageOver {
+			continue
+		}
+		if stage == stageCommitted {
+			call.uncertain = true
+		}
+		call.attempts[attempt] = stageOver
+		effects = append(effects, Withdraw{Attempt: attempt})
+	}
+	return effects
+}
+
+// finish tells the caller the end. A claim is given back only when nothing
+// that was committed can have run.
+func (call *Call) finish(problem Problem) []Effect {
+	if call.fallback >= 0 && call.relayed < 0 {
+		return call.relayFallback()
+	}
+	call.finished = true
+	outcome := OutcomeNotRun
+	if call.mayHaveRun() {
+		outcome = OutcomeUnknown
+	}
+	var effects []Effect
+	if call.claimed && outcome == OutcomeNotRun {
+		effects = append(effects, ReleaseClaim{})
+	}
+	retryAfter := call.retryAfter
+	if retryAfter == 0 {
+		retryAfter = DefaultRetryAfter
+	}
+	return append(effects, Finish{Outcome: outcome, Problem: problem, RetryAfter: retryAfter})
+}
+
+// mayHaveRun says whether an attempt that was committed may have run.
+func (call *Call) mayHaveRun() bool {
+	for _, stage := range call.attempts {
+		if stage == stageCommitted {
+			return true
+		}
+	}
+	return call.uncertain
+}
+
+func (call *Call) at(attempt int, wanted stage) bool {
+	return attempt >= 0 && attempt < len(call.attempts) && call.attempts[attempt] == wanted
+}
+
+func (call *Call) open(attempt int) bool {
+	return attempt >= 0 && attempt < len(call.attempts) && call.attempts[attempt] != stageOver
+}
--- /dev/null
+++ b/core/once/segment.go
@@ -0,0 +1,64 @@
+package once
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"time"
+)
+
+// operation is what an entry of a segment records about a key.
+type operation string
+
+const (
+	operationClaim   operation = "claim"
+	operationRelease operation = "release"
+	operationSettle  operation = "settle"
+)
+
+// entry is one line of the log of a partition.
+type entry struct {
+	Key       string    `json:"key"`
+	Request   string    `json:"request"`
+	Operation operation `json:"operation"`
+}
+
+// segment is an object of the log. Its name is its place in the log, and the
+// platform creates each name once, so a place has one writer.
+type segment struct {
+	// Writer is the incarnation that wrote the segment, Nonce the write.
+	Writer  string    `json:"writer"`
+	Nonce   uint64    `json:"nonce"`
+	Written time.Time `json:"written"`
+	Entries []entry   `json:"entries"`
+}
+
+func (segment segment) encode() []byte {
+	body, err := json.Marshal(segment)
+	if err != nil {
+		panic("once: a segment always encodes: " + err.Error())
+	}
+	return body
+}
+
+func decode(body []byte) (segment, error) {
+	var decoded segment
+	err := json.Unmarshal(body, &decoded)
+	return decoded, err
+}
+
+// Prefix is the start of the names of all segments.
+const Prefix = "claims/"
+
+func partitionPrefix(partition int) string { return fmt.Sprintf("%s%d/", Prefix, partition) }
+
+func segmentName(partition int, sequence uint64) string {
+	return fmt.Sprintf("%s%012d", partitionPrefix(partition), sequence)
+}
+
+func sequenceOf(name string) (uint64, bool) {
+	var sequence uint64
+	slash := strings.LastIndexByte(name, '/')
+	_, err := fmt.Sscanf(name[slash+1:], "%d", &sequence)
+	return sequence, err == nil
+}
--- /dev/null
+++ b/daemon/beside.go
@@ -0,0 +1,72 @@
+package daemon
+
+import (
+	"context"
+
+	"ibislift/core/kernel"
+	"ibislift/core/profile"
+	"ibislift/io/upstream"
+)
+
+// announced takes the word of the upstream beside.
+func (daemon *Daemon) announced(announcement upstream.Announcement) {
+	view := daemon.control.view.Load()
+	self, _ := view.Member(view.Self)
+	daemon.client.Retarget(announcement.Address)
+	if announcement.Started != self.Target.Since && !self.Leaving {
+		daemon.gate.Reopen()
+	}
+	rules := profile.InForce(view, announcement.Service)
+	daemon.gate.Resize(announcement.Slots, rules.QueueBound)
+	daemon.control.tell(kernel.UpstreamAnnounced{Target: announcement.Target()})
+}
+
+// silent takes the upstream out of service until it announces itself again.
+func (daemon *Daemon) silent() {
+	daemon.Log.Warn("upstream is silent")
+	daemon.gate.Resize(0, 0)
+	daemon.control.tell(kernel.UpstreamSilent{})
+}
+
+// drainTarget starts a drain of the upstream beside.
+func (daemon *Daemon) drainTarget() <-chan struct{} {
+	daemon.control.tell(kernel.DrainAsked{})
+	return daemon.gate.Drain()
+}
+
+// probe asks the upstream beside for its health. An upstream that answers
+// requests needs no probe.
+func (daemon *Daemon) probe() {
+	if daemon.gate.Load().Running > 0 {
+		return
+	}
+	path := daemon.beside.Current().HealthPath
+	healthy := daemon.client.Probe(context.Background(), path)
+	daemon.meter.Probe(healthy)
+	if !healthy {
+		daemon.Log.Warn("upstream failed its health probe", "path", path)
+	}
+}
+
+// Exchange answers another daemon's envelope.
+func (daemon *Daemon) Exchange(ctx context.Context, envelope kernel.Envelope) (kernel.Envelope, error) {
+	return daemon.control.Exchange(ctx, envelope)
+}
+
+// Claim answers another daemon's request for an idempotency key.
+func (daemon *Daemon) Claim(ctx context.Context, asked kernel.ClaimAsked) (kernel.ClaimResult, error) {
+	return daemon.control.Claim(ctx, asked)
+}
+
+// CloseClaim takes the end of a claimed request.
+func (daemon *Daemon) CloseClaim(closed kernel.ClaimClosed) { daemon.control.CloseClaim(closed) }
+
+// Crashed spreads the fingerprints of the requests that the upstream died
+// with, and takes the upstream out of service.
+func (daemon *Daemon) Crashed(fingerprints []string) {
+	daemon.Log.Warn("upstream crashed", "fingerprints", fingerprints)
+	service := daemon.beside.Current().Service
+	limit := profile.InForce(daemon.control.view.Load(), service).CrashLimit
+	daemon.control.tell(kernel.UpstreamCrashed{Fingerprints: fingerprints, BlockFor: limit.BlockFor.Duration()})
+	daemon.beside.Forget()
+}
--- /dev/null
+++ b/daemon/daemon.go
@@ -0,0 +1,277 @@
+// Package daemon puts the parts of an ibislift daemon together: the control
+// goroutine with its kernel, the entry for callers, the gate before the
+// upstream beside, and the faces towards peers, operators and the platform.
+//
+// # Usage
+//
+//	started := &daemon.Daemon{Settings: settings, Log: slog.Default()}
+//	err := started.Run(ctx) // drains and returns when the context ends
+package daemon
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/zeebo/errs"
+	"google.golang.org/grpc"
+
+	"ibislift/core/kernel"
+	"ibislift/core/profile"
+	"ibislift/io/caller"
+	"ibislift/io/metrics"
+	"ibislift/io/operator"
+	"ibislift/io/peer"
+	"ibislift/io/peer/peerpb"
+	"ibislift/io/platform"
+	"ibislift/io/upstream"
+
+	// The plug-ins of the kernel register themselves.
+	_ "ibislift/core/crash"
+	_ "ibislift/core/measure"
+	_ "ibislift/core/member"
+	_ "ibislift/core/once"
+	_ "ibislift/core/spread"
+)
+
+// Error is the class of all errors of this package.
+var Error = errs.Class("daemon")
+
+// Limits of the HTTP servers.
+const (
+	maxHeaderBytes    = 64 << 10
+	readHeaderTimeout = 10 * time.Second
+	idleTimeout       = 2 * time.Minute
+)
+
+// farewellTime is how long the last records get to reach the neighbours.
+const farewellTime = 200 * time.Millisecond
+
+// housekeepingInterval is the time between two looks at the upstream's silence
+// and the view's effect on gate and connections.
+const housekeepingInterval = 100 * time.Millisecond
+
+// Daemon is one ibislift daemon. Set the fields before Run.
+type Daemon struct {
+	Settings Settings
+	Log      *slog.Logger
+	// DialPeer replaces the usual way to connect to other daemons, if it is
+	// set; tests put links with latency or faults there.
+	DialPeer func(ctx context.Context, address string) (net.Conn, error)
+
+	started  time.Time
+	control  *control
+	gate     *upstream.Gate
+	client   *upstream.Client
+	beside   *upstream.Beside
+	peers    *peer.Peers
+	platform *platform.Client
+	entry    *caller.Handler
+	meter    *metrics.Meter
+	rpc      *grpc.Server
+	servers  []*http.Server
+	failed   chan error
+	drain    sync.Once
+}
+
+// Run starts the daemon and serves until the context ends. Then it drains: the
+// gate refuses new work, what runs finishes, what the entry carries finishes,
+// and the daemon says good-bye to its neighbours.
+func (daemon *Daemon) Run(ctx context.Context) error {
+	if err := daemon.build(); err != nil {
+		return err
+	}
+	background, stop := context.WithCancel(context.Background())
+	defer stop()
+	go daemon.control.run(background)
+	go daemon.gate.Run(background)
+	go daemon.keepHouse(background)
+	if err := daemon.listen(); err != nil {
+		daemon.close()
+		return err
+	}
+	daemon.Log.Info("daemon started", "name", daemon.Settings.Name, "callers", daemon.Settings.CallerAddress)
+	select {
+	case <-ctx.Done():
+	case err := <-daemon.failed:
+		daemon.close()
+		return err
+	}
+	daemon.stop()
+	return nil
+}
+
+// build makes the parts and joins them.
+func (daemon *Daemon) build() error {
+	daemon.started = time.Now()
+	daemon.failed = make(chan error, 4)
+	meter, err := metrics.New()
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	daemon.meter = meter
+	daemon.platform = &platform.Client{Address: daemon.Settings.PlatformAddress}
+	daemon.client = &upstream.Client{}
+	daemon.gate = &upstream.Gate{Now: time.Now}
+	daemon.control = newControl(daemon.Settings.kernelSettings(daemon.started.UnixMilli()))
+	server := &peer.Server{Gate: daemon.gate, Upstream: daemon.client, Control: daemon}
+	counter := &peer.Counter{Count: meter.Control}
+	daemon.peers = &peer.Peers{Self: daemon.Settings.Name, Server: server, Dial: daemon.DialPeer, Stats: counter}
+	daemon.control.platform = daemon.platform
+	daemon.control.peers = daemon.peers
+	daemon.control.probe = daemon.probe
+	daemon.control.now = time.Now
+	daemon.control.log = daemon.Log
+	daemon.beside = &upstream.Beside{Now: time.Now, Announced: daemon.announced, Silent: daemon.silent, Drain: daemon.drainTarget}
+	daemon.rpc = peer.NewRPCServer(counter)
+	peerpb.RegisterPeerServer(daemon.rpc, server)
+	daemon.entry = daemon.buildEntry()
+	return daemon.gauges()
+}
+
+func (daemon *Daemon) buildEntry() *caller.Handler {
+	return &caller.Handler{
+		Self:     daemon.Settings.Name,
+		Epoch:    daemon.started.UnixMilli(),
+		View:     daemon.control.view.Load,
+		Peers:    daemon.peers,
+		Claims:   &claims{control: daemon.control, peers: daemon.peers, meter: daemon.meter},
+		Distance: daemon.Settings.distance,
+		Now:      time.Now,
+		Meter:    daemon.meter,
+		Records:  &caller.Records{},
+		Log:      daemon.Log,
+	}
+}
+
+func (daemon *Daemon) gauges() error {
+	var group errs.Group
+	group.Add(daemon.meter.Gauge("ibislift.gate.running", "Requests that hold a slot of the upstream beside.",
+		func() int64 { return int64(daemon.gate.Load().Running) }))
+	group.Add(daemon.meter.Gauge("ibislift.gate.queued", "Requests that wait for a slot.",
+		func() int64 { return int64(daemon.gate.Load().Queued) }))
+	group.Add(daemon.meter.Gauge("ibislift.gate.handed.over", "Requests handed over to the upstream so far.",
+		func() int64 { return int64(daemon.gate.HandedOver()) }))
+	group.Add(daemon.meter.Gauge("ibislift.platform.reads", "Reads and watches of the platform so far.",
+		func() int64 { reads, _ := daemon.platform.Calls(); return int64(reads) }))
+	group.Add(daemon.meter.Gauge("ibislift.platform.writes", "Writes to the platform so far.",
+		func() int64 { _, writes := daemon.platform.Calls(); return int64(writes) }))
+	return Error.Wrap(group.Err())
+}
+
+// listen opens all addresses before it serves any.
+func (daemon *Daemon) listen() error {
+	peers, err := net.Listen("tcp", daemon.Settings.PeerAddress)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	go daemon.watch(func() error { return daemon.rpc.Serve(peers) })
+	api := &operator.API{
+		Name:    daemon.Settings.Name,
+		View:    daemon.control.view.Load,
+		Change:  daemon.control.Change,
+		Records: daemon.entry.Records,
+		Gate:    daemon.gate,
+		Metrics: daemon.meter.Handler(),
+		Started: daemon.started,
+		Calls:   daemon.platform.Calls,
+	}
+	for _, face := range []struct {
+		address string
+		handler http.Handler
+	}{
+		{daemon.Settings.UpstreamAddress, daemon.beside.Handler()},
+		{daemon.Settings.OperatorAddress, api.Handler()},
+		{daemon.Settings.CallerAddress, daemon.entry},
+	} {
+		if err := daemon.serve(face.address, face.handler); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (daemon *Daemon) serve(address string, handler http.Handler) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	server := &http.Server{
+		Handler:           handler,
+		MaxHeaderBytes:    maxHeaderBytes,
+		ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout:       idleTimeout,
+		ErrorLog:          slog.NewLogLogger(daemon.Log.Handler(), slog.LevelDebug),
+	}
+	daemon.servers = append(daemon.servers, server)
+	go daemon.watch(func() error { return server.Serve(listener) })
+	return nil
+}
+
+// watch reports the end of a server that nobody has asked to end.
+func (daemon *Daemon) watch(serve func() error) {
+	if err := serve(); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		daemon.failed <- Error.Wrap(err)
+	}
+}
+
+// stop drains the daemon and ends it.
+func (daemon *Daemon) stop() {
+	daemon.Log.Info("daemon draining")
+	ctx, cancel := context.WithTimeout(context.Background(), daemon.Settings.DrainTimeout)
+	defer cancel()
+	daemon.control.tell(kernel.DrainAsked{Leaving: true})
+	select {
+	case <-daemon.gate.Drain():
+	case <-ctx.Done():
+		daemon.Log.Warn("requests were still running when the drain timeout passed")
+	}
+	for _, server := range daemon.servers {
+		_ = server.Shutdown(ctx)
+	}
+	daemon.control.tell(kernel.StopAsked{})
+	time.Sleep(farewellTime)
+	daemon.close()
+	daemon.Log.Info("daemon stopped")
+}
+
+func (daemon *Daemon) close() {
+	for _, server := range daemon.servers {
+		_ = server.Close()
+	}
+	daemon.rpc.Stop()
+}
+
+// keepHouse looks after what has to follow the view and the time.
+func (daemon *Daemon) keepHouse(ctx context.Context) {
+	ticker := time.NewTicker(housekeepingInterval)
+	defer ticker.Stop()
+	var seen *kernel.View
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			daemon.beside.Tick()
+			if view := daemon.control.view.Load(); view != seen {
+				seen = view
+				daemon.resize(daemon.beside.Current())
+			}
+		}
+	}
+}
+
+// resize gives the gate the limits of the announcement and the profile.
+func (daemon *Daemon) resize(announcement upstream.Announcement) {
+	view := daemon.control.view.Load()
+	self, _ := view.Member(view.Self)
+	if self.Target.Service == "" {
+		return
+	}
+	rules := profile.InForce(view, announcement.Service)
+	daemon.gate.Resize(announcement.Slots, rules.QueueBound)
+}
--- /dev/null
+++ b/daemon/settings.go
@@ -0,0 +1,185 @@
+package daemon
+
+import (
+	"fmt"
+	"net"
+	"net/netip"
+	"regexp"
+	"sort"
+	"strconv"
+	"strings"
+	"time"
+
+	"ibislift/core/kernel"
+	"ibislift/core/route"
+)
+
+// Settings are what an operator sets for one daemon. Addresses are IP:port.
+type Settings struct {
+	// Name is the instance's name, unique in the fleet.
+	Name       string
+	Region     string
+	DataCentre string
+
+	// CallerAddress is where callers reach the daemon, PeerAddress other
+	// daemons, UpstreamAddress the upstream beside, OperatorAddress operators.
+	CallerAddress   string
+	PeerAddress     string
+	UpstreamAddress string
+	OperatorAddress string
+
+	// PlatformAddress is the object API's, PlatformRegion where it stands.
+	PlatformAddress string
+	PlatformRegion  string
+	// FirstPeers are peer addresses of some other daemons.
+	FirstPeers []string
+
+	// Links are the links to other regions, DataCentreLatency the one-way
+	// latency to other data centres of the own region.
+	Links             []Link
+	DataCentreLatency time.Duration
+
+	// RegionCapacity is the largest number of daemons of one service in one
+	// region, and is the same on all daemons.
+	RegionCapacity int
+	// ClaimPartitions is the number of claim logs, and is the same on all
+	// daemons.
+	ClaimPartitions int
+	ClaimInterval   time.Duration
+	ClaimRetention  time.Duration
+	// DrainTimeout bounds the wait for requests in progress at a stop.
+	DrainTimeout time.Duration
+}
+
+// Link is the way to another region: its one-way latency, and its price from 0
+// to 1.
+type Link struct {
+	Region  string
+	Latency time.Duration
+	Cost    float64
+}
+
+// ParseLink reads a link such as "WesternCape=30ms,0.5".
+func ParseLink(text string) (Link, error) {
+	region, rest, found := strings.Cut(text, "=")
+	latencyText, costText, priced := strings.Cut(rest, ",")
+	latency, err := time.ParseDuration(latencyText)
+	if !found || region == "" || err != nil || latency < 0 {
+		return Link{}, Error.New("%q is not REGION=LATENCY or REGION=LATENCY,COST, such as east=30ms,0.5", text)
+	}
+	link := Link{Region: region, Latency: latency, Cost: 1}
+	if priced {
+		if link.Cost, err = strconv.ParseFloat(costText, 64); err != nil || link.Cost < 0 || link.Cost > 1 {
+			return Link{}, Error.New("%q: the cost must be from 0 to 1", text)
+		}
+	}
+	return link, nil
+}
+
+// SettingError is a fault in one setting.
+type SettingError struct {
+	Flag   string
+	Reason string
+}
+
+func (settingError *SettingError) Error() string {
+	return "--" + settingError.Flag + ": " + settingError.Reason
+}
+
+var nameSetting = regexp.MustCompile(`^[A-Za-z0-9]([A-Za-z0-9._-]{0,62})$`)
+
+// Check returns all faults in the settings, in the order of their flags.
+func (settings Settings) Check() []*SettingError {
+	var faults []*SettingError
+	add := func(flag, format string, arguments ...any) {
+		faults = append(faults, &SettingError{Flag: flag, Reason: fmt.Sprintf(format, arguments...)})
+	}
+	for flag, name := range map[string]string{"name": settings.Name, "region": settings.Region, "data-centre": settings.DataCentre} {
+		if !nameSetting.MatchString(name) {
+			add(flag, "%q must be 1 to 63 letters, digits, '.', '_' or '-', starting with a letter or digit", name)
+		}
+	}
+	for flag, address := range map[string]string{
+		"caller-address": settings.CallerAddress, "peer-address": settings.PeerAddress,
+		"upstream-address": settings.UpstreamAddress, "operator-address": settings.OperatorAddress,
+		"platform-address": settings.PlatformAddress,
+	} {
+		if reason := checkAddress(address); reason != "" {
+			add(flag, "%s", reason)
+		}
+	}
+	for _, address := range settings.FirstPeers {
+		if reason := checkAddress(address); reason != "" {
+			add("first-peer", "%s", reason)
+		}
+	}
+	for flag, number := range map[string]int{"region-capacity": settings.RegionCapacity, "claim-partitions": settings.ClaimPartitions} {
+		if number < 1 {
+			add(flag, "%d must be at least 1", number)
+		}
+	}
+	for flag, duration := range map[string]time.Duration{
+		"claim-interval": settings.ClaimInterval, "claim-retention": settings.ClaimRetention, "drain-timeout": settings.DrainTimeout,
+	} {
+		if duration <= 0 {
+			add(flag, "%s must be above 0", duration)
+		}
+	}
+	if settings.DataCentreLatency < 0 {
+		add("data-centre-latency", "%s must not be below 0", settings.DataCentreLatency)
+	}
+	sort.Slice(faults, func(i, j int) bool { return faults[i].Error() < faults[j].Error() })
+	return faults
+}
+
+func checkAddress(address string) string {
+	host, port, err := net.SplitHostPort(address)
+	if err != nil {
+		return fmt.Sprintf("%q is not IP:port", address)
+	}
+	if _, err := netip.ParseAddr(host); err != nil {
+		return fmt.Sprintf("%q is not an IP number", host)
+	}
+	if number, err := strconv.Atoi(port); err != nil || number < 1 || number > 65535 {
+		return fmt.Sprintf("%q is not a port", port)
+	}
+	return ""
+}
+
+// kernelSettings are the settings that the kernel needs.
+func (settings Settings) kernelSettings(epoch int64) kernel.Settings {
+	return kernel.Settings{
+		Self:            settings.Name,
+		Epoch:           epoch,
+		Region:          settings.Region,
+		DataCentre:      settings.DataCentre,
+		PeerAddress:     settings.PeerAddress,
+		CallerAddress:   settings.CallerAddress,
+		OperatorAddress: settings.OperatorAddress,
+		FirstPeers:      settings.FirstPeers,
+		PlatformRegion:  settings.PlatformRegion,
+		Partitions:      settings.ClaimPartitions,
+		ClaimInterval:   settings.ClaimInterval,
+		ClaimRetention:  settings.ClaimRetention,
+		RegionCapacity:  settings.RegionCapacity,
+	}
+}
+
+// unknownLink stands for a region that no link names.
+const unknownLink = 50 * time.Millisecond
+
+// distance is the price of the way to a member.
+func (settings Settings) distance(member kernel.Member) route.Distance {
+	if member.Region == settings.Region {
+		if member.DataCentre == settings.DataCentre {
+			return route.Distance{}
+		}
+		return route.Distance{Link: settings.DataCentreLatency}
+	}
+	for _, link := range settings.Links {
+		if link.Region == member.Region {
+			return route.Distance{Link: link.Latency, Cost: link.Cost}
+		}
+	}
+	return route.Distance{Link: unknownLink, Cost: 1}
+}
--- /dev/null
+++ b/io/caller/attempt.go
@@ -0,0 +1,212 @@
+package caller
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"ibislift/core/call"
+	"ibislift/core/kernel"
+	"ibislift/io/peer"
+	"ibislift/io/peer/peerpb"
+)
+
+// attempt is one sending of a request to a target.
+type attempt struct {
+	index   int
+	member  kernel.Member
+	link    time.Duration
+	started time.Time
+	stream  peer.CallStream
+	stop    context.CancelFunc
+	ended   sync.Once
+	head    *peerpb.AnswerHead
+	interim []*peerpb.AnswerHead
+	ctx     context.Context
+	finish  func()
+}
+
+// startAttempt sends the head of the request to a target and returns at once.
+// What comes of it arrives as events.
+func startAttempt(exchange *exchange, member kernel.Member, send call.Send) *attempt {
+	ctx, stop := context.WithCancel(context.Background())
+	book := exchange.service.book
+	book.Started(member.ID)
+	attempt := &attempt{
+		index:   send.Attempt,
+		member:  member,
+		link:    exchange.handler.Distance(member).Link,
+		started: exchange.handler.Now(),
+		stop:    stop,
+		ctx:     ctx,
+		finish:  func() { book.Ended(member.ID) },
+	}
+	head := callHead(exchange, send)
+	go func() {
+		exchange.events <- attempt.begin(exchange, head)
+	}()
+	return attempt
+}
+
+// callHead is the head of the request as it travels to a gate.
+func callHead(exchange *exchange, send call.Send) *peerpb.CallHead {
+	request, original := exchange.request, exchange.original
+	head := &peerpb.CallHead{
+		RequestId:             request.id,
+		Service:               request.service,
+		Method:                original.Method,
+		Target:                original.URL.RequestURI(),
+		Host:                  original.Host,
+		Headers:               peer.FieldsOf(forwardHeader(original.Header)),
+		ContentLength:         int64(len(request.body)),
+		RemainingMicroseconds: max(1, request.deadline.Sub(exchange.handler.Now()).Microseconds()),
+		Important:             request.important,
+		Reserve:               send.Reserve || request.streamed,
+		Fingerprint:           request.fingerprint,
+		Repeatable:            request.repeatable,
+	}
+	if request.streamed {
+		head.ContentLength = original.ContentLength
+		head.BodyFollows = true
+		return head
+	}
+	head.Body = request.body
+	return head
+}
+
+// cancel ends the attempt. The gate learns of it by the end of the stream. A
+// target that is given up before its answer is known to take at least so long.
+func (attempt *attempt) cancel(exchange *exchange) {
+	attempt.ended.Do(func() {
+		now := exchange.handler.Now()
+		exchange.service.book.Waited(attempt.member.ID, now, now.Sub(attempt.started)-2*attempt.link)
+		attempt.stop()
+		attempt.finish()
+	})
+}
+
+// begin opens the stream, sends the head and waits for the first word of the
+// gate that the request's course depends on.
+func (attempt *attempt) begin(exchange *exchange, head *peerpb.CallHead) call.Event {
+	stream, err := exchange.handler.Peers.Open(attempt.ctx, attempt.member)
+	if err != nil {
+		attempt.noteFailure(exchange)
+		return call.Lost{Attempt: attempt.index, Unsent: true}
+	}
+	attempt.stream = stream
+	if err := stream.Send(&peerpb.CallFrame{Frame: &peerpb.CallFrame_Head{Head: head}}); err != nil && !errors.Is(err, io.EOF) {
+		attempt.noteFailure(exchange)
+		return call.Lost{Attempt: attempt.index}
+	}
+	return attempt.next(exchange)
+}
+
+// next reads frames until one decides the attempt's course.
+func (attempt *attempt) next(exchange *exchange) call.Event {
+	for {
+		frame, err := attempt.stream.Recv()
+		if err != nil {
+			attempt.noteFailure(exchange)
+			return call.Lost{Attempt: attempt.index}
+		}
+		switch frame := frame.GetFrame().(type) {
+		case *peerpb.AnswerFrame_Granted:
+			attempt.noteLoad(exchange, frame.Granted)
+			return call.Granted{Attempt: attempt.index}
+		case *peerpb.AnswerFrame_Refused:
+			attempt.noteLoad(exchange, frame.Refused.GetLoad())
+			return call.Refused{
+				Attempt:    attempt.index,
+				Reason:     frame.Refused.GetReason(),
+				RetryAfter: time.Duration(frame.Refused.GetRetryAfterMilliseconds()) * time.Millisecond,
+			}
+		case *peerpb.AnswerFrame_Lost:
+			attempt.noteLoad(exchange, frame.Lost.GetLoad())
+			attempt.noteFailure(exchange)
+			return call.Lost{Attempt: attempt.index, Crashed: frame.Lost.GetCrashed()}
+		case *peerpb.AnswerFrame_Interim:
+			attempt.interim = append(attempt.interim, frame.Interim)
+		case *peerpb.AnswerFrame_Head:
+			return attempt.noteHead(exchange, frame.Head)
+		}
+	}
+}
+
+func (attempt *attempt) noteHead(exchange *exchange, head *peerpb.AnswerHead) call.Event {
+	attempt.head = head
+	attempt.noteLoad(exchange, head.GetLoad())
+	if head.GetStatus() >= http.StatusInternalServerError {
+		attempt.noteFailure(exchange)
+		if head.GetComplete() {
+			return call.Failing{Attempt: attempt.index}
+		}
+		return call.Answered{Attempt: attempt.index}
+	}
+	now := exchange.handler.Now()
+	exchange.service.book.Answered(attempt.member.ID, now, now.Sub(attempt.started)-2*attempt.link)
+	return call.Answered{Attempt: attempt.index}
+}
+
+func (attempt *attempt) noteLoad(exchange *exchange, load *peerpb.Load) {
+	if load != nil {
+		exchange.service.book.Reported(attempt.member.ID, exchange.handler.Now(), peer.LoadOf(load))
+	}
+}
+
+// noteFailure counts a failure against the target, unless this daemon itself
+// has ended the attempt.
+func (attempt *attempt) noteFailure(exchange *exchange) {
+	if attempt.ctx.Err() != nil {
+		return
+	}
+	exchange.service.book.Failed(attempt.member.ID, exchange.handler.Now(), exchange.service.rules.Ejection)
+}
+
+// commit lets the gate run the request, sends a streamed body, and goes on to
+// wait for the answer.
+func (attempt *attempt) commit(exchange *exchange) {
+	err := attempt.stream.Send(&peerpb.CallFrame{Frame: &peerpb.CallFrame_Commit{Commit: &peerpb.Nothing{}}})
+	if err == nil && exchange.request.streamed {
+		go attempt.sendBody(exchange)
+	}
+	go func() { exchange.events <- attempt.next(exchange) }()
+}
+
+// sendBody sends the part of the body that has been read, and then the rest as
+// it comes.
+func (attempt *attempt) sendBody(exchange *exchange) {
+	left := exchange.request.rules.MaxBodyBytes
+	chunk := exchange.request.body
+	for {
+		left -= int64(len(chunk))
+		if left < 0 {
+			attempt.stop()
+			return
+		}
+		if len(chunk) > 0 && attempt.stream.Send(&peerpb.CallFrame{Frame: &peerpb.CallFrame_Chunk{Chunk: chunk}}) != nil {
+			return
+		}
+		buffer := make([]byte, peer.ChunkSize)
+		count, err := exchange.original.Body.Read(buffer)
+		chunk = buffer[:count]
+		if errors.Is(err, io.EOF) {
+			attempt.sendEnd(exchange, chunk)
+			return
+		}
+		if err != nil {
+			attempt.stop()
+			return
+		}
+	}
+}
+
+func (attempt *attempt) sendEnd(exchange *exchange, rest []byte) {
+	if len(rest) > 0 && attempt.stream.Send(&peerpb.CallFrame{Frame: &peerpb.CallFrame_Chunk{Chunk: rest}}) != nil {
+		return
+	}
+	trailer := &peerpb.Trailer{Fields: peer.FieldsOf(exchange.original.Trailer)}
+	_ = attempt.stream.Send(&peerpb.CallFrame{Frame: &peerpb.CallFrame_End{End: trailer}})
+}
--- /dev/null
+++ b/io/caller/caller.go
@@ -0,0 +1,170 @@
+// Package caller takes HTTP requests from callers, which are clients from
+// outside and the upstreams of other services, and sees each through to its
+// end: it chooses targets, passes the request to the gate beside one, and
+// relays the answer whole.
+//
+// # Usage
+//
+//	handler := &caller.Handler{View: view, Peers: peers, Claims: claims, Now: time.Now}
+//	server := &http.Server{Handler: handler}
+package caller
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"ibislift/core/call"
+	"ibislift/core/kernel"
+	"ibislift/core/route"
+	"ibislift/io/peer"
+	"ibislift/io/upstream"
+)
+
+// Peers opens a request to the gate of a member.
+type Peers interface {
+	Open(ctx context.Context, member kernel.Member) (peer.CallStream, error)
+}
+
+// Claims asks the clerks for idempotency keys.
+type Claims interface {
+	Claim(ctx context.Context, service, key, request string) (kernel.ClaimResult, error)
+	CloseClaim(service, key, request string, released bool)
+}
+
+// Meter counts what happens to requests.
+type Meter interface {
+	Request(service, class, tenant string, outcome call.Outcome, status int, took time.Duration)
+	Attempt(service, kind string)
+	Refusal(service, reason string)
+}
+
+// Handler serves callers. Set the fields before it is used.
+type Handler struct {
+	// Self and Epoch make the names of requests unique in the fleet.
+	Self  string
+	Epoch int64
+
+	View     func() *kernel.View
+	Peers    Peers
+	Claims   Claims
+	Distance func(kernel.Member) route.Distance
+	Now      func() time.Time
+	Meter    Meter
+	Records  *Records
+	Log      *slog.Logger
+
+	services services
+	counter  atomic.Uint64
+	running  atomic.Int64
+}
+
+// Running is the number of requests under way.
+func (handler *Handler) Running() int64 { return handler.running.Load() }
+
+// ServeHTTP sees one request through to its end.
+func (handler *Handler) ServeHTTP(writer http.ResponseWriter, original *http.Request) {
+	handler.running.Add(1)
+	defer handler.running.Add(-1)
+	handler.services.view = handler.View
+	arrived := handler.Now()
+	request := &request{id: handler.nextID(), service: serviceOf(original)}
+	service, view := handler.services.of(request.service)
+	if refusal := handler.prepare(request, service, view, original, arrived); refusal != nil {
+		refusal.RequestID = request.id
+		refusal.Outcome = call.OutcomeNotRun
+		refusal.write(writer)
+		handler.note(request, service, call.OutcomeNotRun, refusal.Status, arrived)
+		return
+	}
+	exchange := &exchange{
+		handler:  handler,
+		request:  request,
+		service:  service,
+		view:     view,
+		original: original,
+		writer:   writer,
+		arrived:  arrived,
+		random:   rand.Uint64(),
+		events:   make(chan call.Event, eventBuffer),
+		tried:    map[string]bool{},
+	}
+	exchange.run()
+}
+
+func (handler *Handler) nextID() string {
+	return fmt.Sprintf("%s-%x-%x", handler.Self, handler.Epoch, handler.counter.Add(1))
+}
+
+// prepare checks a request, and returns the answer to one that goes no further.
+func (handler *Handler) prepare(request *request, service *service, view *kernel.View, original *http.Request, now time.Time) *problem {
+	switch {
+	case !view.Ready:
+		return &problem{
+			Type: problemType + "notReady", Title: "the daemon has not learnt the configuration yet",
+			Status: http.StatusServiceUnavailable, retryAfter: call.DefaultRetryAfter,
+		}
+	case !service.known:
+		return &problem{
+			Type: problemType + "unknownService", Title: "unknown service",
+			Status: http.StatusNotFound, Detail: fmt.Sprintf("no target and no operator has named a service %q", request.service),
+		}
+	}
+	request.rules = service.rules
+	if err := request.readHeaders(original, now); err != nil {
+		return &problem{Type: problemType + "badHeader", Title: "bad header", Status: http.StatusBadRequest, Detail: err.Error()}
+	}
+	if err := request.readBody(original); err != nil {
+		return bodyProblem(err)
+	}
+	request.sign(original)
+	return blocked(request, view, now)
+}
+
+func bodyProblem(err error) *problem {
+	var tooLarge *http.MaxBytesError
+	if errors.Is(err, errTooLarge) || errors.As(err, &tooLarge) {
+		return &problem{Type: problemType + "bodyTooLarge", Title: "the body is too long", Status: http.StatusRequestEntityTooLarge, Detail: err.Error()}
+	}
+	return &problem{Type: problemType + "badBody", Title: "the body cannot be read", Status: http.StatusBadRequest, Detail: err.Error()}
+}
+
+// blocked refuses a request that is known to crash upstreams.
+func blocked(request *request, view *kernel.View, now time.Time) *problem {
+	suspect, known := view.Suspect(request.fingerprint)
+	if !known {
+		return nil
+	}
+	until := suspect.BlockedUntil(request.rules.CrashLimit.Crashes)
+	if !now.Before(until) {
+		return nil
+	}
+	return &problem{
+		Type:       problemType + "crashSuspect",
+		Title:      "upstreams have crashed on this request",
+		Status:     http.StatusServiceUnavailable,
+		Detail:     fmt.Sprintf("%d upstreams died while it ran; it is blocked for a time", len(suspect.Expiries)),
+		retryAfter: until.Sub(now),
+	}
+}
+
+// note counts and logs the end of a request.
+func (handler *Handler) note(request *request, service *service, outcome call.Outcome, status int, arrived time.Time) {
+	took := handler.Now().Sub(arrived)
+	name := request.service
+	if !service.known {
+		name = "unknown"
+	}
+	handler.Meter.Request(name, request.class, request.tenant, outcome, status, took)
+	handler.Log.Debug("request ended", "request", request.id, "service", request.service,
+		"status", status, "outcome", outcome, "took", took)
+}
+
+var _ http.Handler = (*Handler)(nil)
+
+const idHeader = upstream.RequestIDHeader
--- /dev/null
+++ b/io/caller/services.go
@@ -0,0 +1,147 @@
+package caller
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"sync/atomic"
+
+	"github.com/cespare/xxhash/v2"
+
+	"ibislift/core/call"
+	"ibislift/core/kernel"
+	"ibislift/core/profile"
+	"ibislift/core/route"
+)
+
+// Sizes of the part of a service's targets that one daemon uses.
+const (
+	nearTargets = 12
+	farTargets  = 6
+)
+
+// service is what this daemon keeps about a service it passes requests to.
+type service struct {
+	book    *route.Book
+	retries *call.Budget
+	hedges  *call.Budget
+	policy  route.Policy
+	rules   profile.Profile
+	members []kernel.Member
+	known   bool
+}
+
+// services keeps a service for each name, brought up to the newest view.
+type services struct {
+	view func() *kernel.View
+
+	current atomic.Pointer[snapshot]
+	mutex   sync.Mutex
+	latest  map[string]*service
+}
+
+// snapshot holds the services as of one view.
+type snapshot struct {
+	view     *kernel.View
+	services sync.Map
+}
+
+// of returns a service as of the newest view, and that view.
+func (services *services) of(name string) (*service, *kernel.View) {
+	view := services.view()
+	held := services.current.Load()
+	if held == nil || held.view != view {
+		held = &snapshot{view: view}
+		services.current.Store(held)
+	}
+	if found, known := held.services.Load(name); known {
+		return found.(*service), view
+	}
+	members, known := view.Service(name)
+	if !known {
+		return &service{}, view
+	}
+	made := services.renew(name, profile.InForce(view, name))
+	made.members = servingMembers(view, members)
+	held.services.Store(name, made)
+	return made, view
+}
+
+// renew carries over what outlives a view: the book always, the budgets and
+// the policy while the profile says the same of them.
+func (services *services) renew(name string, rules profile.Profile) *service {
+	services.mutex.Lock()
+	defer services.mutex.Unlock()
+	made := &service{rules: rules, known: true, book: &route.Book{}}
+	old := services.latest[name]
+	if old != nil {
+		made.book = old.book
+	}
+	made.retries = renewBudget(old, rules.RetryBudget, func(old *service) (*call.Budget, profile.Budget) {
+		return old.retries, old.rules.RetryBudget
+	})
+	made.hedges = renewBudget(old, rules.HedgeBudget, func(old *service) (*call.Budget, profile.Budget) {
+		return old.hedges, old.rules.HedgeBudget
+	})
+	made.policy = renewPolicy(old, rules.Policy)
+	if services.latest == nil {
+		services.latest = map[string]*service{}
+	}
+	services.latest[name] = made
+	return made
+}
+
+func renewBudget(old *service, rule profile.Budget, of func(*service) (*call.Budget, profile.Budget)) *call.Budget {
+	if old != nil {
+		if budget, same := of(old); same == rule {
+			return budget
+		}
+	}
+	return &call.Budget{Ratio: rule.Ratio, Burst: rule.Burst}
+}
+
+func renewPolicy(old *service, name string) route.Policy {
+	if old != nil && old.rules.Policy == name {
+		return old.policy
+	}
+	policy, err := route.New(name)
+	if err != nil {
+		policy, _ = route.New(profile.Default().Policy)
+	}
+	return policy
+}
+
+func servingMembers(view *kernel.View, members []kernel.Member) []kernel.Member {
+	var serving []kernel.Member
+	for _, member := range members {
+		if member.Serves() {
+			serving = append(serving, member)
+		}
+	}
+	self, _ := view.Member(view.Self)
+	return subset(self, serving)
+}
+
+// subset is the part of the targets that this daemon uses, so that its
+// connections do not grow with the fleet: some in its own region, chosen by
+// rendezvous hashing, and a few beyond.
+func subset(self kernel.Member, members []kernel.Member) []kernel.Member {
+	if len(members) <= nearTargets+farTargets {
+		return members
+	}
+	order := slices.Clone(members)
+	slices.SortFunc(order, func(one, other kernel.Member) int {
+		return cmp.Compare(xxhash.Sum64String(self.ID+"\x00"+one.ID), xxhash.Sum64String(self.ID+"\x00"+other.ID))
+	})
+	var near, far []kernel.Member
+	for _, member := range order {
+		if member.Region == self.Region {
+			near = append(near, member)
+			continue
+		}
+		far = append(far, member)
+	}
+	near = near[:min(nearTargets, len(near))]
+	wanted := max(farTargets, nearTargets+farTargets-len(near))
+	return append(near, far[:min(wanted, len(far))]...)
+}
--- /dev/null
+++ b/io/peer/codec.go
@@ -0,0 +1,95 @@
+package peer
+
+import (
+	"net/http"
+	"time"
+
+	"ibislift/core/admit"
+	"ibislift/core/kernel"
+	"ibislift/io/peer/peerpb"
+)
+
+// FieldsOf turns a header into the form that travels between daemons.
+func FieldsOf(header http.Header) []*peerpb.Field {
+	fields := make([]*peerpb.Field, 0, len(header))
+	for name, values := range header {
+		for _, value := range values {
+			fields = append(fields, &peerpb.Field{Name: name, Value: value})
+		}
+	}
+	return fields
+}
+
+// HeaderOf is the reverse of FieldsOf.
+func HeaderOf(fields []*peerpb.Field) http.Header {
+	header := make(http.Header, len(fields))
+	for _, field := range fields {
+		header[field.Name] = append(header[field.Name], field.Value)
+	}
+	return header
+}
+
+// LoadOf reads a gate's load report. A missing report is an empty one.
+func LoadOf(load *peerpb.Load) admit.Load {
+	return admit.Load{
+		Running:  int(load.GetRunning()),
+		Queued:   int(load.GetQueued()),
+		Slots:    int(load.GetSlots()),
+		Service:  time.Duration(load.GetServiceMicroseconds()) * time.Microsecond,
+		Draining: load.GetDraining(),
+	}
+}
+
+func loadMessage(load admit.Load) *peerpb.Load {
+	return &peerpb.Load{
+		Running:             int32(load.Running),
+		Queued:              int32(load.Queued),
+		Slots:               int32(load.Slots),
+		ServiceMicroseconds: load.Service.Microseconds(),
+		Draining:            load.Draining,
+	}
+}
+
+func keyMessage(key kernel.Key) *peerpb.Key {
+	return &peerpb.Key{Kind: uint32(key.Kind), Name: key.Name}
+}
+
+func keyOf(key *peerpb.Key) kernel.Key {
+	return kernel.Key{Kind: kernel.Kind(key.GetKind()), Name: key.GetName()}
+}
+
+// EnvelopeMessage turns a kernel's envelope into the form that travels.
+func EnvelopeMessage(envelope kernel.Envelope) *peerpb.Envelope {
+	message := &peerpb.Envelope{From: envelope.From, Root: envelope.Root, Buckets: envelope.Buckets}
+	for _, bucket := range envelope.Compared {
+		message.Compared = append(message.Compared, uint32(bucket))
+	}
+	for _, version := range envelope.Versions {
+		message.Versions = append(message.Versions, &peerpb.KeyVersion{Key: keyMessage(version.Key), Version: version.Version})
+	}
+	for _, key := range envelope.Wanted {
+		message.Wanted = append(message.Wanted, keyMessage(key))
+	}
+	for _, record := range envelope.Records {
+		message.Records = append(message.Records, &peerpb.Record{Key: keyMessage(record.Key), Version: record.Version, Body: record.Body})
+	}
+	return message
+}
+
+// EnvelopeOf is the reverse of EnvelopeMessage.
+func EnvelopeOf(message *peerpb.Envelope) kernel.Envelope {
+	envelope := kernel.Envelope{From: message.GetFrom(), Root: message.GetRoot(), Buckets: message.GetBuckets()}
+	for _, bucket := range message.GetCompared() {
+		envelope.Compared = append(envelope.Compared, int(bucket))
+	}
+	for _, version := range message.GetVersions() {
+		envelope.Versions = append(envelope.Versions, kernel.KeyVersion{Key: keyOf(version.GetKey()), Version: version.GetVersion()})
+	}
+	for _, key := range message.GetWanted() {
+		envelope.Wanted = append(envelope.Wanted, keyOf(key))
+	}
+	for _, record := range message.GetRecords() {
+		envelope.Records = append(envelope.Records, kernel.Record{Key: keyOf(record.GetKey()), Version: record.GetVersion(), Body: record.GetBody()})
+	}
+	return envelope
+}
--- /dev/null
+++ b/io/peer/server.go
@@ -0,0 +1,162 @@
+// Package peer speaks gRPC between daemons: an entry passes requests to the
+// gate beside their target, and the control parts exchange records and claims.
+//
+// # Usage
+//
+//	server := &peer.Server{Gate: gate, Upstream: client, Control: control}
+//	rpc := grpc.NewServer()
+//	peerpb.RegisterPeerServer(rpc, server)
+//
+//	peers := &peer.Peers{Self: "sleeplog-1", Server: server}
+//	stream, err := peers.Open(ctx, member)
+package peer
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/zeebo/errs"
+
+	"ibislift/core/admit"
+	"ibislift/core/kernel"
+	"ibislift/io/peer/peerpb"
+	"ibislift/io/upstream"
+)
+
+// Error is the class of all errors of this package.
+var Error = errs.Class("peer")
+
+// Control is the control part of the daemon, as peers use it.
+type Control interface {
+	Exchange(ctx context.Context, envelope kernel.Envelope) (kernel.Envelope, error)
+	Claim(ctx context.Context, asked kernel.ClaimAsked) (kernel.ClaimResult, error)
+	CloseClaim(closed kernel.ClaimClosed)
+	// Crashed reports the requests that ran when the upstream died.
+	Crashed(fingerprints []string)
+}
+
+// Server answers other daemons. Set the fields before it is registered.
+type Server struct {
+	peerpb.UnimplementedPeerServer
+
+	Gate     *upstream.Gate
+	Upstream *upstream.Client
+	Control  Control
+}
+
+// Exchange answers another daemon's envelope.
+func (server *Server) Exchange(ctx context.Context, message *peerpb.Envelope) (*peerpb.Envelope, error) {
+	answer, err := server.Control.Exchange(ctx, EnvelopeOf(message))
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	return EnvelopeMessage(answer), nil
+}
+
+// Claim answers a request for an idempotency key.
+func (server *Server) Claim(ctx context.Context, request *peerpb.ClaimRequest) (*peerpb.ClaimReply, error) {
+	result, err := server.Control.Claim(ctx, kernel.ClaimAsked{
+		Partition: int(request.GetPartition()),
+		Key:       request.GetKey(),
+		Request:   request.GetRequestId(),
+	})
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	return &peerpb.ClaimReply{Status: uint32(result.Status), Holder: result.Holder}, nil
+}
+
+// CloseClaim takes the end of a claimed request.
+func (server *Server) CloseClaim(_ context.Context, closed *peerpb.ClaimClosed) (*peerpb.Nothing, error) {
+	server.Control.CloseClaim(kernel.ClaimClosed{
+		Partition: int(closed.GetPartition()),
+		Key:       closed.GetKey(),
+		Request:   closed.GetRequestId(),
+		Released:  closed.GetReleased(),
+	})
+	return &peerpb.Nothing{}, nil
+}
+
+// Carry runs one request of another daemon.
+func (server *Server) Carry(stream peerpb.Peer_CarryServer) error { return server.Serve(stream) }
+
+// Serve admits one request and passes it to the upstream. It returns an error
+// only when the entry cannot be told anything any more.
+func (server *Server) Serve(stream GateStream) error {
+	frame, err := stream.Recv()
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	head := frame.GetHead()
+	if head == nil {
+		return Error.New("the first frame is not a head")
+	}
+	remaining := time.Duration(head.GetRemainingMicroseconds()) * time.Microsecond
+	deadline := server.Gate.Now().Add(remaining)
+	ctx, cancel := context.WithTimeout(stream.Context(), remaining)
+	defer cancel()
+	admission := server.Gate.Admit(deadline, head.GetImportant(), head.GetReserve(), head.GetFingerprint())
+	failed := true
+	defer func() { admission.Finish(failed) }()
+	decision, err := server.decide(ctx, stream, admission)
+	if err != nil {
+		return err
+	}
+	if !decision.HandedOver {
+		return server.refuse(stream, decision.Reason, decision.RetryAfter)
+	}
+	failed, err = server.run(ctx, stream, head, deadline)
+	return err
+}
+
+// decide waits for the gate's decision and, for a reserved request, for the
+// entry's commit.
+func (server *Server) decide(ctx context.Context, stream GateStream, admission *upstream.Admission) (upstream.Decision, error) {
+	decision := admission.Wait(ctx)
+	if !decision.Granted {
+		return decision, nil
+	}
+	granted := &peerpb.AnswerFrame{Frame: &peerpb.AnswerFrame_Granted{Granted: loadMessage(server.Gate.Load())}}
+	if err := stream.Send(granted); err != nil {
+		admission.Cancel()
+		return upstream.Decision{}, Error.Wrap(err)
+	}
+	frame, err := stream.Recv()
+	if err == nil && frame.GetCommit() == nil {
+		err = errors.New("expected a commit")
+	}
+	if err != nil {
+		admission.Cancel()
+		return upstream.Decision{}, Error.Wrap(err)
+	}
+	return admission.Commit(), nil
+}
+
+func (server *Server) refuse(stream GateStream, reason admit.Reason, retryAfter time.Duration) error {
+	refusal := &peerpb.Refusal{
+		Reason:                 string(reason),
+		RetryAfterMilliseconds: retryAfter.Milliseconds(),
+		Load:                   loadMessage(server.Gate.Load()),
+	}
+	return Error.Wrap(stream.Send(&peerpb.AnswerFrame{Frame: &peerpb.AnswerFrame_Refused{Refused: refusal}}))
+}
+
+func (server *Server) lose(stream GateStream, crashed bool) error {
+	loss := &peerpb.Loss{Crashed: crashed, Load: loadMessage(server.Gate.Load())}
+	return Error.Wrap(stream.Send(&peerpb.AnswerFrame{Frame: &peerpb.AnswerFrame_Lost{Lost: loss}}))
+}
+
+// checkCrash finds out whether the upstream has died, and reports what ran.
+func (server *Server) checkCrash() bool {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	if !server.Upstream.IsDown(ctx) {
+		return false
+	}
+	server.Upstream.Reset()
+	if fingerprints := server.Gate.TakeCrashed(); len(fingerprints) > 0 {
+		server.Control.Crashed(fingerprints)
+	}
+	return true
+}
--- /dev/null
+++ b/io/upstream/connection.go
@@ -0,0 +1,109 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"sync"
+	"time"
+)
+
+// bufferSize is the size of a connection's read and write buffers in bytes.
+const bufferSize = 16 << 10
+
+// dialTimeout bounds the setting up of a connection to the upstream beside.
+const dialTimeout = time.Second
+
+// connection is one HTTP/1.1 connection to the upstream. It carries one
+// request at a time.
+type connection struct {
+	net.Conn
+	reader *bufio.Reader
+	writer *bufio.Writer
+}
+
+// pool keeps idle connections to one upstream.
+type pool struct {
+	mutex   sync.Mutex
+	address string
+	idle    []*connection
+}
+
+// get returns an idle connection on which nothing has arrived, or a new one.
+func (pool *pool) get(ctx context.Context) (*connection, error) {
+	for {
+		idle := pool.pop()
+		if idle == nil {
+			return pool.dial(ctx)
+		}
+		if isQuiet(idle.Conn) {
+			return idle, nil
+		}
+		_ = idle.Close()
+	}
+}
+
+func (pool *pool) pop() *connection {
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	last := len(pool.idle) - 1
+	if last < 0 {
+		return nil
+	}
+	idle := pool.idle[last]
+	pool.idle = pool.idle[:last]
+	return idle
+}
+
+func (pool *pool) dial(ctx context.Context) (*connection, error) {
+	pool.mutex.Lock()
+	address := pool.address
+	pool.mutex.Unlock()
+	dialer := net.Dialer{Timeout: dialTimeout}
+	conn, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	return &connection{
+		Conn:   conn,
+		reader: bufio.NewReaderSize(conn, bufferSize),
+		writer: bufio.NewWriterSize(conn, bufferSize),
+	}, nil
+}
+
+// put takes a connection back whose answer has been read whole. One with bytes
+// left over is closed: they would be taken for the next request's answer.
+func (pool *pool) put(used *connection) {
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	if used.reader.Buffered() > 0 || used.RemoteAddr().String() != pool.address {
+		_ = used.Close()
+		return
+	}
+	pool.idle = append(pool.idle, used)
+}
+
+// retarget drops the idle connections and uses another address from now on.
+func (pool *pool) retarget(address string) {
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	if pool.address == address {
+		return
+	}
+	pool.address = address
+	pool.drop()
+}
+
+// reset drops the idle connections, as after a crash of the upstream.
+func (pool *pool) reset() {
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	pool.drop()
+}
+
+func (pool *pool) drop() {
+	for _, idle := range pool.idle {
+		_ = idle.Close()
+	}
+	pool.idle = nil
+}
--- /dev/null
+++ b/io/upstream/gate.go
@@ -0,0 +1,238 @@
+package upstream
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"ibislift/core/admit"
+)
+
+// gateTick is how often the gate looks for what has expired.
+const gateTick = 100 * time.Millisecond
+
+// Decision is the gate's word on a request.
+type Decision struct {
+	// Granted asks for a commit; HandedOver lets the request run now. If
+	// neither is set the request was refused and has not run.
+	Granted    bool
+	HandedOver bool
+	Reason     admit.Reason
+	RetryAfter time.Duration
+}
+
+// Gate drives the admission of one upstream and remembers what is running on
+// it. It may be used by many goroutines. Set the fields before Run.
+type Gate struct {
+	Now func() time.Time
+
+	mutex    sync.Mutex
+	machine  admit.Gate
+	waiting  map[uint64]chan Decision
+	running  map[uint64]string
+	reported map[uint64]bool
+	next     atomic.Uint64
+	drained  chan struct{}
+	handed   atomic.Uint64
+}
+
+// Run lets the gate's expiries happen until the context ends.
+func (gate *Gate) Run(ctx context.Context) {
+	ticker := time.NewTicker(gateTick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			gate.apply(func() []admit.Effect { return gate.machine.Update(admit.Ticked{At: gate.Now()}) })
+		}
+	}
+}
+
+// Resize sets the number of slots and the bound of the queue.
+func (gate *Gate) Resize(slots, queueBound int) {
+	gate.apply(func() []admit.Effect {
+		if gate.machine.Slots == slots && gate.machine.QueueBound == queueBound {
+			return nil
+		}
+		return gate.machine.Update(admit.Resized{At: gate.Now(), Slots: slots, QueueBound: queueBound})
+	})
+}
+
+// Admission is a request's place at the gate.
+type Admission struct {
+	gate        *Gate
+	id          uint64
+	decisions   chan Decision
+	fingerprint string
+	over        bool
+}
+
+// Admit puts a request before the gate. The decisions come by Wait.
+func (gate *Gate) Admit(deadline time.Time, important, reserve bool, fingerprint string) *Admission {
+	admission := &Admission{
+		gate:        gate,
+		id:          gate.next.Add(1),
+		decisions:   make(chan Decision, 3),
+		fingerprint: fingerprint,
+	}
+	gate.apply(func() []admit.Effect {
+		gate.waiting[admission.id] = admission.decisions
+		return gate.machine.Update(admit.Arrived{
+			ID:        admission.id,
+			At:        gate.Now(),
+			Deadline:  deadline,
+			Important: important,
+			Reserve:   reserve,
+		})
+	})
+	return admission
+}
+
+// Wait returns the gate's next decision. If the context ends first the request
+// is cancelled, and the decision that follows from that is returned.
+func (admission *Admission) Wait(ctx context.Context) Decision {
+	select {
+	case decision := <-admission.decisions:
+		return admission.note(decision)
+	case <-ctx.Done():
+		admission.Cancel()
+		return admission.note(<-admission.decisions)
+	}
+}
+
+func (admission *Admission) note(decision Decision) Decision {
+	if decision.HandedOver {
+		admission.gate.begin(admission.id, admission.fingerprint)
+	}
+	return decision
+}
+
+// Commit lets a granted request run, unless its time is up.
+func (admission *Admission) Commit() Decision {
+	gate := admission.gate
+	gate.apply(func() []admit.Effect {
+		return gate.machine.Update(admit.Committed{ID: admission.id, At: gate.Now()})
+	})
+	return admission.note(<-admission.decisions)
+}
+
+// Cancel gives the request up if it does not run yet.
+func (admission *Admission) Cancel() {
+	gate := admission.gate
+	gate.apply(func() []admit.Effect {
+		return gate.machine.Update(admit.Cancelled{ID: admission.id, At: gate.Now()})
+	})
+}
+
+// Finish frees the slot. It may be called more than once.
+func (admission *Admission) Finish(failed bool) {
+	if admission.over {
+		return
+	}
+	admission.over = true
+	gate := admission.gate
+	gate.apply(func() []admit.Effect {
+		delete(gate.waiting, admission.id)
+		delete(gate.running, admission.id)
+		delete(gate.reported, admission.id)
+		return gate.machine.Update(admit.Finished{ID: admission.id, At: gate.Now(), Failed: failed})
+	})
+}
+
+// begin notes that a request is about to be written to the upstream.
+func (gate *Gate) begin(id uint64, fingerprint string) {
+	gate.handed.Add(1)
+	gate.mutex.Lock()
+	defer gate.mutex.Unlock()
+	gate.running[id] = fingerprint
+}
+
+// apply runs an update under the lock and passes the decisions on.
+func (gate *Gate) apply(update func() []admit.Effect) {
+	gate.mutex.Lock()
+	defer gate.mutex.Unlock()
+	if gate.waiting == nil {
+		gate.waiting = map[uint64]chan Decision{}
+		gate.running = map[uint64]string{}
+		gate.reported = map[uint64]bool{}
+		gate.drained = make(chan struct{})
+	}
+	for _, effect := range update() {
+		gate.perform(effect)
+	}
+}
+
+func (gate *Gate) perform(effect admit.Effect) {
+	switch effect := effect.(type) {
+	case admit.Grant:
+		gate.decide(effect.ID, Decision{Granted: true})
+	case admit.HandOver:
+		gate.decide(effect.ID, Decision{HandedOver: true})
+	case admit.Refuse:
+		gate.decide(effect.ID, Decision{Reason: effect.Reason, RetryAfter: effect.RetryAfter})
+	case admit.Drained:
+		close(gate.drained)
+	}
+}
+
+// decide passes a decision on. A request has at most a grant, a hand-over and
+// a refusal, for which its channel has room.
+func (gate *Gate) decide(id uint64, decision Decision) {
+	waiting, known := gate.waiting[id]
+	if !known {
+		return
+	}
+	select {
+	case waiting <- decision:
+	default:
+	}
+}
+
+// Load reports the gate's state.
+func (gate *Gate) Load() admit.Load {
+	gate.mutex.Lock()
+	defer gate.mutex.Unlock()
+	return gate.machine.Load()
+}
+
+// HandedOver is the number of requests handed over so far.
+func (gate *Gate) HandedOver() uint64 { return gate.handed.Load() }
+
+// Drain stops admission. The returned channel is closed when nothing runs.
+func (gate *Gate) Drain() <-chan struct{} {
+	var drained chan struct{}
+	gate.apply(func() []admit.Effect {
+		drained = gate.drained
+		return gate.machine.Update(admit.DrainAsked{At: gate.Now()})
+	})
+	return drained
+}
+
+// Reopen ends a drain, when a new upstream has taken the drained one's place.
+func (gate *Gate) Reopen() {
+	gate.apply(func() []admit.Effect {
+		if !gate.machine.Load().Draining {
+			return nil
+		}
+		gate.drained = make(chan struct{})
+		return gate.machine.Update(admit.Reopened{At: gate.Now()})
+	})
+}
+
+// TakeCrashed returns the fingerprints of the requests that run now and have
+// not been returned before: those that the upstream died with.
+func (gate *Gate) TakeCrashed() []string {
+	gate.mutex.Lock()
+	defer gate.mutex.Unlock()
+	var fingerprints []string
+	for id, fingerprint := range gate.running {
+		if !gate.reported[id] && fingerprint != "" {
+			gate.reported[id] = true
+			fingerprints = append(fingerprints, fingerprint)
+		}
+	}
+	return fingerprints
+}
--- /dev/null
+++ b/standin/upstream/announce.go
@@ -0,0 +1,60 @@
+package upstream
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	wire "ibislift/io/upstream"
+)
+
+// announceInterval is the time between two announcements.
+const announceInterval = 500 * time.Millisecond
+
+// Announce tells the daemon beside of the upstream until the context ends.
+func (server *Server) Announce(ctx context.Context, daemon, address string) {
+	announcement := wire.Announcement{
+		Service:    server.Service,
+		Address:    address,
+		Slots:      server.Slots,
+		HealthPath: "/health",
+		LoadPath:   "/load",
+		Started:    time.Now().UnixMilli(),
+	}
+	body, err := json.Marshal(announcement)
+	if err != nil {
+		return
+	}
+	for ctx.Err() == nil {
+		_ = post(ctx, "http://"+daemon+"/announce", body)
+		pause(ctx, announceInterval)
+	}
+}
+
+// Drain asks the daemon beside to drain, and returns when nothing runs.
+func (server *Server) Drain(ctx context.Context, daemon string) error {
+	return post(ctx, "http://"+daemon+"/drain", nil)
+}
+
+func post(ctx context.Context, url string, body []byte) error {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return err
+	}
+	return response.Body.Close()
+}
+
+func pause(ctx context.Context, wait time.Duration) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
