--- /dev/null
+++ b/core/profile/profile_test.go
@@ -0,0 +1,54 @@
+package profile_test
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"ibislift/core/profile"
+	_ "ibislift/core/route"
+)
+
+func TestParse(t *testing.T) {
+	t.Run("what is left out has a default", func(t *testing.T) {
+		parsed, err := profile.Parse([]byte(`{"defaultDeadline": "250ms"}`))
+		is := is.New(t)
+		is.NoErr(err)
+		is.Equal(parsed.DefaultDeadline.Duration().String(), "250ms")
+		is.Equal(parsed.QueueBound, profile.Default().QueueBound)
+	})
+	for name, example := range map[string]struct{ text, field string }{
+		"unknown field":   {`{"retries": 3}`, "retries"},
+		"wrong type":      {`{"queueBound": "many"}`, "queueBound"},
+		"out of range":    {`{"hedgeBudget": {"ratio": 2, "burst": 1}}`, "hedgeBudget.ratio"},
+		"bad duration":    {`{"slowStart": "soon"}`, "$"},
+		"rule's path":     {`{"important": [{"method": "POST", "path": "enrol"}]}`, "important[0].path"},
+		"rule's method":   {`{"repeatable": [{"method": "get", "path": "/"}]}`, "repeatable[0].method"},
+		"unknown policy":  {`{"policy": "magic"}`, "policy"},
+		"text after":      {`{} {}`, "$"},
+		"empty":           {``, "$"},
+		"negative number": {`{"queueBound": -1}`, "queueBound"},
+	} {
+		t.Run(name, func(t *testing.T) { refusedField(t, example.text, example.field) })
+	}
+}
+
+// refusedField checks that a profile is refused with the path of a field.
+func refusedField(t *testing.T, text, field string) {
+	t.Helper()
+	is := is.New(t)
+	_, err := profile.Parse([]byte(text))
+	var fault *profile.FieldError
+	is.True(profile.Error.Has(err))
+	is.True(asFieldError(err, &fault))
+	is.Equal(fault.Path, field)
+}
+
+func TestRepeatable(t *testing.T) {
+	is := is.New(t)
+	rules := profile.Default()
+	is.True(rules.Repeatable("GET", "/logs/17"))
+	is.True(rules.Repeatable("HEAD", "/"))
+	is.True(!rules.Repeatable("POST", "/enrol"))
+	is.True(!rules.Repeatable("DELETE", "/logs/17"))
+}
