--- /dev/null
+++ b/standin/deployment/process_other.go
@@ -0,0 +1,7 @@
+//go:build !linux
+
+package deployment
+
+import "syscall"
+
+func endWithParent() *syscall.SysProcAttr { return nil }
