Clerks: the next one takes over at once

Change: each partition has three clerks in turn. An entry that cannot reach the first within 500 ms, or is told that it has lost the log, asks the next to take over. The conditional create decides between them, as before; a clerk that has lost a log leaves it alone for 5 s, so that two do not take turns. Test: 'the next clerk takes over at once from one that is gone'; the property asks any of the three, under the same name again too.

--- a/core/kernel/kernel.go
+++ b/core/kernel/kernel.go
@@ -49,8 +49,9 @@
 	// centre, as the WatchRank-th of those that do.
 	Watching  bool
 	WatchRank int
-	// Clerks names the daemon that keeps the claims of each partition.
-	Clerks []string
+	// Clerks names, for each partition, the daemon that keeps its claims, and
+	// after it those that may take over from it.
+	Clerks [][]string
 	// Dirty asks the kernel to publish a new view after this event.
 	Dirty bool
 }
--- a/core/kernel/message.go
+++ b/core/kernel/message.go
@@ -83,9 +83,11 @@
 }
 
 // ClaimAsked asks for the right to run a request that may not be repeated.
-// The answer is an AnswerClaim effect with the same token.
+// The answer is an AnswerClaim effect with the same token. With TakeOver the
+// asker could not reach the clerks before this one.
 type ClaimAsked struct {
 	Token     uint64
+	TakeOver  bool
 	Partition int
 	Key       string
 	Request   string
--- a/core/kernel/view.go
+++ b/core/kernel/view.go
@@ -80,7 +80,7 @@
 	Members  []Member
 	Configs  []Config
 	Suspects []Suspect
-	Clerks   []string
+	Clerks   [][]string
 	Ready    bool
 	Watching bool
 	// PlatformDown is the time since when the platform has not answered; it
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -54,7 +54,7 @@
 	failures map[string]int
 	heard    time.Time
 	stale    bool
-	clerks   []string
+	clerks   [][]string
 	watching bool
 }
 
--- a/core/member/neighbours.go
+++ b/core/member/neighbours.go
@@ -1,6 +1,7 @@
 package member
 
 import (
+	"fmt"
 	"sort"
 
 	"github.com/cespare/xxhash/v2"
@@ -19,6 +20,9 @@
 	// watchersPerDataCentre is how many daemons of a data centre watch the
 	// platform.
 	watchersPerDataCentre = 2
+	// clerksPerPartition is how many daemons may keep a partition's claims:
+	// the clerk, and those that take over when it cannot be reached.
+	clerksPerPartition = 3
 )
 
 // neighboursOf chooses the daemons that self keeps links to: in the ring of
@@ -86,9 +90,9 @@
 	return 0, false
 }
 
-// clerksOf chooses a clerk for each partition: by rendezvous hashing among the
+// clerksOf chooses the clerks of each partition in the order of their turn: by rendezvous hashing among the
 // daemons near the platform's store, or among all where none lives there.
-func clerksOf(settings kernel.Settings, members []kernel.Member) []string {
+func clerksOf(settings kernel.Settings, members []kernel.Member) [][]string {
 	var near []kernel.Member
 	for _, member := range members {
 		if member.Region == settings.PlatformRegion && !member.Leaving {
@@ -98,10 +102,10 @@
 	if len(near) == 0 {
 		near = members
 	}
-	clerks := make([]string, settings.Partitions)
+	clerks := make([][]string, settings.Partitions)
 	for partition := range clerks {
-		if order := ranked(near, "clerk"+string(rune('A'+partition))); len(order) > 0 {
-			clerks[partition] = order[0].ID
+		for _, member := range first(ranked(near, fmt.Sprintf("clerk%d", partition)), clerksPerPartition) {
+			clerks[partition] = append(clerks[partition], member.ID)
 		}
 	}
 	return clerks
--- a/core/once/log.go
+++ b/core/once/log.go
@@ -56,9 +56,12 @@
 	asks      []ask
 	sent      segment
 	sentAsks  []ask
+	askedAt   time.Time
 	wroteAt   time.Time
 	retryAt   time.Time
-	oldest    []kernel.Object
+	// closedStatus answers requests for claims until retryAt.
+	closedStatus kernel.ClaimStatus
+	oldest       []kernel.Object
 }
 
 // open starts to take the partition over.
@@ -149,6 +152,12 @@
 	return refused
 }
 
+// rest keeps a closed log closed until a time.
+func (log *partitionLog) rest(until time.Time, status kernel.ClaimStatus) {
+	log.retryAt = until
+	log.closedStatus = status
+}
+
 // expired returns the oldest segment if all its claims are past retention.
 func (log *partitionLog) expired(at time.Time, retention time.Duration) (kernel.Object, bool) {
 	if len(log.oldest) < 2 {
--- a/core/once/once.go
+++ b/core/once/once.go
@@ -15,11 +15,12 @@
 // it, and waits for the AnswerClaim effect:
 //
 //	partition := once.PartitionOf(key, len(view.Clerks))
-//	clerk := view.Clerks[partition]
+//	clerk := view.Clerks[partition][0]
 package once
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -32,6 +33,10 @@
 // retryWait is the time before a write in doubt is looked into again.
 const retryWait = 250 * time.Millisecond
 
+// keepTime is how long a clerk that has taken over keeps a partition without
+// being asked, and how long the one it took over from leaves it alone.
+const keepTime = 5 * time.Second
+
 // deleteInterval is the least time between two removals of old segments.
 const deleteInterval = time.Second
 
@@ -103,21 +108,28 @@
 	}
 }
 
-func isClerk(state *kernel.State, partition int) bool {
-	return partition < len(state.Clerks) && state.Clerks[partition] == state.Settings.Self
+// isClerk says whether this daemon is the first clerk of a partition or, if it
+// is asked to take over, one of the others.
+func isClerk(state *kernel.State, partition int, takeOver bool) bool {
+	if partition >= len(state.Clerks) {
+		return false
+	}
+	turn := slices.Index(state.Clerks[partition], state.Settings.Self)
+	return turn == 0 || turn > 0 && takeOver
 }
 
 // ask takes a request for a claim, opening the log first if need be.
 func (plugin *plugin) ask(state *kernel.State, at time.Time, asked kernel.ClaimAsked) []kernel.Effect {
-	if asked.Partition < 0 || asked.Partition >= len(plugin.logs) || !isClerk(state, asked.Partition) {
+	if asked.Partition < 0 || asked.Partition >= len(plugin.logs) || !isClerk(state, asked.Partition, asked.TakeOver) {
 		return answer(asked.Token, kernel.ClaimResult{Status: kernel.ClaimElsewhere})
 	}
 	log := plugin.logs[asked.Partition]
+	log.askedAt = at
 	var effects []kernel.Effect
 	switch log.phase {
 	case phaseClosed:
 		if at.Before(log.retryAt) {
-			return answer(asked.Token, kernel.ClaimResult{Status: kernel.ClaimUnavailable})
+			return answer(asked.Token, kernel.ClaimResult{Status: log.closedStatus})
 		}
 		effects = append(effects, call(log, log.open()))
 	case phaseDoubt:
@@ -197,7 +209,7 @@
 func (plugin *plugin) tick(state *kernel.State, at time.Time) []kernel.Effect {
 	var effects []kernel.Effect
 	for _, log := range plugin.logs {
-		if !isClerk(state, log.partition) && log.phase == phaseIdle && !log.worthWriting() {
+		if log.phase == phaseIdle && !log.worthWriting() && at.Sub(log.askedAt) >= keepTime && !isClerk(state, log.partition, false) {
 			effects = append(effects, refuse(log.close(), kernel.ClaimElsewhere)...)
 			continue
 		}
@@ -267,7 +279,7 @@
 func (plugin *plugin) listed(_ *kernel.State, log *partitionLog, at time.Time, result kernel.PlatformResult) []kernel.Effect {
 	if result.Status != kernel.PlatformOK {
 		refused := log.close()
-		log.retryAt = at.Add(retryWait)
+		log.rest(at.Add(retryWait), kernel.ClaimUnavailable)
 		return refuse(refused, kernel.ClaimUnavailable)
 	}
 	log.replay(result.Objects)
@@ -357,7 +369,9 @@
 	case result.Status == kernel.PlatformOK && log.isOwn(result.Object):
 		return plugin.committed(state, log, at)
 	case result.Status == kernel.PlatformOK:
-		return refuse(log.close(), kernel.ClaimElsewhere)
+		refused := log.close()
+		log.rest(at.Add(keepTime), kernel.ClaimElsewhere)
+		return refuse(refused, kernel.ClaimElsewhere)
 	case result.Status == kernel.PlatformAbsent:
 		log.phase = phaseWrite
 		return []kernel.Effect{call(log, log.resend())}
--- a/core/once/once_test.go
+++ b/core/once/once_test.go
@@ -64,18 +64,19 @@
 		partition: once.PartitionOf(key, partitions), token: bench.token,
 	}
 	clerk := through
-	if view := bench.fleet.Nodes[through].View; !anywhere && len(view.Clerks) == partitions {
-		clerk = view.Clerks[asked.partition]
+	view := bench.fleet.Nodes[through].View
+	if !anywhere && len(view.Clerks) == partitions {
+		clerk = view.Clerks[asked.partition][0]
 	}
 	asked.node = bench.fleet.Nodes[clerk]
 	bench.claimants = append(bench.claimants, asked)
-	bench.fleet.Tell(clerk, kernel.ClaimAsked{Token: asked.token, Partition: asked.partition, Key: key, Request: asked.request})
+	bench.fleet.Tell(clerk, kernel.ClaimAsked{Token: asked.token, Partition: asked.partition, Key: key, Request: asked.request, TakeOver: anywhere})
 	return asked
 }
 
 // askAgain repeats a request for a key under the same name, as when the answer
-// was lost on its way.
-func (bench *bench) askAgain(earlier *claimant) {
+// was lost on its way. The turn says which of the clerks is asked.
+func (bench *bench) askAgain(earlier *claimant, turn int) {
 	result, answered := earlier.result()
 	view := bench.fleet.Nodes[bench.names[0]].View
 	if answered && result.Status == kernel.ClaimGranted || len(view.Clerks) != partitions {
@@ -84,9 +85,11 @@
 	bench.token++
 	earlier.token = bench.token
 	earlier.settled = false
-	earlier.node = bench.fleet.Nodes[view.Clerks[earlier.partition]]
+	clerks := view.Clerks[earlier.partition]
+	earlier.node = bench.fleet.Nodes[clerks[turn%len(clerks)]]
 	bench.fleet.Tell(earlier.node.Settings.Self, kernel.ClaimAsked{
 		Token: earlier.token, Partition: earlier.partition, Key: earlier.key, Request: earlier.request,
+		TakeOver: turn > 0,
 	})
 }
 
@@ -169,7 +172,7 @@
 				bench.disturb(t)
 			case 2:
 				if len(bench.claimants) > 0 {
-					bench.askAgain(rapid.SampledFrom(bench.claimants).Draw(t, "again"))
+					bench.askAgain(rapid.SampledFrom(bench.claimants).Draw(t, "again"), rapid.IntRange(0, 2).Draw(t, "turn"))
 				}
 			default:
 				key := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "key")
@@ -215,6 +218,16 @@
 		other := otherThan(bench.names, clerk)
 		answered(t, bench, bench.ask("a", other, false), kernel.ClaimUnknown)
 	})
+	t.Run("the next clerk takes over at once from one that is gone", func(t *testing.T) {
+		bench := newBench(9, 4)
+		first := bench.ask("a", "d0", false)
+		answered(t, bench, first, kernel.ClaimGranted)
+		bench.fleet.Stop(first.node.Settings.Self)
+		next := bench.fleet.Nodes[otherThan(bench.names, first.node.Settings.Self)].View.Clerks[first.partition][1]
+		start := bench.fleet.Now
+		answered(t, bench, bench.ask("a", next, true), kernel.ClaimUnknown)
+		is.New(t).True(bench.fleet.Now.Sub(start) < time.Second)
+	})
 	t.Run("a paused clerk grants nothing after it has been replaced", func(t *testing.T) {
 		bench := newBench(3, 4)
 		answered(t, bench, bench.ask("b", "d0", false), kernel.ClaimGranted)
@@ -244,7 +257,7 @@
 		bench.fleet.Platform.LoseAnswer = nil
 		bench.fleet.Platform.Delay = func() time.Duration { return time.Second }
 		bench.fleet.Run(600 * time.Millisecond)
-		bench.askAgain(asked)
+		bench.askAgain(asked, 0)
 		answered(t, bench, asked, kernel.ClaimUnavailable)
 	})
 	t.Run("no claim while the platform is down, and at once", func(t *testing.T) {
--- a/daemon/claims.go
+++ b/daemon/claims.go
@@ -18,23 +18,23 @@
 	meter   *metrics.Meter
 }
 
-// claimTries is how often a claim follows the clerk when it has moved.
-const claimTries = 3
+// clerkTimeout is how long a clerk may take before the next one is asked to
+// take over.
+const clerkTimeout = 500 * time.Millisecond
 
-// claimPause is the time between two tries, in which views come together.
-const claimPause = 100 * time.Millisecond
-
-// Claim asks for a key. A clerk that is not the clerk any more is followed to
-// the next one.
+// Claim asks for a key. If the partition's clerk cannot be reached or has lost
+// it, the next one is asked to take over: the log decides which of them it is.
 func (claims *claims) Claim(ctx context.Context, service, key, request string) (kernel.ClaimResult, error) {
 	result := kernel.ClaimResult{Status: kernel.ClaimUnavailable}
+	partition, clerks := claims.clerksOf(service, key)
+	asked := kernel.ClaimAsked{Partition: partition, Key: fullKey(service, key), Request: request}
 	var err error
-	for range claimTries {
-		result, err = claims.try(ctx, service, key, request)
-		if err != nil || result.Status != kernel.ClaimElsewhere {
+	for turn, clerk := range clerks {
+		asked.TakeOver = turn > 0
+		result, err = claims.ask(ctx, clerk, asked)
+		if err == nil && result.Status != kernel.ClaimElsewhere {
 			break
 		}
-		time.Sleep(claimPause)
 	}
 	claims.meter.Claim(resultName(result, err))
 	return result, err
@@ -53,34 +53,37 @@
 	}
 }
 
-func (claims *claims) try(ctx context.Context, service, key, request string) (kernel.ClaimResult, error) {
-	clerk, partition, known := claims.clerkOf(service, key)
-	if !known {
-		return kernel.ClaimResult{Status: kernel.ClaimUnavailable}, nil
-	}
-	full := fullKey(service, key)
+func (claims *claims) ask(ctx context.Context, clerk kernel.Member, asked kernel.ClaimAsked) (kernel.ClaimResult, error) {
+	ctx, cancel := context.WithTimeout(ctx, clerkTimeout)
+	defer cancel()
 	if clerk.ID == claims.control.kernel.Settings.Self {
-		return claims.control.Claim(ctx, kernel.ClaimAsked{Partition: partition, Key: full, Request: request})
+		return claims.control.Claim(ctx, asked)
 	}
 	client, err := claims.peers.Client(clerk.PeerAddress)
 	if err != nil {
 		return kernel.ClaimResult{}, err
 	}
-	reply, err := client.Claim(ctx, &peerpb.ClaimRequest{Partition: uint32(partition), Key: full, RequestId: request})
+	reply, err := client.Claim(ctx, &peerpb.ClaimRequest{
+		Partition: uint32(asked.Partition), Key: asked.Key, RequestId: asked.Request, TakeOver: asked.TakeOver,
+	})
 	if err != nil {
 		return kernel.ClaimResult{}, Error.Wrap(err)
 	}
 	return kernel.ClaimResult{Status: kernel.ClaimStatus(reply.GetStatus()), Holder: reply.GetHolder()}, nil
 }
 
-// CloseClaim tells the clerk how a claimed request ended. It is not tried
-// again: an end that is not heard of leaves the key claimed, which is safe.
+// CloseClaim tells the clerks how a claimed request ended; the one that holds
+// the claim takes note. It is not tried again: an end that is not heard of
+// leaves the key claimed, which is safe.
 func (claims *claims) CloseClaim(service, key, request string, released bool) {
-	clerk, partition, known := claims.clerkOf(service, key)
-	if !known {
-		return
-	}
+	partition, clerks := claims.clerksOf(service, key)
 	closed := kernel.ClaimClosed{Partition: partition, Key: fullKey(service, key), Request: request, Released: released}
+	for _, clerk := range clerks {
+		claims.tell(clerk, closed)
+	}
+}
+
+func (claims *claims) tell(clerk kernel.Member, closed kernel.ClaimClosed) {
 	if clerk.ID == claims.control.kernel.Settings.Self {
 		claims.control.CloseClaim(closed)
 		return
@@ -92,18 +95,25 @@
 	ctx, cancel := context.WithTimeout(context.Background(), peerTimeout)
 	defer cancel()
 	_, _ = client.CloseClaim(ctx, &peerpb.ClaimClosed{
-		Partition: uint32(partition), Key: closed.Key, RequestId: request, Released: released,
+		Partition: uint32(closed.Partition), Key: closed.Key, RequestId: closed.Request, Released: closed.Released,
 	})
 }
 
-func (claims *claims) clerkOf(service, key string) (kernel.Member, int, bool) {
+// clerksOf returns a key's partition, and its clerks in the order of their
+// turn.
+func (claims *claims) clerksOf(service, key string) (int, []kernel.Member) {
 	view := claims.control.view.Load()
 	if len(view.Clerks) == 0 {
-		return kernel.Member{}, 0, false
+		return 0, nil
 	}
 	partition := once.PartitionOf(fullKey(service, key), len(view.Clerks))
-	clerk, known := view.Member(view.Clerks[partition])
-	return clerk, partition, known
+	var clerks []kernel.Member
+	for _, id := range view.Clerks[partition] {
+		if member, known := view.Member(id); known {
+			clerks = append(clerks, member)
+		}
+	}
+	return partition, clerks
 }
 
 // fullKey keeps the keys of different services apart.
--- a/io/operator/status.go
+++ b/io/operator/status.go
@@ -22,7 +22,7 @@
 	Root         string           `json:"root"`
 	ProbeGap     string           `json:"probeGap"`
 	Load         admit.Load       `json:"load"`
-	Clerks       []string         `json:"clerks"`
+	Clerks       [][]string       `json:"clerks"`
 	Regions      []RegionStatus   `json:"regions"`
 	Suspects     []kernel.Suspect `json:"suspects"`
 	Versions     []VersionStatus  `json:"versions"`
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -60,6 +60,7 @@
 		Partition: int(request.GetPartition()),
 		Key:       request.GetKey(),
 		Request:   request.GetRequestId(),
+		TakeOver:  request.GetTakeOver(),
 	})
 	if err != nil {
 		return nil, Error.Wrap(err)
