Fault matrix: every fault at every step, and pairs, on state machines with fakes

Change: standin/matrix joins entries, gates, clerks and the platform's fake in virtual time; make faults prints the tables, the tests run the same cells; tools/mutants.sh breaks one line at a time to show that the checks have teeth.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 SOURCES = $(shell git ls-files -co --exclude-standard '*.go' | grep -v '\.pb\.go$$')
 VERSION := $(shell git describe --always --dirty 2>/dev/null || echo development)
 
-.PHONY: build test check tools demo demo-keep faults bench bench-added slopes generate
+.PHONY: build test check tools demo demo-keep faults bench bench-added slopes mutants generate
 
 build:
 	go build -ldflags '-X main.version=$(VERSION)' -o bin/ ./cmd/...
@@ -36,3 +36,9 @@
 	bin/slopes kernels
 	bin/slopes processes
 	bin/slopes claims
+
+faults: build
+	bin/faults
+
+mutants:
+	tools/mutants.sh
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -148,16 +148,16 @@
 	if next.at.After(fleet.Now) {
 		fleet.Now = next.at
 	}
-	if next.run != nil {
-		next.run()
-		return
-	}
 	node := next.node
 	switch {
+	case node == nil:
+		next.run()
 	case node.Stopped:
 	case node.FrozenUntil.After(fleet.Now):
 		next.at = node.FrozenUntil
 		fleet.push(next)
+	case next.run != nil:
+		next.run()
 	case next.tick:
 		fleet.update(node, kernel.Ticked{})
 		fleet.push(event{at: fleet.Now.Add(kernel.TickInterval), node: node, tick: true})
@@ -274,6 +274,21 @@
 	fleet.push(event{at: fleet.Now.Add(after), node: node, message: message})
 }
 
+// At runs a function on a node after a time: later if the node is frozen then,
+// and never if it has stopped.
+func (fleet *Fleet) At(node *Node, wait time.Duration, run func()) {
+	fleet.push(event{at: fleet.Now.Add(wait), node: node, run: run})
+}
+
+// Arrives says whether a message between two nodes would arrive now.
+func (fleet *Fleet) Arrives(from, to *Node) bool { return !fleet.lose(from, to) }
+
+// LatencyOf is the one-way latency between two nodes.
+func (fleet *Fleet) LatencyOf(from, to *Node) time.Duration { return fleet.latency(from, to) }
+
+// After runs a function after a time, whatever happens to the nodes.
+func (fleet *Fleet) After(wait time.Duration, run func()) { fleet.after(wait, run) }
+
 // after runs a function at a later virtual time.
 func (fleet *Fleet) after(wait time.Duration, run func()) {
 	fleet.push(event{at: fleet.Now.Add(wait), run: run})
--- /dev/null
+++ b/standin/matrix/matrix_test.go
@@ -0,0 +1,34 @@
+package matrix_test
+
+import (
+	"testing"
+
+	"ibislift/standin/matrix"
+)
+
+// cell is one cell of a matrix.
+type cell interface {
+	Name() string
+	Run() string
+}
+
+// runCells runs every cell as a subtest.
+func runCells[Cell cell](t *testing.T, cells []Cell) {
+	t.Helper()
+	for _, cell := range cells {
+		t.Run(cell.Name(), func(t *testing.T) {
+			t.Parallel()
+			if fault := cell.Run(); fault != "" {
+				t.Fatal(fault)
+			}
+		})
+	}
+}
+
+func TestRequests(t *testing.T) { runCells(t, matrix.Requests()) }
+
+func TestPairs(t *testing.T) { runCells(t, matrix.Pairs()) }
+
+func TestChanges(t *testing.T) { runCells(t, matrix.Changes()) }
+
+func TestLives(t *testing.T) { runCells(t, matrix.Lives()) }
--- /dev/null
+++ b/tools/mutants.sh
@@ -0,0 +1,84 @@
+#!/usr/bin/env bash
+# Shows that the checks fail when a promise is broken: breaks one line of a copy
+# of the tree at a time, and runs the tests that should notice.
+# Usage: tools/mutants.sh   (prints a line a mutant, exits 1 if one lives)
+set -u
+cd "$(dirname "$0")/.."
+copy=$(mktemp -d)
+trap 'rm -rf "$copy"' EXIT
+living=0
+
+mutant() { # name, file, old text, new text, packages
+  local name=$1 file=$2 old=$3 new=$4
+  shift 4
+  rm -rf "$copy/tree" && mkdir "$copy/tree"
+  git ls-files -co --exclude-standard -z | tar --null -cf - -T - | tar xf - -C "$copy/tree"
+  if ! OLD=$old NEW=$new python3 -c '
+import os, sys
+path = sys.argv[1]
+text = open(path).read()
+if os.environ["OLD"] not in text: sys.exit(1)
+open(path, "w").write(text.replace(os.environ["OLD"], os.environ["NEW"], 1))' "$copy/tree/$file"; then
+    echo "$name: the line is not there any more"
+    living=1
+    return
+  fi
+  local caught
+  caught=$(cd "$copy/tree" && timeout 90 go test -vet=off -count=1 -timeout 80s "$@" 2>&1 | grep -E '^ *--- FAIL|build failed' | grep -v '^--- FAIL.*/' | head -2 | tr -s ' ' | tr '\n' ' ')
+  case "$caught" in
+    "") echo "$name: NOT CAUGHT"; living=1 ;;
+    *"build failed"*) echo "$name: does not build"; living=1 ;;
+    *) echo "$name: caught by $caught" ;;
+  esac
+}
+
+mutant "a lost request is sent again" core/call/machine.go \
+  'if call.uncertain && !call.Repeatable || call.crashes' 'if call.crashes' ./core/call ./standin/matrix
+mutant "notRun is told without proof" core/call/machine.go \
+  'if call.mayHaveRun() {' 'if false {' ./core/call ./standin/matrix
+mutant "a keyed request runs without a claim" core/call/machine.go \
+  'case call.Keyed && !call.claimed:' 'case false:' ./core/call ./standin/matrix
+mutant "a claim of a request that may have run is given back" core/call/machine.go \
+  'if call.claimed && outcome == OutcomeNotRun {' 'if call.claimed {' ./core/call ./standin/matrix
+mutant "retries have no budget" core/call/budget.go \
+  'if budget.earned < 1 {' 'if false {' ./core/call
+mutant "a reservation never ends" core/admit/admit.go \
+  'case committed.At.Sub(reserved.started) >= ReservationTime:' 'case false:' ./core/admit
+mutant "a draining gate admits" core/admit/admit.go \
+  'case gate.draining:' 'case false:' ./core/admit
+mutant "a cancelled reservation runs" core/admit/admit.go \
+  'if known.stage == stageReserved {' 'if false {' ./core/admit
+mutant "a new clerk does not read the log" core/once/once.go \
+  'log.replay(result.Objects)' '' ./core/once ./standin/matrix
+mutant "a clerk takes another's segment for its own" core/once/log.go \
+  'return err == nil && decoded.Writer == log.writer && decoded.Nonce == log.sent.Nonce' 'return err == nil' ./core/once
+mutant "a refused request is granted later" core/once/once.go \
+  'case held.request == request && held.releasing:' 'case false:' ./core/once
+mutant "a lost answer is not recognised" core/profile/change.go \
+  'decoded.wroteBy(pending.asked.Nonce)' 'len(decoded.Recent) < 0' ./core/profile
+mutant "accepted without knowing" core/profile/change.go \
+  'pending.doubtful = true
+		return plugin.readBack(token, pending)' \
+  'return plugin.accept(token, pending, kernel.Object{Name: pending.base.Name, Version: pending.base.Version + 1000})' ./core/profile ./standin/matrix
+mutant "an older version comes into force" core/kernel/table.go \
+  'known && old.Version >= record.Version' 'known && old.Version == record.Version' ./core/kernel ./core/profile
+mutant "losses are not repaired" core/spread/spread.go \
+  'case envelope.Root != 0 && envelope.Root != answer.Root:' 'case false:' ./core/profile ./core/member
+mutant "an isolated daemon accuses" core/member/member.go \
+  'return len(state.Neighbours) > 1 && at.Sub(plugin.heard) > hearingTime' 'return false' ./core/member
+mutant "nobody refutes" core/member/member.go \
+  'plugin.counter = counterOf(version)
+	return plugin.state()' 'return nil' ./core/member
+mutant "the dead are never tried again" core/spread/spread.go \
+  'append(candidates, state.Strangers...)' 'candidates' ./core/member
+mutant "a restart forgets the probing gap" core/measure/measure.go \
+  'plugin.last = event.At' '' ./core/measure
+mutant "the share is one probe too large" core/measure/measure.go \
+  'time.Duration(share-1)' 'time.Duration(share)' ./core/measure
+mutant "an innocent fingerprint is blocked for good" core/crash/crash.go \
+  'if !at.Before(time.UnixMilli(known.Expires)) {' 'if false {' ./core/crash
+mutant "a connection with a late answer is used again" io/upstream/connection.go \
+  'if isQuiet(idle.Conn) {' 'if true {' ./io/upstream
+mutant "a crossed answer is passed on" io/upstream/client.go \
+  'return response, checkOwner(request, response)' 'return response, nil' ./io/upstream
+exit $living
