--- a/core/profile/plugin.go
+++ b/core/profile/plugin.go
@@ -1,6 +1,7 @@
 package profile
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -119,7 +120,7 @@
 	}
 	peers := len(plugin.synced)
 	waited := at.Sub(plugin.started) >= startTime
-	fromPlatform := plugin.listed && (peers > 0 || len(state.Settings.FirstPeers) == 0 || waited)
+	fromPlatform := plugin.listed && (peers > 0 || !hasFirstPeers(state.Settings) || waited)
 	fromPeers := peers >= 2 || peers == 1 && waited
 	if fromPlatform || fromPeers {
 		plugin.ready = true
@@ -127,6 +128,13 @@
 	}
 }
 
+// hasFirstPeers says whether there is another daemon to ask at the start.
+func hasFirstPeers(settings kernel.Settings) bool {
+	return slices.ContainsFunc(settings.FirstPeers, func(address string) bool {
+		return address != settings.PeerAddress
+	})
+}
+
 func (plugin *plugin) tick(state *kernel.State, at time.Time) []kernel.Effect {
 	plugin.judgeReady(state, at)
 	effects := plugin.resume(at)
--- a/daemon/beside.go
+++ b/daemon/beside.go
@@ -13,6 +13,7 @@
 	view := daemon.control.view.Load()
 	self, _ := view.Member(view.Self)
 	daemon.client.Retarget(announcement.Address)
+	daemon.client.ExpectEcho(announcement.EchoesRequestID)
 	if announcement.Started != self.Target.Since && !self.Leaving {
 		daemon.gate.Reopen()
 	}
--- a/io/caller/caller.go
+++ b/io/caller/caller.go
@@ -71,10 +71,10 @@
 func (handler *Handler) ServeHTTP(writer http.ResponseWriter, original *http.Request) {
 	handler.running.Add(1)
 	defer handler.running.Add(-1)
-	handler.services.view = handler.View
 	arrived := handler.Now()
 	request := &request{id: handler.nextID(), service: serviceOf(original)}
-	service, view := handler.services.of(request.service)
+	view := handler.View()
+	service := handler.services.of(view, request.service)
 	if refusal := handler.prepare(request, service, view, original, arrived); refusal != nil {
 		refusal.RequestID = request.id
 		refusal.Outcome = call.OutcomeNotRun
--- a/io/caller/services.go
+++ b/io/caller/services.go
@@ -33,8 +33,6 @@
 
 // services keeps a service for each name, brought up to the newest view.
 type services struct {
-	view func() *kernel.View
-
 	current atomic.Pointer[snapshot]
 	mutex   sync.Mutex
 	latest  map[string]*service
@@ -46,25 +44,24 @@
 	services sync.Map
 }
 
-// of returns a service as of the newest view, and that view.
-func (services *services) of(name string) (*service, *kernel.View) {
-	view := services.view()
+// of returns a service as of a view.
+func (services *services) of(view *kernel.View, name string) *service {
 	held := services.current.Load()
 	if held == nil || held.view != view {
 		held = &snapshot{view: view}
 		services.current.Store(held)
 	}
 	if found, known := held.services.Load(name); known {
-		return found.(*service), view
+		return found.(*service)
 	}
 	members, known := view.Service(name)
 	if !known {
-		return &service{}, view
+		return &service{}
 	}
 	made := services.renew(name, profile.InForce(view, name))
 	made.members = servingMembers(view, members)
 	held.services.Store(name, made)
-	return made, view
+	return made
 }
 
 // renew carries over what outlives a view: the book always, the budgets and
--- a/io/upstream/announce.go
+++ b/io/upstream/announce.go
@@ -27,6 +27,9 @@
 	HealthPath string `json:"healthPath"`
 	// LoadPath reports the load. It is kept for operators.
 	LoadPath string `json:"loadPath,omitempty"`
+	// EchoesRequestID says that the upstream copies Ibislift-Request-Id from
+	// each request into its answer. Answers without it are refused then.
+	EchoesRequestID bool `json:"echoesRequestId,omitempty"`
 	// Started is the upstream's start in Unix milliseconds.
 	Started int64 `json:"started"`
 }
--- a/io/upstream/client.go
+++ b/io/upstream/client.go
@@ -5,7 +5,8 @@
 // transport sends a request again by itself when a connection breaks, also one
 // with an Idempotency-Key, and may reuse a connection that has an unread late
 // answer on it. Here each request is written once, to a connection on which
-// nothing has arrived.
+// nothing has arrived for a while, and an upstream may name in each answer the
+// request that it belongs to.
 //
 // # Usage
 //
@@ -23,6 +24,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -53,7 +55,14 @@
 var errCrossed = errors.New("the answer belongs to another request")
 
 // Client sends requests to one upstream. It may be used by many goroutines.
-type Client struct{ pool pool }
+type Client struct {
+	pool   pool
+	echoes atomic.Bool
+}
+
+// ExpectEcho says whether the upstream names in each answer the request that
+// it belongs to. Then an answer that names none is taken for another's.
+func (client *Client) ExpectEcho(echoes bool) { client.echoes.Store(echoes) }
 
 // Retarget sets the upstream's address.
 func (client *Client) Retarget(address string) { client.pool.retarget(address) }
@@ -87,7 +96,7 @@
 	}
 	answer := &Answer{client: client, used: used, stop: stop}
 	if answer.sent, err = send(used, request); err == nil {
-		answer.Response, err = receive(used, request, interim)
+		answer.Response, err = client.receive(used, request, interim)
 	}
 	if err != nil {
 		answer.Abort()
@@ -115,14 +124,14 @@
 	return used.writer.Flush()
 }
 
-func receive(used *connection, request *http.Request, interim func(*http.Response)) (*http.Response, error) {
+func (client *Client) receive(used *connection, request *http.Request, interim func(*http.Response)) (*http.Response, error) {
 	for {
 		response, err := http.ReadResponse(used.reader, request)
 		if err != nil {
 			return nil, err
 		}
 		if response.StatusCode >= 200 || response.StatusCode == http.StatusSwitchingProtocols {
-			return response, checkOwner(request, response)
+			return response, client.checkOwner(request, response)
 		}
 		if interim != nil && response.StatusCode != http.StatusContinue {
 			interim(response)
@@ -131,12 +140,13 @@
 }
 
 // checkOwner refuses an answer that names another request than its own.
-func checkOwner(request *http.Request, response *http.Response) error {
+func (client *Client) checkOwner(request *http.Request, response *http.Response) error {
 	named := response.Header.Get(RequestIDHeader)
-	if named != "" && named != request.Header.Get(RequestIDHeader) {
-		return errCrossed
+	owned := named == request.Header.Get(RequestIDHeader)
+	if owned || named == "" && !client.echoes.Load() {
+		return nil
 	}
-	return nil
+	return errCrossed
 }
 
 // Finish gives the connection back after the body has been read to its end.
@@ -185,6 +195,7 @@
 	if err != nil {
 		return false
 	}
+	request.Header.Set(RequestIDHeader, probeID)
 	answer, err := client.Do(ctx, request, nil)
 	if err != nil {
 		return false
@@ -198,6 +209,9 @@
 	return answer.StatusCode < http.StatusMultipleChoices
 }
 
+// probeID is what probes carry as the name of their request.
+const probeID = "probe"
+
 const (
 	probeTimeout  = time.Second
 	maxProbeBytes = 4 << 10
--- a/io/upstream/connection.go
+++ b/io/upstream/connection.go
@@ -11,6 +11,13 @@
 // bufferSize is the size of a connection's read and write buffers in bytes.
 const bufferSize = 16 << 10
 
+// quietTime is how long a connection rests after an answer before it carries
+// the next request, so that an answer that comes twice is noticed on it.
+const quietTime = 50 * time.Millisecond
+
+// maxIdle bounds the idle connections to the upstream.
+const maxIdle = 200
+
 // dialTimeout bounds the setting up of a connection to the upstream beside.
 const dialTimeout = time.Second
 
@@ -18,8 +25,10 @@
 // request at a time.
 type connection struct {
 	net.Conn
-	reader *bufio.Reader
-	writer *bufio.Writer
+	address string
+	reader  *bufio.Reader
+	writer  *bufio.Writer
+	idleAt  time.Time
 }
 
 // pool keeps idle connections to one upstream.
@@ -43,15 +52,15 @@
 	}
 }
 
+// pop takes the connection that has rested longest, if it has rested enough.
 func (pool *pool) pop() *connection {
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
-	last := len(pool.idle) - 1
-	if last < 0 {
+	if len(pool.idle) == 0 || time.Since(pool.idle[0].idleAt) < quietTime {
 		return nil
 	}
-	idle := pool.idle[last]
-	pool.idle = pool.idle[:last]
+	idle := pool.idle[0]
+	pool.idle = pool.idle[1:]
 	return idle
 }
 
@@ -65,9 +74,10 @@
 		return nil, Error.Wrap(err)
 	}
 	return &connection{
-		Conn:   conn,
-		reader: bufio.NewReaderSize(conn, bufferSize),
-		writer: bufio.NewWriterSize(conn, bufferSize),
+		Conn:    conn,
+		address: address,
+		reader:  bufio.NewReaderSize(conn, bufferSize),
+		writer:  bufio.NewWriterSize(conn, bufferSize),
 	}, nil
 }
 
@@ -76,10 +86,11 @@
 func (pool *pool) put(used *connection) {
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
-	if used.reader.Buffered() > 0 || used.RemoteAddr().String() != pool.address {
+	if used.reader.Buffered() > 0 || used.address != pool.address || len(pool.idle) >= maxIdle {
 		_ = used.Close()
 		return
 	}
+	used.idleAt = time.Now()
 	pool.idle = append(pool.idle, used)
 }
 
--- a/standin/matrix/change.go
+++ b/standin/matrix/change.go
@@ -21,8 +21,8 @@
 // stepTimes are how long after the operator's wish a step is: after the write
 // with its answer still under way, and when the first neighbours have heard.
 var stepTimes = map[Step]time.Duration{
-	StepAfterWrite:  1500 * time.Microsecond,
-	StepSpreading:   2500 * time.Microsecond,
+	StepAfterWrite: 1500 * time.Microsecond,
+	StepSpreading:  2500 * time.Microsecond,
 }
 
 // ChangeCell is a fault at a step of a change.
--- a/standin/upstream/announce.go
+++ b/standin/upstream/announce.go
@@ -22,6 +22,8 @@
 		HealthPath: "/health",
 		LoadPath:   "/load",
 		Started:    time.Now().UnixMilli(),
+
+		EchoesRequestID: true,
 	}
 	body, err := json.Marshal(announcement)
 	if err != nil {
--- a/standin/upstream/upstream.go
+++ b/standin/upstream/upstream.go
@@ -22,6 +22,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	wire "ibislift/io/upstream"
 )
 
 // Switches are what a test can turn.
@@ -109,7 +111,8 @@
 	writer.WriteHeader(http.StatusNoContent)
 }
 
-func (server *Server) health(writer http.ResponseWriter, _ *http.Request) {
+func (server *Server) health(writer http.ResponseWriter, request *http.Request) {
+	writer.Header().Set(wire.RequestIDHeader, request.Header.Get(wire.RequestIDHeader))
 	if server.turned().Sick {
 		http.Error(writer, "sick", http.StatusInternalServerError)
 		return
@@ -135,6 +138,7 @@
 		<-server.slots
 	}()
 	server.enter(request)
+	writer.Header().Set(wire.RequestIDHeader, request.Header.Get(wire.RequestIDHeader))
 	switches := server.turned()
 	switch {
 	case request.Header.Get(CrashHeader) != "":
@@ -251,7 +255,11 @@
 // answerAgain sends the answer once more on the same connection, as a broken
 // server would.
 func answerAgain(writer http.ResponseWriter, text string) {
-	conn, buffer, err := http.NewResponseController(writer).Hijack()
+	controller := http.NewResponseController(writer)
+	if controller.Flush() != nil {
+		return
+	}
+	conn, buffer, err := controller.Hijack()
 	if err != nil {
 		return
 	}
