--- a/Makefile
+++ b/Makefile
@@ -42,3 +42,9 @@
 
 mutants:
 	tools/mutants.sh
+
+bench: build
+	bin/bench scenarios --deployment $(DEPLOYMENT)
+
+bench-added: build
+	bin/bench added
--- a/cmd/slopes/processes.go
+++ b/cmd/slopes/processes.go
@@ -49,8 +49,8 @@
 
 // measureProcesses prints what an idle daemon uses in fleets of several sizes.
 func measureProcesses(programs string) error {
-	fmt.Println("| daemons | % of a core | MB resident | bytes/s in and out, TCP payload | platform calls/s, fleet |")
-	fmt.Println("|---|---|---|---|---|")
+	fmt.Println("| daemons | % of a core | MB resident | MB live heap | bytes/s in and out, TCP payload | platform calls/s, fleet |")
+	fmt.Println("|---|---|---|---|---|---|")
 	for _, targets := range targetsPerService {
 		if err := measureIdle(programs, targets); err != nil {
 			return err
@@ -63,6 +63,7 @@
 type use struct {
 	processor time.Duration
 	resident  int64
+	heap      float64
 	traffic   int64
 	calls     uint64
 }
@@ -79,6 +80,11 @@
 			return use{}, err
 		}
 		total.processor += usage.Processor
+		heap, err := instance.Metric("go_memstats_heap_alloc_bytes")
+		if err != nil {
+			return use{}, err
+		}
+		total.heap += heap
 		total.resident += usage.Resident
 		// What one daemon's connections carry is paid at both ends.
 		total.traffic += 2 * (traffic.Out + traffic.In)
@@ -106,9 +112,9 @@
 	}
 	count := float64(len(running.Instances))
 	seconds := watchTime.Seconds()
-	fmt.Printf("| %d | %.2f | %.1f | %.0f | %.2f |\n", len(running.Instances),
+	fmt.Printf("| %d | %.2f | %.1f | %.1f | %.0f | %.2f |\n", len(running.Instances),
 		100*(after.processor-before.processor).Seconds()/seconds/count,
-		float64(after.resident)/count/(1<<20), float64(after.traffic-before.traffic)/seconds/count,
+		float64(after.resident)/count/(1<<20), after.heap/count/(1<<20), float64(after.traffic-before.traffic)/seconds/count,
 		float64(after.calls-before.calls)/seconds)
 	return nil
 }
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -78,6 +78,7 @@
 	command.Flag("name", "Name of the upstream.").Required().StringVar(&server.Name)
 	command.Flag("slots", "Requests that run at once.").Default("13").IntVar(&server.Slots)
 	command.Flag("service-time", "Mean service time.").Default("5ms").DurationVar(&server.ServiceTime)
+	command.Flag("service-shape", "Exponential parts of the service time.").Default("1").IntVar(&server.ServiceShape)
 	command.Flag("seed", "Seed of the service times.").Default("1").Uint64Var(&server.Seed)
 	commands[command.FullCommand()] = func(ctx context.Context) error {
 		if *ledger != "" {
--- a/io/metrics/metrics.go
+++ b/io/metrics/metrics.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/zeebo/errs"
 	"go.opentelemetry.io/otel/attribute"
@@ -59,6 +60,7 @@
 // New returns a meter with a registry of its own.
 func New() (*Meter, error) {
 	registry := prometheus.NewRegistry()
+	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	reader, err := exporter.New(exporter.WithRegisterer(registry), exporter.WithoutScopeInfo(), exporter.WithoutTargetInfo())
 	if err != nil {
 		return nil, Error.Wrap(err)
--- a/io/operator/operator.go
+++ b/io/operator/operator.go
@@ -74,6 +74,7 @@
 	router.GET("/status", api.status)
 	router.GET("/explain", api.explain)
 	router.GET("/metrics", echo.WrapHandler(api.Metrics))
+	router.Any("/debug/pprof/*", echo.WrapHandler(http.HandlerFunc(profiles)))
 	router.GET("/healthz", func(ctx echo.Context) error { return ctx.String(http.StatusOK, "ok\n") })
 	router.GET("/readyz", api.ready)
 	return router
--- a/io/upstream/client.go
+++ b/io/upstream/client.go
@@ -70,6 +70,14 @@
 // Reset drops all idle connections.
 func (client *Client) Reset() { client.pool.reset() }
 
+// rest is how long a connection has to rest between two requests.
+func (client *Client) rest() time.Duration {
+	if client.echoes.Load() {
+		return 0
+	}
+	return quietTime
+}
+
 // Answer is an answer whose body is still to be read.
 type Answer struct {
 	*http.Response
@@ -84,7 +92,7 @@
 // go to the interim function, which may be nil. The end of the context closes
 // the connection, by which the upstream learns that nobody waits any more.
 func (client *Client) Do(ctx context.Context, request *http.Request, interim func(*http.Response)) (*Answer, error) {
-	used, err := client.pool.get(ctx)
+	used, err := client.pool.get(ctx, client.rest())
 	if err != nil {
 		return nil, &notHandedOver{cause: err}
 	}
--- a/io/upstream/connection.go
+++ b/io/upstream/connection.go
@@ -13,6 +13,7 @@
 
 // quietTime is how long a connection rests after an answer before it carries
 // the next request, so that an answer that comes twice is noticed on it.
+// Connections to an upstream that names its answers need no rest.
 const quietTime = 50 * time.Millisecond
 
 // maxIdle bounds the idle connections to the upstream.
@@ -38,10 +39,11 @@
 	idle    []*connection
 }
 
-// get returns an idle connection on which nothing has arrived, or a new one.
-func (pool *pool) get(ctx context.Context) (*connection, error) {
+// get returns an idle connection that has rested for a time and on which
+// nothing has arrived, or a new one.
+func (pool *pool) get(ctx context.Context, rest time.Duration) (*connection, error) {
 	for {
-		idle := pool.pop()
+		idle := pool.pop(rest)
 		if idle == nil {
 			return pool.dial(ctx)
 		}
@@ -53,10 +55,10 @@
 }
 
 // pop takes the connection that has rested longest, if it has rested enough.
-func (pool *pool) pop() *connection {
+func (pool *pool) pop(rest time.Duration) *connection {
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
-	if len(pool.idle) == 0 || time.Since(pool.idle[0].idleAt) < quietTime {
+	if len(pool.idle) == 0 || time.Since(pool.idle[0].idleAt) < rest {
 		return nil
 	}
 	idle := pool.idle[0]
--- a/standin/deployment/deployment.go
+++ b/standin/deployment/deployment.go
@@ -40,6 +40,11 @@
 	Flags []string
 	// WritesPerSecond limits the platform.
 	WritesPerSecond int
+	// ServiceShape is how many exponential parts the service time has; more
+	// make it steadier.
+	ServiceShape int
+	// Plain runs the daemons as operators do, without links that take time.
+	Plain bool
 }
 
 // Service is a service with a path to look up and one that must run once.
@@ -204,9 +209,13 @@
 		"--caller-address", instance.Callers(), "--peer-address", instance.address(peerPort),
 		"--upstream-address", instance.address(announcePort), "--operator-address", instance.Operators(),
 		"--platform-address", running.PlatformAddress(), "--platform-region", plan.Regions[0],
-		"--data-centre-latency", plan.DataCentreLatency.String(),
-		"--lan", plan.DataCentreLatency.String(), "--wan", plan.RegionLatency.String(),
-		"--link-address", instance.Links(), "--region-capacity", "8",
+		"--data-centre-latency", plan.DataCentreLatency.String(), "--region-capacity", "8",
+	}
+	program := "ibislift"
+	if !plan.Plain {
+		program = "standin"
+		arguments = append(arguments, "--lan", plan.DataCentreLatency.String(),
+			"--wan", plan.RegionLatency.String(), "--link-address", instance.Links())
 	}
 	for _, region := range plan.Regions {
 		if region != instance.Region {
@@ -216,7 +225,7 @@
 	for _, first := range running.Instances[:min(3, len(running.Instances))] {
 		arguments = append(arguments, "--first-peer", first.address(peerPort))
 	}
-	process, err := running.launch(instance.Name+".daemon", "standin", append(arguments, plan.Flags...)...)
+	process, err := running.launch(instance.Name+".daemon", program, append(arguments, plan.Flags...)...)
 	instance.Daemon = process
 	return err
 }
@@ -227,7 +236,8 @@
 	process, err := running.launch(instance.Name+".upstream", "standin", "upstream",
 		"--service", instance.Service, "--name", instance.Name, "--listen", instance.Server(),
 		"--daemon", instance.address(announcePort), "--slots", fmt.Sprint(plan.Slots),
-		"--service-time", plan.ServiceTime.String(), "--ledger", running.Ledger)
+		"--service-time", plan.ServiceTime.String(), "--service-shape", fmt.Sprint(max(1, plan.ServiceShape)),
+		"--ledger", running.Ledger)
 	instance.Upstream = process
 	return err
 }
--- a/standin/deployment/drive.go
+++ b/standin/deployment/drive.go
@@ -37,14 +37,16 @@
 // AwaitReady waits until every daemon is ready and sees every target.
 func (running *Running) AwaitReady(most time.Duration) error {
 	wanted := len(running.Instances)
-	return Await(most, "readiness of all daemons", func() bool {
-		for _, instance := range running.Instances {
-			if running.Targets(instance) != wanted {
-				return false
-			}
+	end := time.Now().Add(most)
+	for _, instance := range running.Instances {
+		err := Await(time.Until(end), "readiness of "+instance.Name, func() bool {
+			return running.Targets(instance) == wanted
+		})
+		if err != nil {
+			return err
 		}
-		return true
-	})
+	}
+	return nil
 }
 
 // Targets counts the targets that serve in the eyes of a ready daemon.
--- /dev/null
+++ b/standin/deployment/metric.go
@@ -0,0 +1,38 @@
+package deployment
+
+import (
+	"io"
+	"strconv"
+	"strings"
+)
+
+// Metric adds up the values of one of the daemon's metrics whose name and
+// first labels are as given.
+func (instance *Instance) Metric(name string) (float64, error) {
+	response, err := httpClient.Get("http://" + instance.Operators() + "/metrics")
+	if err != nil {
+		return 0, Error.Wrap(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	text, err := io.ReadAll(response.Body)
+	if err != nil {
+		return 0, err
+	}
+	sum, found := 0.0, false
+	for _, line := range strings.Split(string(text), "\n") {
+		rest, matches := strings.CutPrefix(line, name)
+		if !matches || rest == "" || !strings.ContainsRune(" {,", rune(rest[0])) {
+			continue
+		}
+		value, err := strconv.ParseFloat(rest[strings.LastIndexByte(rest, ' ')+1:], 64)
+		if err != nil {
+			return 0, err
+		}
+		sum += value
+		found = true
+	}
+	if !found {
+		return 0, Error.New("%s has no metric %s", instance.Name, name)
+	}
+	return sum, nil
+}
--- a/standin/upstream/upstream.go
+++ b/standin/upstream/upstream.go
@@ -58,9 +58,11 @@
 	Service string
 	Name    string
 	Slots   int
-	// ServiceTime is the mean of the exponential time that a request takes.
-	ServiceTime time.Duration
-	Seed        uint64
+	// ServiceTime is the mean time that a request takes, as the sum of
+	// ServiceShape exponential parts; zero means one.
+	ServiceTime  time.Duration
+	ServiceShape int
+	Seed         uint64
 	// Ledger gets the trial of each request that starts to run.
 	Ledger io.Writer
 	// Crash ends the upstream; nil exits the process.
@@ -187,7 +189,7 @@
 // work takes the service time, and says whether anyone still waits.
 func (server *Server) work(request *http.Request, switches Switches) bool {
 	server.mutex.Lock()
-	took := time.Duration(server.random.ExpFloat64() * float64(server.ServiceTime))
+	took := server.drawTime()
 	server.mutex.Unlock()
 	if switches.SlowFactor > 0 {
 		took = time.Duration(float64(took) * switches.SlowFactor)
@@ -202,6 +204,15 @@
 	}
 }
 
+func (server *Server) drawTime() time.Duration {
+	parts := max(1, server.ServiceShape)
+	sum := 0.0
+	for range parts {
+		sum += server.random.ExpFloat64()
+	}
+	return time.Duration(sum / float64(parts) * float64(server.ServiceTime))
+}
+
 // maxArchive bounds an archive, in bytes.
 const maxArchive = 1 << 30
 
