Requests travel between entry and gate over lines, not gRPC streams

The profile of the entry is 18% of a core, with system calls and futex first: the time goes into hand-offs between goroutines (gRPC's writer, reader and handler on each side, the attempt's goroutine and two timers at the entry). Change: lines carry one request at a time as delimited protobuf messages; the request's goroutine reads the answer itself; deadline and hedge are a read deadline.

--- a/core/kernel/settings.go
+++ b/core/kernel/settings.go
@@ -12,8 +12,10 @@
 	// Region and DataCentre say where the instance stands.
 	Region     string
 	DataCentre string
-	// PeerAddress, CallerAddress and OperatorAddress are host:port.
+	// PeerAddress, CarryAddress, CallerAddress and OperatorAddress are
+	// host:port.
 	PeerAddress     string
+	CarryAddress    string
 	CallerAddress   string
 	OperatorAddress string
 	// FirstPeers are peer addresses to ask before any member is known.
--- a/core/kernel/view.go
+++ b/core/kernel/view.go
@@ -42,6 +42,7 @@
 	Region          string      `json:"region"`
 	DataCentre      string      `json:"dataCentre"`
 	PeerAddress     string      `json:"peerAddress"`
+	CarryAddress    string      `json:"carryAddress"`
 	CallerAddress   string      `json:"callerAddress,omitempty"`
 	OperatorAddress string      `json:"operatorAddress,omitempty"`
 	State           MemberState `json:"state"`
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -116,6 +116,7 @@
 		Region:          settings.Region,
 		DataCentre:      settings.DataCentre,
 		PeerAddress:     settings.PeerAddress,
+		CarryAddress:    settings.CarryAddress,
 		CallerAddress:   settings.CallerAddress,
 		OperatorAddress: settings.OperatorAddress,
 		State:           kernel.MemberAlive,
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -73,6 +73,8 @@
 	entry    *caller.Handler
 	meter    *metrics.Meter
 	rpc      *grpc.Server
+	server   *peer.Server
+	lines    net.Listener
 	servers  []*http.Server
 	failed   chan error
 	drain    sync.Once
@@ -120,6 +122,7 @@
 	daemon.control = newControl(daemon.Settings.kernelSettings(daemon.started.UnixMilli()))
 	server := &peer.Server{Gate: daemon.gate, Upstream: daemon.client, Control: daemon}
 	counter := &peer.Counter{Count: meter.Control}
+	daemon.server = server
 	daemon.peers = &peer.Peers{Self: daemon.Settings.Name, Server: server, Dial: daemon.DialPeer, Stats: counter}
 	daemon.control.platform = daemon.platform
 	daemon.control.peers = daemon.peers
@@ -170,6 +173,10 @@
 		return Error.Wrap(err)
 	}
 	go daemon.watch(func() error { return daemon.rpc.Serve(peers) })
+	if daemon.lines, err = net.Listen("tcp", daemon.Settings.CarryAddress); err != nil {
+		return Error.Wrap(err)
+	}
+	go daemon.watch(func() error { return daemon.server.ServeLines(daemon.lines) })
 	api := &operator.API{
 		Name:    daemon.Settings.Name,
 		View:    daemon.control.view.Load,
@@ -214,7 +221,7 @@
 
 // watch reports the end of a server that nobody has asked to end.
 func (daemon *Daemon) watch(serve func() error) {
-	if err := serve(); err != nil && !errors.Is(err, http.ErrServerClosed) {
+	if err := serve(); err != nil && !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 		daemon.failed <- Error.Wrap(err)
 	}
 }
@@ -244,6 +251,10 @@
 		_ = server.Close()
 	}
 	daemon.rpc.Stop()
+	if daemon.lines != nil {
+		_ = daemon.lines.Close()
+	}
+	daemon.server.CloseLines()
 }
 
 // keepHouse looks after what has to follow the view and the time.
--- a/daemon/flags.go
+++ b/daemon/flags.go
@@ -28,6 +28,7 @@
 	command.Flag("data-centre", "Data centre in which the instance stands.").StringVar(&settings.DataCentre)
 	command.Flag("caller-address", "IP:port for callers.").Default("127.0.0.1:8000").StringVar(&settings.CallerAddress)
 	command.Flag("peer-address", "IP:port for other daemons.").Default("127.0.0.1:8001").StringVar(&settings.PeerAddress)
+	command.Flag("carry-address", "IP:port for requests that other daemons pass on.").Default("127.0.0.1:8004").StringVar(&settings.CarryAddress)
 	command.Flag("upstream-address", "IP:port for the upstream beside.").Default("127.0.0.1:8002").StringVar(&settings.UpstreamAddress)
 	command.Flag("operator-address", "IP:port for operators.").Default("127.0.0.1:8003").StringVar(&settings.OperatorAddress)
 	command.Flag("platform-address", "IP:port of the platform's object API.").Default("127.0.0.1:7000").StringVar(&settings.PlatformAddress)
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -22,9 +22,11 @@
 	DataCentre string
 
 	// CallerAddress is where callers reach the daemon, PeerAddress other
-	// daemons, UpstreamAddress the upstream beside, OperatorAddress operators.
+	// daemons for control and CarryAddress with requests, UpstreamAddress the
+	// upstream beside, OperatorAddress operators.
 	CallerAddress   string
 	PeerAddress     string
+	CarryAddress    string
 	UpstreamAddress string
 	OperatorAddress string
 
@@ -101,6 +103,7 @@
 	}
 	for flag, address := range map[string]string{
 		"caller-address": settings.CallerAddress, "peer-address": settings.PeerAddress,
+		"carry-address":    settings.CarryAddress,
 		"upstream-address": settings.UpstreamAddress, "operator-address": settings.OperatorAddress,
 		"platform-address": settings.PlatformAddress,
 	} {
@@ -154,6 +157,7 @@
 		Region:          settings.Region,
 		DataCentre:      settings.DataCentre,
 		PeerAddress:     settings.PeerAddress,
+		CarryAddress:    settings.CarryAddress,
 		CallerAddress:   settings.CallerAddress,
 		OperatorAddress: settings.OperatorAddress,
 		FirstPeers:      settings.FirstPeers,
--- a/daemon/site_test.go
+++ b/daemon/site_test.go
@@ -127,7 +127,7 @@
 func (site *site) settings(ip string, number int) daemon.Settings {
 	return daemon.Settings{
 		Name: fmt.Sprintf("intake-%d", number), Region: "east", DataCentre: "e1",
-		CallerAddress: ip + ":8000", PeerAddress: ip + ":8001", UpstreamAddress: ip + ":8002", OperatorAddress: ip + ":8003",
+		CallerAddress: ip + ":8000", PeerAddress: ip + ":8001", CarryAddress: ip + ":8004", UpstreamAddress: ip + ":8002", OperatorAddress: ip + ":8003",
 		PlatformAddress: site.prefix + ".1:7000", PlatformRegion: "east", FirstPeers: []string{site.prefix + ".10:8001"},
 		RegionCapacity: 8, ClaimPartitions: 2, ClaimInterval: 5 * time.Millisecond, ClaimRetention: time.Hour,
 		DrainTimeout: 10 * time.Second,
--- /dev/null
+++ b/examples/upstream/main.go
@@ -0,0 +1,68 @@
+// Command upstream is the smallest upstream that works with ibislift: it
+// answers requests, announces itself to the daemon beside, and asks to drain
+// before it stops.
+//
+// # Usage
+//
+//	go run ./examples/upstream
+//	curl -H 'Host: hello' http://127.0.0.1:8000/
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"ibislift/io/upstream"
+)
+
+const (
+	address          = "127.0.0.1:9000"
+	daemon           = "http://127.0.0.1:8002"
+	announceInterval = 500 * time.Millisecond
+)
+
+func main() {
+	http.HandleFunc("/", func(writer http.ResponseWriter, request *http.Request) {
+		writer.Header().Set(upstream.RequestIDHeader, request.Header.Get(upstream.RequestIDHeader))
+		_, _ = fmt.Fprintln(writer, "hello")
+	})
+	go func() { fmt.Fprintln(os.Stderr, http.ListenAndServe(address, nil)) }()
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	announce(ctx)
+	// The answer comes when nothing is running any more.
+	post("/drain", nil)
+}
+
+// announce tells the daemon of this upstream until the context ends.
+func announce(ctx context.Context) {
+	body, _ := json.Marshal(upstream.Announcement{
+		Service: "hello", Address: address, Slots: 8, HealthPath: "/",
+		Started: time.Now().UnixMilli(), EchoesRequestID: true,
+	})
+	ticker := time.NewTicker(announceInterval)
+	defer ticker.Stop()
+	for ctx.Err() == nil {
+		post("/announce", body)
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+		}
+	}
+}
+
+func post(path string, body []byte) {
+	response, err := http.Post(daemon+path, "application/json", bytes.NewReader(body))
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return
+	}
+	_ = response.Body.Close()
+}
--- a/io/caller/attempt.go
+++ b/io/caller/attempt.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"sync"
 	"time"
 
@@ -29,13 +30,12 @@
 	finish  func()
 }
 
-// startAttempt sends the head of the request to a target and returns at once.
-// What comes of it arrives as events.
+// startAttempt notes the sending of a request to a target.
 func startAttempt(exchange *exchange, member kernel.Member, send call.Send) *attempt {
 	ctx, stop := context.WithCancel(context.Background())
 	book := exchange.service.book
 	book.Started(member.ID)
-	attempt := &attempt{
+	return &attempt{
 		index:   send.Attempt,
 		member:  member,
 		link:    exchange.handler.Distance(member).Link,
@@ -44,11 +44,30 @@
 		ctx:     ctx,
 		finish:  func() { book.Ended(member.ID) },
 	}
-	head := callHead(exchange, send)
-	go func() {
-		exchange.events <- attempt.begin(exchange, head)
-	}()
-	return attempt
+}
+
+// send sends the head of the request and returns at once. If a connection has
+// to be set up first, that happens beside.
+func (attempt *attempt) send(exchange *exchange, head *peerpb.CallHead) {
+	stream, ready := exchange.handler.Peers.OpenReady(attempt.ctx, attempt.member)
+	if !ready {
+		exchange.demoteDirect()
+		exchange.following++
+		go func() { exchange.events <- attempt.begin(exchange, head) }()
+		return
+	}
+	attempt.stream = stream
+	if err := attempt.sendHead(head); err != nil {
+		attempt.noteFailure(exchange)
+		exchange.following++
+		exchange.events <- call.Lost{Attempt: attempt.index}
+		return
+	}
+	exchange.read(attempt)
+}
+
+func (attempt *attempt) sendHead(head *peerpb.CallHead) error {
+	return attempt.stream.Send(&peerpb.CallFrame{Frame: &peerpb.CallFrame_Head{Head: head}})
 }
 
 // callHead is the head of the request as it travels to a gate.
@@ -97,7 +116,7 @@
 		return call.Lost{Attempt: attempt.index, Unsent: true}
 	}
 	attempt.stream = stream
-	if err := stream.Send(&peerpb.CallFrame{Frame: &peerpb.CallFrame_Head{Head: head}}); err != nil && !errors.Is(err, io.EOF) {
+	if err := attempt.sendHead(head); err != nil {
 		attempt.noteFailure(exchange)
 		return call.Lost{Attempt: attempt.index}
 	}
@@ -112,29 +131,57 @@
 			attempt.noteFailure(exchange)
 			return call.Lost{Attempt: attempt.index}
 		}
-		switch frame := frame.GetFrame().(type) {
-		case *peerpb.AnswerFrame_Granted:
-			attempt.noteLoad(exchange, frame.Granted)
-			return call.Granted{Attempt: attempt.index}
-		case *peerpb.AnswerFrame_Refused:
-			attempt.noteLoad(exchange, frame.Refused.GetLoad())
-			return call.Refused{
-				Attempt:    attempt.index,
-				Reason:     frame.Refused.GetReason(),
-				RetryAfter: time.Duration(frame.Refused.GetRetryAfterMilliseconds()) * time.Millisecond,
-			}
-		case *peerpb.AnswerFrame_Lost:
-			attempt.noteLoad(exchange, frame.Lost.GetLoad())
+		if event := attempt.understand(exchange, frame); event != nil {
+			return event
+		}
+	}
+}
+
+// nextUntil is next that gives up at a time, and says so.
+func (attempt *attempt) nextUntil(exchange *exchange, deadline time.Time) (event call.Event, waiting bool) {
+	for {
+		frame, err := attempt.stream.RecvUntil(deadline)
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			return nil, true
+		}
+		if err != nil {
 			attempt.noteFailure(exchange)
-			return call.Lost{Attempt: attempt.index, Crashed: frame.Lost.GetCrashed()}
-		case *peerpb.AnswerFrame_Interim:
-			attempt.interim = append(attempt.interim, frame.Interim)
-		case *peerpb.AnswerFrame_Head:
-			return attempt.noteHead(exchange, frame.Head)
+			return call.Lost{Attempt: attempt.index}, false
+		}
+		if event := attempt.understand(exchange, frame); event != nil {
+			return event, false
 		}
 	}
 }
 
+// understand turns a frame into an event, or into nothing if it does not
+// decide the attempt's course.
+func (attempt *attempt) understand(exchange *exchange, frame *peerpb.AnswerFrame) call.Event {
+	switch frame := frame.GetFrame().(type) {
+	case *peerpb.AnswerFrame_Granted:
+		attempt.noteLoad(exchange, frame.Granted)
+		return call.Granted{Attempt: attempt.index}
+	case *peerpb.AnswerFrame_Refused:
+		attempt.noteLoad(exchange, frame.Refused.GetLoad())
+		return call.Refused{
+			Attempt:    attempt.index,
+			Reason:     frame.Refused.GetReason(),
+			RetryAfter: time.Duration(frame.Refused.GetRetryAfterMilliseconds()) * time.Millisecond,
+		}
+	case *peerpb.AnswerFrame_Lost:
+		attempt.noteLoad(exchange, frame.Lost.GetLoad())
+		attempt.noteFailure(exchange)
+		return call.Lost{Attempt: attempt.index, Crashed: frame.Lost.GetCrashed()}
+	case *peerpb.AnswerFrame_Interim:
+		attempt.interim = append(attempt.interim, frame.Interim)
+		return nil
+	case *peerpb.AnswerFrame_Head:
+		return attempt.noteHead(exchange, frame.Head)
+	default:
+		return nil
+	}
+}
+
 func (attempt *attempt) noteHead(exchange *exchange, head *peerpb.AnswerHead) call.Event {
 	attempt.head = head
 	attempt.noteLoad(exchange, head.GetLoad())
@@ -172,7 +219,7 @@
 	if err == nil && exchange.request.streamed {
 		go attempt.sendBody(exchange)
 	}
-	go func() { exchange.events <- attempt.next(exchange) }()
+	exchange.read(attempt)
 }
 
 // sendBody sends the part of the body that has been read, and then the rest as
--- a/io/caller/caller.go
+++ b/io/caller/caller.go
@@ -29,6 +29,8 @@
 // Peers opens a request to the gate of a member.
 type Peers interface {
 	Open(ctx context.Context, member kernel.Member) (peer.CallStream, error)
+	// OpenReady is Open if that needs no waiting.
+	OpenReady(ctx context.Context, member kernel.Member) (peer.CallStream, bool)
 }
 
 // Claims asks the clerks for idempotency keys.
--- a/io/caller/exchange.go
+++ b/io/caller/exchange.go
@@ -35,7 +35,12 @@
 	claiming bool
 	over     bool
 	record   Record
-	hedge    *time.Timer
+	// direct is the attempt that the request's own goroutine reads, following
+	// counts those that others read.
+	direct    *attempt
+	following int
+	hedgeAt   time.Time
+	hedged    bool
 }
 
 // run sees the request through to its end.
@@ -53,23 +58,86 @@
 		Method: exchange.original.Method, Path: exchange.original.URL.Path,
 	}
 	defer exchange.end()
-	deadline := time.NewTimer(exchange.request.deadline.Sub(exchange.arrived))
-	defer deadline.Stop()
-	exchange.hedge = time.NewTimer(exchange.service.book.HedgeDelay())
-	defer exchange.hedge.Stop()
+	exchange.hedgeAt = exchange.arrived.Add(exchange.service.book.HedgeDelay())
 	exchange.apply(call.Arrived{})
 	for !exchange.over {
-		select {
-		case event := <-exchange.events:
-			exchange.apply(event)
-		case <-deadline.C:
-			exchange.apply(call.DeadlinePassed{})
-		case <-exchange.hedge.C:
-			exchange.apply(call.HedgeDue{})
-		case <-exchange.original.Context().Done():
-			exchange.apply(call.CallerLeft{})
-		}
+		exchange.apply(exchange.await())
+	}
+}
+
+// await waits for what happens next. While one attempt alone is under way this
+// goroutine reads its answer itself; otherwise attempts and claims send events.
+func (exchange *exchange) await() call.Event {
+	if direct := exchange.direct; direct != nil {
+		return exchange.awaitDirect(direct)
+	}
+	timer := time.NewTimer(exchange.nextTime().Sub(exchange.handler.Now()))
+	defer timer.Stop()
+	select {
+	case event := <-exchange.events:
+		return event
+	case <-timer.C:
+		return exchange.timeEvent()
+	case <-exchange.original.Context().Done():
+		return call.CallerLeft{}
+	}
+}
+
+// awaitDirect reads the attempt's next word until something else is due.
+func (exchange *exchange) awaitDirect(direct *attempt) call.Event {
+	stop := context.AfterFunc(exchange.original.Context(), direct.stop)
+	event, waiting := direct.nextUntil(exchange, exchange.nextTime())
+	stop()
+	switch {
+	case exchange.original.Context().Err() != nil:
+		return call.CallerLeft{}
+	case waiting:
+		return exchange.timeEvent()
+	}
+	exchange.direct = nil
+	return event
+}
+
+// nextTime is when the hedge or the deadline is due, whichever is next.
+func (exchange *exchange) nextTime() time.Time {
+	if !exchange.hedged && exchange.hedgeAt.Before(exchange.request.deadline) {
+		return exchange.hedgeAt
+	}
+	return exchange.request.deadline
+}
+
+func (exchange *exchange) timeEvent() call.Event {
+	if exchange.handler.Now().Before(exchange.request.deadline) {
+		exchange.hedged = true
+		return call.HedgeDue{}
+	}
+	return call.DeadlinePassed{}
+}
+
+// read lets the attempt's next word arrive: directly if it is the only one
+// under way, or else by a goroutine each.
+func (exchange *exchange) read(attempt *attempt) {
+	if exchange.direct == nil && exchange.following == 0 && attempt.stream != nil {
+		exchange.direct = attempt
+		return
 	}
+	exchange.demoteDirect()
+	exchange.follow(attempt)
+}
+
+// demoteDirect lets a goroutine read the attempt that was read directly, since
+// another one is under way beside it.
+func (exchange *exchange) demoteDirect() {
+	if direct := exchange.direct; direct != nil {
+		exchange.direct = nil
+		exchange.follow(direct)
+	}
+}
+
+// follow reads the attempt's next word in a goroutine.
+func (exchange *exchange) follow(attempt *attempt) {
+	exchange.following++
+	go func() { exchange.events <- attempt.next(exchange) }()
 }
 
 // end gives up what is still under way and keeps the record.
@@ -111,12 +179,22 @@
 
 func (exchange *exchange) apply(event call.Event) {
 	exchange.noteClaim(event)
+	exchange.noteFollowed(event)
 	exchange.explain(event)
 	for _, effect := range exchange.machine.Update(event) {
 		exchange.perform(effect)
 	}
 }
 
+// noteFollowed counts the goroutines that read attempts. A word of an attempt
+// that was read directly comes when there are none.
+func (exchange *exchange) noteFollowed(event call.Event) {
+	switch event.(type) {
+	case call.Granted, call.Refused, call.Lost, call.Answered, call.Failing:
+		exchange.following = max(0, exchange.following-1)
+	}
+}
+
 func (exchange *exchange) perform(effect call.Effect) {
 	switch effect := effect.(type) {
 	case call.Choose:
@@ -182,6 +260,7 @@
 	member, _ := exchange.view.Member(send.Target)
 	started := startAttempt(exchange, member, send)
 	exchange.attempts = append(exchange.attempts, started)
+	started.send(exchange, callHead(exchange, send))
 }
 
 // claim asks for the request's key beside the loop.
--- a/io/peer/peers.go
+++ b/io/peer/peers.go
@@ -36,22 +36,26 @@
 	// Stats counts what passes, if it is set.
 	Stats stats.Handler
 
+	lines       lines
 	mutex       sync.Mutex
 	connections map[string]*grpc.ClientConn
 }
 
 // Open starts one request to the gate of a member. The request ends with the
-// context.
+// context. It may have to wait for a connection.
 func (peers *Peers) Open(ctx context.Context, member kernel.Member) (CallStream, error) {
-	if member.ID == peers.Self {
-		return peers.openOwn(ctx), nil
+	if stream, ready := peers.OpenReady(ctx, member); ready {
+		return stream, nil
 	}
-	client, err := peers.Client(member.PeerAddress)
-	if err != nil {
-		return nil, err
+	return peers.openNew(ctx, member.CarryAddress)
+}
+
+// OpenReady is Open if that needs no waiting.
+func (peers *Peers) OpenReady(ctx context.Context, member kernel.Member) (CallStream, bool) {
+	if member.ID == peers.Self {
+		return peers.openOwn(ctx), true
 	}
-	stream, err := client.Carry(ctx)
-	return stream, Error.Wrap(err)
+	return peers.openIdle(ctx, member.CarryAddress)
 }
 
 func (peers *Peers) openOwn(ctx context.Context) CallStream {
@@ -106,6 +110,7 @@
 
 // Keep closes the connections to addresses that are not wanted any more.
 func (peers *Peers) Keep(wanted map[string]bool) {
+	peers.lines.keep(wanted)
 	peers.mutex.Lock()
 	defer peers.mutex.Unlock()
 	for address, connection := range peers.connections {
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -1,5 +1,7 @@
-// Package peer speaks gRPC between daemons: an entry passes requests to the
-// gate beside their target, and the control parts exchange records and claims.
+// Package peer speaks between daemons. The control parts exchange records and
+// claims by gRPC. An entry passes requests to the gate beside their target over
+// lines: connections that carry one request at a time, as delimited protobuf
+// messages. docs/design/added-time.md tells why not by gRPC.
 //
 // # Usage
 //
@@ -14,6 +16,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	"github.com/zeebo/errs"
@@ -43,6 +46,10 @@
 	Gate     *upstream.Gate
 	Upstream *upstream.Client
 	Control  Control
+
+	closing    sync.Once
+	closed     context.Context
+	closeLines context.CancelFunc
 }
 
 // Exchange answers another daemon's envelope.
@@ -79,9 +86,6 @@
 	return &peerpb.Nothing{}, nil
 }
 
-// Carry runs one request of another daemon.
-func (server *Server) Carry(stream peerpb.Peer_CarryServer) error { return server.Serve(stream) }
-
 // Serve admits one request and passes it to the upstream. It returns an error
 // only when the entry cannot be told anything any more.
 func (server *Server) Serve(stream GateStream) error {
--- a/io/peer/stream.go
+++ b/io/peer/stream.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"io"
+	"os"
+	"time"
 
 	"ibislift/io/peer/peerpb"
 )
@@ -11,6 +13,9 @@
 type CallStream interface {
 	Send(frame *peerpb.CallFrame) error
 	Recv() (*peerpb.AnswerFrame, error)
+	// RecvUntil is Recv that gives up at a time with os.ErrDeadlineExceeded,
+	// if no frame has begun by then.
+	RecvUntil(deadline time.Time) (*peerpb.AnswerFrame, error)
 }
 
 // GateStream is the gate's end of one request.
@@ -53,7 +58,19 @@
 }
 
 func (pipeCall pipeCall) Recv() (*peerpb.AnswerFrame, error) {
+	return pipeCall.recv(nil)
+}
+
+func (pipeCall pipeCall) RecvUntil(deadline time.Time) (*peerpb.AnswerFrame, error) {
+	timer := time.NewTimer(time.Until(deadline))
+	defer timer.Stop()
+	return pipeCall.recv(timer.C)
+}
+
+func (pipeCall pipeCall) recv(timeout <-chan time.Time) (*peerpb.AnswerFrame, error) {
 	select {
+	case <-timeout:
+		return nil, os.ErrDeadlineExceeded
 	case frame := <-pipeCall.answers:
 		return frame, nil
 	case <-pipeCall.ctx.Done():
--- a/io/upstream/quiet_linux.go
+++ b/io/tcp/peek_linux.go
@@ -1,4 +1,4 @@
-package upstream
+package tcp
 
 import (
 	"errors"
@@ -6,14 +6,13 @@
 	"syscall"
 )
 
-// isQuiet says whether nothing has arrived on an idle connection: neither
-// bytes, which would be a late answer, nor its end.
-func isQuiet(conn net.Conn) bool {
-	tcp, isTCP := conn.(*net.TCPConn)
+// peek looks at the connection's receive buffer without waiting.
+func peek(conn net.Conn) bool {
+	connection, isTCP := conn.(*net.TCPConn)
 	if !isTCP {
-		return true
+		return false
 	}
-	raw, err := tcp.SyscallConn()
+	raw, err := connection.SyscallConn()
 	if err != nil {
 		return false
 	}
--- a/io/upstream/connection.go
+++ b/io/upstream/connection.go
@@ -6,6 +6,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"ibislift/io/tcp"
 )
 
 // bufferSize is the size of a connection's read and write buffers in bytes.
@@ -47,7 +49,7 @@
 		if idle == nil {
 			return pool.dial(ctx)
 		}
-		if isQuiet(idle.Conn) {
+		if tcp.IsQuiet(idle.Conn) {
 			return idle, nil
 		}
 		_ = idle.Close()
--- a/standin/deployment/deployment.go
+++ b/standin/deployment/deployment.go
@@ -100,7 +100,8 @@
 	peerPort     = 8001
 	announcePort = 8002
 	operatorPort = 8003
-	linkPort     = 8004
+	carryPort    = 8004
+	linkPort     = 8005
 	upstreamPort = 9000
 	platformPort = 7000
 )
@@ -207,6 +208,7 @@
 	arguments := []string{
 		"daemon", "--name", instance.Name, "--region", instance.Region, "--data-centre", instance.DataCentre,
 		"--caller-address", instance.Callers(), "--peer-address", instance.address(peerPort),
+		"--carry-address", instance.address(carryPort),
 		"--upstream-address", instance.address(announcePort), "--operator-address", instance.Operators(),
 		"--platform-address", running.PlatformAddress(), "--platform-region", plan.Regions[0],
 		"--data-centre-latency", plan.DataCentreLatency.String(), "--region-capacity", "8",
--- a/standin/link/link.go
+++ b/standin/link/link.go
@@ -16,6 +16,7 @@
 	"context"
 	"errors"
 	"net"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -142,6 +143,10 @@
 	closed  chan struct{}
 	once    sync.Once
 	rest    []byte
+
+	mutex    sync.Mutex
+	deadline time.Time
+	moved    chan struct{}
 }
 
 func (links *Links) wrap(conn net.Conn, address string) net.Conn {
@@ -152,6 +157,7 @@
 		out:     make(chan parcel, parcelBuffer),
 		in:      make(chan parcel, parcelBuffer),
 		closed:  make(chan struct{}),
+		moved:   make(chan struct{}),
 	}
 	go linked.carryOut()
 	go linked.carryIn()
@@ -207,7 +213,11 @@
 
 func (linked *linked) Read(buffer []byte) (int, error) {
 	for len(linked.rest) == 0 {
+		timeout, moved := linked.timeout()
 		select {
+		case <-timeout:
+			return 0, os.ErrDeadlineExceeded
+		case <-moved:
 		case next := <-linked.in:
 			if !linked.await(next.due, In) {
 				return 0, net.ErrClosed
@@ -248,6 +258,32 @@
 	return linked.Conn.Close()
 }
 
-// SetDeadline and its kin apply to the connection below; a reader that waits
-// for a piece on its way is not woken by them, which gRPC does not need.
-func (linked *linked) SetDeadline(at time.Time) error { return linked.Conn.SetDeadline(at) }
+// IsQuiet says whether nothing is on its way to this end.
+func (linked *linked) IsQuiet() bool { return len(linked.in) == 0 && len(linked.rest) == 0 }
+
+// timeout returns a channel for the read deadline, and one that is closed when
+// the deadline moves.
+func (linked *linked) timeout() (<-chan time.Time, <-chan struct{}) {
+	linked.mutex.Lock()
+	defer linked.mutex.Unlock()
+	if linked.deadline.IsZero() {
+		return nil, linked.moved
+	}
+	return time.After(time.Until(linked.deadline)), linked.moved
+}
+
+// SetReadDeadline bounds the waiting of reads, also of one that waits now.
+func (linked *linked) SetReadDeadline(at time.Time) error {
+	linked.mutex.Lock()
+	defer linked.mutex.Unlock()
+	linked.deadline = at
+	close(linked.moved)
+	linked.moved = make(chan struct{})
+	return nil
+}
+
+// SetDeadline bounds reads; writes never wait.
+func (linked *linked) SetDeadline(at time.Time) error { return linked.SetReadDeadline(at) }
+
+// SetWriteDeadline does nothing, since writes never wait.
+func (linked *linked) SetWriteDeadline(time.Time) error { return nil }
