--- a/cmd/slopes/processes.go
+++ b/cmd/slopes/processes.go
@@ -80,7 +80,7 @@
 			return use{}, err
 		}
 		total.processor += usage.Processor
-		heap, err := instance.Metric("go_memstats_heap_alloc_bytes")
+		heap, err := instance.LiveHeap()
 		if err != nil {
 			return use{}, err
 		}
--- a/standin/deployment/metric.go
+++ b/standin/deployment/metric.go
@@ -6,6 +6,19 @@
 	"strings"
 )
 
+// LiveHeap is what the daemon's heap holds after a collection, in bytes.
+func (instance *Instance) LiveHeap() (float64, error) {
+	response, err := httpClient.Get("http://" + instance.Operators() + "/debug/pprof/heap?gc=1")
+	if err != nil {
+		return 0, Error.Wrap(err)
+	}
+	_, _ = io.Copy(io.Discard, response.Body)
+	if err := response.Body.Close(); err != nil {
+		return 0, Error.Wrap(err)
+	}
+	return instance.Metric("go_memstats_heap_alloc_bytes")
+}
+
 // Metric adds up the values of one of the daemon's metrics whose name and
 // first labels are as given.
 func (instance *Instance) Metric(name string) (float64, error) {
