--- a/cmd/bench/added.go
+++ b/cmd/bench/added.go
@@ -27,10 +27,10 @@
 // runAdded measures the same upstream directly and through entry and gate, in
 // turn.
 func runAdded(programs, profile string) error {
-	running, stop, err := start(programs, deployment.Plan{
+	running, stop, err := deployment.Plan{
 		Name: "added", Regions: []string{"east"}, Services: []deployment.Service{{Name: "echo", Lookup: "/", Change: "/"}},
 		TargetsPerService: 2, Slots: addedSlots, Block: 31, WritesPerSecond: 300, Plain: true,
-	})
+	}.Launch(programs)
 	if err != nil {
 		return err
 	}
--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -14,8 +14,6 @@
 	"time"
 
 	"github.com/alecthomas/kingpin/v2"
-
-	"ibislift/standin/deployment"
 )
 
 // readyTimeout bounds the wait for a deployment.
@@ -43,24 +41,3 @@
 		os.Exit(1)
 	}
 }
-
-// start starts a deployment and returns it with the function that ends it.
-func start(programs string, plan deployment.Plan) (*deployment.Running, func(), error) {
-	directory, err := os.MkdirTemp("", "ibislift-bench-")
-	if err != nil {
-		return nil, nil, err
-	}
-	running, err := plan.Start(programs, directory)
-	if err != nil {
-		return nil, nil, err
-	}
-	stop := func() {
-		running.Stop()
-		_ = os.RemoveAll(directory)
-	}
-	if err := running.AwaitReady(readyTimeout); err != nil {
-		stop()
-		return nil, nil, err
-	}
-	return running, stop, nil
-}
--- a/cmd/bench/scenario.go
+++ b/cmd/bench/scenario.go
@@ -137,7 +137,7 @@
 	plan.ServiceTime = serviceTime
 	plan.ServiceShape = serviceShape
 	plan.Block += 20
-	running, stop, err := start(programs, plan)
+	running, stop, err := plan.Launch(programs)
 	if err != nil {
 		return err
 	}
--- a/cmd/demo/main.go
+++ b/cmd/demo/main.go
@@ -26,10 +26,9 @@
 
 // Times and sizes of the demo.
 const (
-	readyTimeout = 20 * time.Second
-	loadTime     = 15 * time.Second
-	loadRate     = 300
-	inForceTime  = 4 * time.Second
+	loadTime    = 15 * time.Second
+	loadRate    = 300
+	inForceTime = 4 * time.Second
 )
 
 func main() {
@@ -50,19 +49,11 @@
 	if err != nil {
 		return err
 	}
-	directory, err := os.MkdirTemp("", "ibislift-demo-")
+	running, stop, err := plan.Launch(programs)
 	if err != nil {
 		return err
 	}
-	defer func() { _ = os.RemoveAll(directory) }()
-	running, err := plan.Start(programs, directory)
-	if err != nil {
-		return err
-	}
-	defer running.Stop()
-	if err := running.AwaitReady(readyTimeout); err != nil {
-		return err
-	}
+	defer stop()
 	fmt.Printf("%s: %d daemons and %d targets are ready\n", name, len(running.Instances), len(running.Instances))
 	if err := applyProfiles(running, profiles); err != nil {
 		return err
--- a/cmd/faults/main.go
+++ b/cmd/faults/main.go
@@ -1,9 +1,11 @@
 // Command faults prints the fault matrix: every fault at every step of a
-// request, of a change and of a daemon's life, and pairs of faults.
+// request, of a change and of a daemon's life, and pairs of faults, on state
+// machines with fakes; then faults of real processes under load.
 //
 // # Usage
 //
-//	faults
+//	faults --programs bin
+//	faults --no-processes
 package main
 
 import (
@@ -12,15 +14,26 @@
 	"strings"
 	"text/tabwriter"
 
+	"github.com/alecthomas/kingpin/v2"
+
 	"ibislift/standin/matrix"
 )
 
 func main() {
+	app := kingpin.New("faults", "Run the fault matrix.")
+	programs := app.Flag("programs", "Directory of the programs.").Default("bin").String()
+	processes := app.Flag("processes", "Run the faults of real processes too.").Default("true").Bool()
+	kingpin.MustParse(app.Parse(os.Args[1:]))
 	score := &score{}
 	score.table("a request", matrix.RequestSteps, rowsOf(matrix.Requests(), func(cell matrix.Cell) matrix.Step { return cell.Step }))
 	score.table("a change of configuration", matrix.ChangeSteps, rowsOf(matrix.Changes(), func(cell matrix.ChangeCell) matrix.Step { return cell.Step }))
 	score.table("a daemon's life", matrix.LifeSteps, rowsOf(matrix.Lives(), func(cell matrix.LifeCell) matrix.Step { return cell.Step }))
 	score.pairs()
+	if *processes {
+		if err := score.processes(*programs); err != nil {
+			score.failures = append(score.failures, "processes: "+err.Error())
+		}
+	}
 	for _, failure := range score.failures {
 		fmt.Println(failure)
 	}
--- a/cmd/slopes/processes.go
+++ b/cmd/slopes/processes.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"os"
 	"time"
 
 	"ibislift/standin/deployment"
@@ -12,10 +11,9 @@
 
 // Times and sizes of the runs with processes.
 const (
-	readyTimeout = 60 * time.Second
-	restTime     = 10 * time.Second
-	watchTime    = 15 * time.Second
-	claimTime    = 6 * time.Second
+	restTime  = 10 * time.Second
+	watchTime = 15 * time.Second
+	claimTime = 6 * time.Second
 )
 
 // targetsPerService are the sizes that are run, with four services.
@@ -28,23 +26,7 @@
 		return nil, nil, err
 	}
 	plan.TargetsPerService = targets
-	directory, err := os.MkdirTemp("", "ibislift-slopes-")
-	if err != nil {
-		return nil, nil, err
-	}
-	running, err := plan.Start(programs, directory)
-	if err != nil {
-		return nil, nil, err
-	}
-	stop := func() {
-		running.Stop()
-		_ = os.RemoveAll(directory)
-	}
-	if err := running.AwaitReady(readyTimeout); err != nil {
-		stop()
-		return nil, nil, err
-	}
-	return running, stop, nil
+	return plan.Launch(programs)
 }
 
 // measureProcesses prints what an idle daemon uses in fleets of several sizes.
--- a/core/once/log.go
+++ b/core/once/log.go
@@ -61,7 +61,9 @@
 	retryAt   time.Time
 	// closedStatus answers requests for claims until retryAt.
 	closedStatus kernel.ClaimStatus
-	oldest       []kernel.Object
+	// abandoned are requests whose release came before their claim.
+	abandoned map[string]time.Time
+	oldest    []kernel.Object
 }
 
 // open starts to take the partition over.
@@ -148,10 +150,27 @@
 // close gives the partition up. What was not durable was never granted.
 func (log *partitionLog) close() []ask {
 	refused := append(log.sentAsks, log.asks...)
-	*log = partitionLog{partition: log.partition, writer: log.writer, nonce: log.nonce}
+	*log = partitionLog{partition: log.partition, writer: log.writer, nonce: log.nonce, abandoned: log.abandoned}
 	return refused
 }
 
+// abandon notes a release that has come before its claim.
+func (log *partitionLog) abandon(request string, at time.Time) {
+	if log.abandoned == nil {
+		log.abandoned = map[string]time.Time{}
+	}
+	log.abandoned[request] = at
+}
+
+// forgetAbandoned drops the notes whose claims can be on their way no more.
+func (log *partitionLog) forgetAbandoned(at time.Time) {
+	for request, since := range log.abandoned {
+		if at.Sub(since) > abandonTime {
+			delete(log.abandoned, request)
+		}
+	}
+}
+
 // rest keeps a closed log closed until a time.
 func (log *partitionLog) rest(until time.Time, status kernel.ClaimStatus) {
 	log.retryAt = until
--- a/core/once/once.go
+++ b/core/once/once.go
@@ -37,6 +37,9 @@
 // being asked, and how long the one it took over from leaves it alone.
 const keepTime = 5 * time.Second
 
+// abandonTime is how long a claim may be on its way after its release.
+const abandonTime = 10 * time.Second
+
 // deleteInterval is the least time between two removals of old segments.
 const deleteInterval = time.Second
 
@@ -125,6 +128,9 @@
 	}
 	log := plugin.logs[asked.Partition]
 	log.askedAt = at
+	if _, abandoned := log.abandoned[asked.Request]; abandoned {
+		return answer(asked.Token, kernel.ClaimResult{Status: kernel.ClaimUnavailable})
+	}
 	var effects []kernel.Effect
 	switch log.phase {
 	case phaseClosed:
@@ -172,6 +178,9 @@
 	log := plugin.logs[closed.Partition]
 	held, known := log.holders[closed.Key]
 	if log.phase == phaseClosed || log.phase == phaseList || !known || held.request != closed.Request {
+		if closed.Released {
+			log.abandon(closed.Request, at)
+		}
 		return nil
 	}
 	if !closed.Released {
@@ -209,6 +218,7 @@
 func (plugin *plugin) tick(state *kernel.State, at time.Time) []kernel.Effect {
 	var effects []kernel.Effect
 	for _, log := range plugin.logs {
+		log.forgetAbandoned(at)
 		if log.phase == phaseIdle && !log.worthWriting() && at.Sub(log.askedAt) >= keepTime && !isClerk(state, log.partition, false) {
 			effects = append(effects, refuse(log.close(), kernel.ClaimElsewhere)...)
 			continue
--- a/core/once/once_test.go
+++ b/core/once/once_test.go
@@ -260,6 +260,16 @@
 		bench.askAgain(asked, 0)
 		answered(t, bench, asked, kernel.ClaimUnavailable)
 	})
+	t.Run("a release that overtakes its claim counts", func(t *testing.T) {
+		bench := newBench(10, 3)
+		answered(t, bench, bench.ask("warm", "d0", false), kernel.ClaimGranted)
+		clerk := bench.fleet.Nodes["d0"].View.Clerks[once.PartitionOf("a", partitions)][0]
+		bench.fleet.Tell(clerk, kernel.ClaimClosed{
+			Partition: once.PartitionOf("a", partitions), Key: "a", Request: fmt.Sprintf("r%d", bench.token+1), Released: true,
+		})
+		answered(t, bench, bench.ask("a", "d0", false), kernel.ClaimUnavailable)
+		answered(t, bench, bench.ask("a", "d1", false), kernel.ClaimGranted)
+	})
 	t.Run("no claim while the platform is down, and at once", func(t *testing.T) {
 		bench := newBench(5, 3)
 		answered(t, bench, bench.ask("warm", "d0", false), kernel.ClaimGranted)
--- a/standin/load/load.go
+++ b/standin/load/load.go
@@ -33,6 +33,8 @@
 	Key      string
 	Deadline time.Duration
 	Header   map[string]string
+	// Others are the addresses of resends.
+	Others []string
 }
 
 // Generator sends load. Set the fields before Run.
@@ -46,6 +48,8 @@
 	Prefix string
 	// Most bounds the requests under way; one more is counted as dropped.
 	Most int
+	// Resends is how often a request is sent again that has not been answered.
+	Resends int
 	// During is called at moments of the run, from another goroutine.
 	During []Moment
 
@@ -65,7 +69,7 @@
 
 // Run sends requests for a time and waits for their ends.
 func (generator *Generator) Run(duration time.Duration) *Report {
-	generator.report = Report{Rows: map[RowKey]*Row{}, NotRun: map[string]bool{}, Changes: map[string]bool{}}
+	generator.report = Report{Rows: map[RowKey]*Row{}, NotRun: map[string]bool{}, Changes: map[string][]string{}}
 	generator.client = &http.Client{Transport: &http.Transport{
 		MaxIdleConnsPerHost: 512, MaxIdleConns: 0, DisableCompression: true,
 	}}
@@ -118,15 +122,43 @@
 // patience is how much longer than its deadline a client waits for an answer.
 const patience = 2 * time.Second
 
+// send sends a request, and again if its end is not known or it has not run.
 func (generator *Generator) send(request Request, trial string, intended time.Time) {
+	var found result
+	for sending := range generator.Resends + 1 {
+		name := fmt.Sprintf("%s.%d", trial, sending)
+		if sending > 0 {
+			time.Sleep(resendPause)
+			request.Address = request.otherAddress(sending)
+		}
+		found = generator.sendOnce(request, name)
+		generator.note(request, trial, name, found)
+		if found.whole || found.wrong || found.status == http.StatusConflict {
+			break
+		}
+	}
+	generator.record(request, intended, found)
+}
+
+// resendPause is how long a client waits before it sends a request again.
+const resendPause = 200 * time.Millisecond
+
+func (request Request) otherAddress(sending int) string {
+	if len(request.Others) == 0 {
+		return request.Address
+	}
+	return request.Others[sending%len(request.Others)]
+}
+
+func (generator *Generator) sendOnce(request Request, name string) result {
 	ctx, cancel := context.WithTimeout(context.Background(), request.Deadline+patience)
 	defer cancel()
 	sent, err := http.NewRequestWithContext(ctx, request.Method, "http://"+request.Address+request.Path, bodyOf(request))
 	if err != nil {
-		return
+		return result{outcome: "unknown"}
 	}
 	sent.Host = request.Service
-	sent.Header.Set(upstream.TrialHeader, trial)
+	sent.Header.Set(upstream.TrialHeader, name)
 	sent.Header.Set("Ibislift-Deadline", request.Deadline.String())
 	if request.Key != "" {
 		sent.Header.Set(caller.IdempotencyKeyHeader, request.Key)
@@ -135,7 +167,7 @@
 		sent.Header.Set(name, value)
 	}
 	response, err := generator.client.Do(sent)
-	generator.record(request, trial, intended, resultOf(request, trial, response, err))
+	return resultOf(request, name, response, err)
 }
 
 func bodyOf(request Request) io.Reader {
--- a/standin/load/report.go
+++ b/standin/load/report.go
@@ -41,10 +41,10 @@
 type Report struct {
 	Rows map[RowKey]*Row
 	Took time.Duration
-	// NotRun holds the trials that were told notRun, Changes those that may
-	// run once at most.
+	// NotRun holds the sendings that were told notRun, Changes the sendings of
+	// each request that may run once at most.
 	NotRun  map[string]bool
-	Changes map[string]bool
+	Changes map[string][]string
 }
 
 func newRow() *Row {
@@ -69,15 +69,25 @@
 	row.Dropped++
 }
 
-func (generator *Generator) record(request Request, trial string, intended time.Time, result result) {
+// note keeps what is needed to compare a sending with what has run.
+func (generator *Generator) note(request Request, trial, name string, result result) {
+	generator.mutex.Lock()
+	defer generator.mutex.Unlock()
+	if request.Method != "GET" {
+		generator.report.Changes[trial] = append(generator.report.Changes[trial], name)
+	}
+	if result.outcome == "notRun" {
+		generator.report.NotRun[name] = true
+	}
+}
+
+// record counts the end of a request.
+func (generator *Generator) record(request Request, intended time.Time, result result) {
 	took := time.Since(intended)
 	generator.mutex.Lock()
 	defer generator.mutex.Unlock()
 	row := generator.report.row(request)
 	row.Requests++
-	if request.Method != "GET" {
-		generator.report.Changes[trial] = true
-	}
 	switch {
 	case result.wrong:
 		row.Wrong++
@@ -89,7 +99,6 @@
 		}
 	case result.outcome == "notRun":
 		row.NotRun++
-		generator.report.NotRun[trial] = true
 	case result.outcome == "run":
 		row.Failed++
 	default:
@@ -123,15 +132,20 @@
 }
 
 // Audit compares what callers were told with what has run: the changes that
-// ran more than once, and the trials that ran although notRun was told.
+// ran more than once, over all their sendings, and the sendings that ran
+// although notRun was told.
 func (report *Report) Audit(runs map[string]int) (doubled, wrong int) {
-	for trial := range report.Changes {
-		if runs[trial] > 1 {
+	for _, sendings := range report.Changes {
+		count := 0
+		for _, name := range sendings {
+			count += runs[name]
+		}
+		if count > 1 {
 			doubled++
 		}
 	}
-	for trial := range report.NotRun {
-		if runs[trial] > 0 {
+	for name := range report.NotRun {
+		if runs[name] > 0 {
 			wrong++
 		}
 	}
