Beacons; control connections follow the neighbourhood; lines have small buffers

Cause: slopes processes: live heap 4.4 MB at 12 daemons, 7.6 MB at 96, 38 KB for each daemon more, against 2.45 KB by the kernels' slope. Peers.Keep was never called: while a fleet grows its neighbourhoods move, and every connection ever made stayed. Ruled out: views (published some hundred times at the start, collected since: the figure is after a forced collection). Change: connections to others than neighbours and clerks are closed when the view changes; core/beacon lets a daemon without first peers find others.

--- a/Makefile
+++ b/Makefile
@@ -36,6 +36,7 @@
 	bin/slopes kernels
 	bin/slopes processes
 	bin/slopes claims
+	bin/slopes holders
 
 faults: build
 	bin/faults
--- a/cmd/slopes/main.go
+++ b/cmd/slopes/main.go
@@ -8,6 +8,7 @@
 //	slopes kernels
 //	slopes processes --programs bin
 //	slopes claims --programs bin
+//	slopes holders
 package main
 
 import (
@@ -23,11 +24,14 @@
 	sizes := kernels.Flag("size", "Daemons; may be repeated.").Default("50", "100", "200", "400").Ints()
 	processes := app.Command("processes", "Daemons as processes, idle.")
 	claims := app.Command("claims", "Platform writes against claims, as processes.")
+	holders := app.Command("holders", "Memory and segments of a clerk.")
 	programs := app.Flag("programs", "Directory of the programs.").Default("bin").String()
 	var err error
 	switch kingpin.MustParse(app.Parse(os.Args[1:])) {
 	case kernels.FullCommand():
 		measureKernels(*sizes)
+	case holders.FullCommand():
+		measureHolders()
 	case processes.FullCommand():
 		err = measureProcesses(*programs)
 	case claims.FullCommand():
--- a/core/kernel/view.go
+++ b/core/kernel/view.go
@@ -82,8 +82,10 @@
 	Configs  []Config
 	Suspects []Suspect
 	Clerks   [][]string
-	Ready    bool
-	Watching bool
+	// Neighbours are the daemons to keep control connections to.
+	Neighbours []Neighbour
+	Ready      bool
+	Watching   bool
 	// PlatformDown is the time since when the platform has not answered; it
 	// is zero while it does.
 	PlatformDown time.Time
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -50,15 +50,16 @@
 }
 
 type plugin struct {
-	self     kernel.Member
-	counter  uint64
-	entries  map[string]entry
-	failures map[string]int
-	heard    time.Time
-	stale    bool
-	forgotAt time.Time
-	clerks   [][]string
-	watching bool
+	self       kernel.Member
+	counter    uint64
+	entries    map[string]entry
+	failures   map[string]int
+	heard      time.Time
+	stale      bool
+	forgotAt   time.Time
+	clerks     [][]string
+	neighbours []kernel.Neighbour
+	watching   bool
 }
 
 // record is a member as it is replicated. Died is in Unix milliseconds.
@@ -288,6 +289,7 @@
 		}
 	}
 	state.Neighbours = neighboursOf(plugin.self, living)
+	plugin.neighbours = state.Neighbours
 	state.WatchRank, state.Watching = watchRank(plugin.self, living)
 	state.Clerks = clerksOf(state.Settings, living)
 	plugin.clerks = state.Clerks
@@ -307,5 +309,6 @@
 func (plugin *plugin) Contribute(view *kernel.View) {
 	view.Members = plugin.sorted()
 	view.Clerks = plugin.clerks
+	view.Neighbours = plugin.neighbours
 	view.Watching = plugin.watching
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -31,6 +31,7 @@
 	"ibislift/io/upstream"
 
 	// The plug-ins of the kernel register themselves.
+	_ "ibislift/core/beacon"
 	_ "ibislift/core/crash"
 	_ "ibislift/core/measure"
 	_ "ibislift/core/member"
@@ -271,6 +272,7 @@
 			if view := daemon.control.view.Load(); view != seen {
 				seen = view
 				daemon.resize(daemon.beside.Current())
+				daemon.peers.Keep(view)
 			}
 		}
 	}
--- a/io/peer/line.go
+++ b/io/peer/line.go
@@ -26,12 +26,16 @@
 	writer  *bufio.Writer
 }
 
+// lineBufferSize is the size of each of a line's two buffers, in bytes. Longer
+// messages pass them by.
+const lineBufferSize = 4 << 10
+
 func newLine(conn net.Conn, address string) *line {
 	return &line{
 		Conn:    conn,
 		address: address,
-		reader:  bufio.NewReaderSize(conn, bufferSize),
-		writer:  bufio.NewWriterSize(conn, bufferSize),
+		reader:  bufio.NewReaderSize(conn, lineBufferSize),
+		writer:  bufio.NewWriterSize(conn, lineBufferSize),
 	}
 }
 
--- a/io/peer/peers.go
+++ b/io/peer/peers.go
@@ -108,9 +108,27 @@
 	return options
 }
 
-// Keep closes the connections to addresses that are not wanted any more.
-func (peers *Peers) Keep(wanted map[string]bool) {
-	peers.lines.keep(wanted)
+// Keep closes the connections that a view has no use for: control connections
+// to others than neighbours and clerks, and idle lines to targets that are gone.
+func (peers *Peers) Keep(view *kernel.View) {
+	control, carry := map[string]bool{}, map[string]bool{}
+	for _, neighbour := range view.Neighbours {
+		control[neighbour.Address] = true
+	}
+	for _, clerks := range view.Clerks {
+		for _, id := range clerks {
+			clerk, _ := view.Member(id)
+			control[clerk.PeerAddress] = true
+		}
+	}
+	for _, member := range view.Members {
+		carry[member.CarryAddress] = member.State != kernel.MemberDead
+	}
+	peers.lines.keep(carry)
+	peers.keepControl(control)
+}
+
+func (peers *Peers) keepControl(wanted map[string]bool) {
 	peers.mutex.Lock()
 	defer peers.mutex.Unlock()
 	for address, connection := range peers.connections {
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -17,6 +17,7 @@
 	"ibislift/core/kernel"
 
 	// The plug-ins of the kernel register themselves.
+	_ "ibislift/core/beacon"
 	_ "ibislift/core/crash"
 	_ "ibislift/core/measure"
 	_ "ibislift/core/member"
