Routing: short memory for latencies, and waiting requests count

A target's latency was believed for 2 s after its last answer, while troubles last 50 to 500 ms: the slow answers arrive after the trouble and keep the load off a healthy target, and during it nothing is known. Ruled out: load reports (they come with answers only, so they say nothing during a trouble). Change: latency halves its weight every 300 ms; a request that has waited longer than twice the usual counts against its target; hedges after 3 deviations, default budget 0.1.

--- a/core/profile/profile.go
+++ b/core/profile/profile.go
@@ -120,7 +120,7 @@
 		RepeatableRules: []Rule{{Method: "GET", Path: "/"}, {Method: "HEAD", Path: "/"}},
 		ImportantRules:  []Rule{},
 		RetryBudget:     Budget{Ratio: 0.2, Burst: 10},
-		HedgeBudget:     Budget{Ratio: 0.05, Burst: 5},
+		HedgeBudget:     Budget{Ratio: 0.1, Burst: 10},
 		QueueBound:      64,
 		MaxBodyBytes:    1 << 30,
 		MeasuringBudget: MeasuringBudget{ProbesPerMinute: 600},
--- a/core/route/adaptive.go
+++ b/core/route/adaptive.go
@@ -20,6 +20,9 @@
 	// linkCostPenalty is the waiting time that the dearest link is worth to
 	// a profile that gives measuring and traffic cost its full weight.
 	linkCostPenalty = 50 * time.Millisecond
+	// overdueFactor is how many mean latencies a request may take before its
+	// target is thought to have become slow.
+	overdueFactor = 2
 	// defaultLatency stands for targets that have not answered yet.
 	defaultLatency = 5 * time.Millisecond
 )
@@ -113,11 +116,19 @@
 	seconds := 2 * candidate.Link.Seconds()
 	seconds += latency * (1 + load/slots)
 	seconds += latency * max(0, load+1-slots) / slots
+	seconds += overdue(candidate)
 	seconds += candidate.Failing * failurePenalty.Seconds()
 	seconds += candidate.Cost * request.Weights.Measuring * linkCostPenalty.Seconds()
 	return seconds
 }
 
+// overdue is how much longer than usual the oldest request at the target has
+// waited already: the first sign of a target that has become slow.
+func overdue(candidate Candidate) float64 {
+	usual := overdueFactor * max(candidate.Latency, defaultLatency)
+	return max(0, (candidate.Oldest - usual).Seconds())
+}
+
 // believedLoad is the number of requests at the target: its report while that
 // is fresh, the mean of all as it ages, and never less than this daemon itself
 // has in flight there.
--- a/core/route/book.go
+++ b/core/route/book.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -29,7 +30,8 @@
 
 // knowledge is what is known of one target.
 type knowledge struct {
-	inFlight     int
+	// pending are the starts of what this daemon has in flight there.
+	pending      []time.Time
 	load         admit.Load
 	reported     time.Time
 	latency      float64
@@ -46,29 +48,36 @@
 	latencyWeight   = 0.2
 	failingWeight   = 0.3
 	failingHalfLife = time.Second
-	// latencyLife is how long a target's latency is believed without a new
-	// answer. After it the target is tried again as an average one.
-	latencyLife = 2 * time.Second
+	// latencyHalfLife is the time in which a target's latency loses half its
+	// weight against the service's mean, so that it is tried again soon after
+	// a short trouble.
+	latencyHalfLife = 300 * time.Millisecond
 	// maxEjections bounds the doubling of the time of an ejection.
 	maxEjections = 5
 	// hedgeDeviations is how many mean deviations above the mean an answer is
 	// late enough for a hedge.
-	hedgeDeviations = 4
+	hedgeDeviations = 3
 	minHedgeDelay   = 2 * time.Millisecond
 )
 
 // Started notes a request sent to a target.
-func (book *Book) Started(id string) {
+func (book *Book) Started(id string, at time.Time) {
 	book.mutex.Lock()
 	defer book.mutex.Unlock()
-	book.of(id).inFlight++
+	target := book.of(id)
+	target.pending = append(target.pending, at)
 }
 
-// Ended notes that a request sent to a target is over, whatever its end.
-func (book *Book) Ended(id string) {
+// Ended notes that a request that was sent to a target at a time is over,
+// whatever its end.
+func (book *Book) Ended(id string, started time.Time) {
 	book.mutex.Lock()
 	defer book.mutex.Unlock()
-	book.of(id).inFlight--
+	target := book.of(id)
+	index := slices.IndexFunc(target.pending, started.Equal)
+	if index >= 0 {
+		target.pending = slices.Delete(target.pending, index, index+1)
+	}
 }
 
 // Reported notes the load that a target's gate sent along.
@@ -200,18 +209,19 @@
 	target := book.of(id)
 	candidate := Candidate{
 		ID:       id,
-		InFlight: target.inFlight,
+		InFlight: len(target.pending),
 		Load:     target.load,
 		Age:      at.Sub(target.reported),
 		Known:    !target.reported.IsZero(),
 		Failing:  decayed(target.failing, at.Sub(target.failed)),
 		Ejected:  at.Before(target.ejectedUntil),
 	}
-	seconds := target.latency
-	if at.Sub(target.answered) > latencyLife {
-		seconds = book.latency
-	}
+	fresh := math.Exp2(-float64(at.Sub(target.answered)) / float64(latencyHalfLife))
+	seconds := target.latency*fresh + book.latency*(1-fresh)
 	candidate.Latency = time.Duration(seconds * float64(time.Second))
+	if len(target.pending) > 0 {
+		candidate.Oldest = at.Sub(target.pending[0])
+	}
 	return candidate
 }
 
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -41,6 +41,9 @@
 	Known bool
 	// Latency is the mean time to an answer, without the link.
 	Latency time.Duration
+	// Oldest is how long the longest of this daemon's requests there has
+	// waited.
+	Oldest time.Duration
 	// Failing is the recent share of failures, from 0 to 1.
 	Failing float64
 	// Warmth rises from 0 to 1 while a new target starts slowly.
--- a/io/caller/attempt.go
+++ b/io/caller/attempt.go
@@ -34,15 +34,16 @@
 func startAttempt(exchange *exchange, member kernel.Member, send call.Send) *attempt {
 	ctx, stop := context.WithCancel(context.Background())
 	book := exchange.service.book
-	book.Started(member.ID)
+	started := exchange.handler.Now()
+	book.Started(member.ID, started)
 	return &attempt{
 		index:   send.Attempt,
 		member:  member,
 		link:    exchange.handler.Distance(member).Link,
-		started: exchange.handler.Now(),
+		started: started,
 		stop:    stop,
 		ctx:     ctx,
-		finish:  func() { book.Ended(member.ID) },
+		finish:  func() { book.Ended(member.ID, started) },
 	}
 }
 
