Crashes: an answer clears a suspect

The lookups of a service share method, path and body, so they share the fingerprint and were blocked with it. Ruled out: lost targets (two of 24 were down). Change: an answer to a request with a suspect's fingerprint clears it on every daemon, since what crashes upstreams is never answered. Test: 'an answer clears a suspect on every daemon'.

--- a/cmd/bench/scenario.go
+++ b/cmd/bench/scenario.go
@@ -60,7 +60,7 @@
 		{name: "platformDown", load: 0.5, disturb: platformDown},
 		{name: "overload150", load: 1.5, disturb: quiet},
 		{name: "drainAndColdStart", load: 0.5, disturb: drainAndColdStart},
-		{name: "crash", load: 0.5, disturb: quiet},
+		{name: "crash", load: 0.5, disturb: restartCrashed},
 	}
 }
 
@@ -128,6 +128,20 @@
 	return func() { <-done }
 }
 
+// restartCrashed starts the upstreams that have crashed again, at the end.
+func restartCrashed(_ context.Context, bench *bench) func() {
+	return func() {
+		for _, instance := range bench.running.Instances {
+			select {
+			case <-instance.Upstream.Ended():
+				_ = bench.running.StartUpstream(instance)
+			default:
+			}
+		}
+		_ = bench.running.AwaitReady(readyTimeout)
+	}
+}
+
 // runScenarios prints a row for each scenario and policy.
 func runScenarios(programs, name string, policies, only []string, length time.Duration) error {
 	plan, err := deployment.Named(name)
@@ -245,6 +259,7 @@
 			Method: "GET", Path: service.Lookup, Deadline: lookupTime,
 		}
 		if scenario.name == "crash" && number == 200 {
+			request.Path += "/poison"
 			request.Header = map[string]string{upstream.CrashHeader: "1"}
 		}
 		if random.IntN(100) < changePercent {
--- a/core/crash/crash.go
+++ b/core/crash/crash.go
@@ -3,7 +3,8 @@
 //
 // One crash proves nothing against a single request, since its neighbours ran
 // at the same time. A fingerprint that was there in several crashes is blocked
-// until its records expire; an innocent one is therefore never blocked for
+// until its records expire, or until a request with it has been answered: what
+// crashes upstreams never is. An innocent one is therefore never blocked for
 // good.
 //
 // # Usage
@@ -27,10 +28,13 @@
 	kernel.Register("crash", func() kernel.Plugin { return &plugin{} })
 }
 
-// record is one fingerprint in one crash. Expires is in Unix milliseconds.
+// record is one fingerprint in one crash or, if Cleared is set, the word that a
+// request with it was answered. Times are in Unix milliseconds.
 type record struct {
 	Fingerprint string `json:"fingerprint"`
+	At          int64  `json:"at"`
 	Expires     int64  `json:"expires"`
+	Cleared     bool   `json:"cleared,omitempty"`
 }
 
 type plugin struct {
@@ -53,6 +57,8 @@
 		plugin.records = map[kernel.Key]record{}
 	case kernel.UpstreamCrashed:
 		return plugin.report(state, event.At, message)
+	case kernel.SuspectCompleted:
+		return plugin.clear(event.At, message.Fingerprint)
 	case kernel.Adopted:
 		plugin.learn(message.Records)
 	case kernel.Ticked:
@@ -67,7 +73,7 @@
 	expires := at.Add(crashed.BlockFor).UnixMilli()
 	var adopt kernel.Adopt
 	for _, fingerprint := range crashed.Fingerprints {
-		body, err := json.Marshal(record{Fingerprint: fingerprint, Expires: expires})
+		body, err := json.Marshal(record{Fingerprint: fingerprint, At: at.UnixMilli(), Expires: expires})
 		if err != nil {
 			continue
 		}
@@ -81,6 +87,26 @@
 	return []kernel.Effect{adopt}
 }
 
+// clear makes a record that a suspect is innocent, which lasts as long as what
+// stands against it.
+func (plugin *plugin) clear(at time.Time, fingerprint string) []kernel.Effect {
+	last := int64(0)
+	for _, known := range plugin.records {
+		if known.Fingerprint == fingerprint && !known.Cleared {
+			last = max(last, known.Expires)
+		}
+	}
+	if last == 0 {
+		return nil
+	}
+	body, err := json.Marshal(record{Fingerprint: fingerprint, At: at.UnixMilli(), Expires: last, Cleared: true})
+	if err != nil {
+		return nil
+	}
+	key := kernel.Key{Kind: kernel.KindCrash, Name: fingerprint + "@cleared"}
+	return []kernel.Effect{kernel.Adopt{Records: []kernel.Record{{Key: key, Version: uint64(at.UnixMilli()), Body: body}}}}
+}
+
 func (plugin *plugin) learn(records []kernel.Record) {
 	for _, fresh := range records {
 		if fresh.Kind != kernel.KindCrash {
@@ -104,8 +130,17 @@
 }
 
 func (plugin *plugin) Contribute(view *kernel.View) {
+	cleared := map[string]int64{}
+	for _, known := range plugin.records {
+		if known.Cleared {
+			cleared[known.Fingerprint] = known.At
+		}
+	}
 	expiries := map[string][]time.Time{}
 	for _, known := range plugin.records {
+		if known.Cleared || known.At <= cleared[known.Fingerprint] {
+			continue
+		}
 		expiries[known.Fingerprint] = append(expiries[known.Fingerprint], time.UnixMilli(known.Expires))
 	}
 	for fingerprint, times := range expiries {
--- a/core/crash/crash_test.go
+++ b/core/crash/crash_test.go
@@ -60,6 +60,17 @@
 		crash(joined, "d1", "poison")
 		is.New(t).True(joined.RunUntil(2*time.Second, func() bool { return everywhere(joined, "poison", true) }))
 	})
+	t.Run("an answer clears a suspect on every daemon", func(t *testing.T) {
+		joined := newFleet(4)
+		crash(joined, "d1", "popular", "poison")
+		crash(joined, "d2", "popular", "poison")
+		is := is.New(t)
+		is.True(joined.RunUntil(2*time.Second, func() bool { return everywhere(joined, "popular", true) }))
+		joined.Run(time.Second)
+		joined.Tell("d3", kernel.SuspectCompleted{Fingerprint: "popular"})
+		is.True(joined.RunUntil(2*time.Second, func() bool { return everywhere(joined, "popular", false) }))
+		is.True(everywhere(joined, "poison", true))
+	})
 	t.Run("a block ends", func(t *testing.T) {
 		joined := newFleet(3)
 		crash(joined, "d1", "unlucky")
--- a/core/kernel/message.go
+++ b/core/kernel/message.go
@@ -82,6 +82,10 @@
 	BlockFor     time.Duration
 }
 
+// SuspectCompleted says that a request with the fingerprint of a suspect has
+// been answered: it does not crash upstreams.
+type SuspectCompleted struct{ Fingerprint string }
+
 // ClaimAsked asks for the right to run a request that may not be repeated.
 // The answer is an AnswerClaim effect with the same token. With TakeOver the
 // asker could not reach the clerks before this one.
@@ -116,5 +120,6 @@
 func (DrainAsked) message()        {}
 func (StopAsked) message()         {}
 func (UpstreamCrashed) message()   {}
+func (SuspectCompleted) message()  {}
 func (ClaimAsked) message()        {}
 func (ClaimClosed) message()       {}
--- a/daemon/beside.go
+++ b/daemon/beside.go
@@ -62,6 +62,13 @@
 // CloseClaim takes the end of a claimed request.
 func (daemon *Daemon) CloseClaim(closed kernel.ClaimClosed) { daemon.control.CloseClaim(closed) }
 
+// Completed clears a suspect whose request was answered.
+func (daemon *Daemon) Completed(fingerprint string) {
+	if _, suspected := daemon.control.view.Load().Suspect(fingerprint); suspected {
+		daemon.control.tell(kernel.SuspectCompleted{Fingerprint: fingerprint})
+	}
+}
+
 // Crashed spreads the fingerprints of the requests that the upstream died
 // with, and takes the upstream out of service.
 func (daemon *Daemon) Crashed(fingerprints []string) {
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -35,6 +35,8 @@
 	Exchange(ctx context.Context, envelope kernel.Envelope) (kernel.Envelope, error)
 	Claim(ctx context.Context, asked kernel.ClaimAsked) (kernel.ClaimResult, error)
 	CloseClaim(closed kernel.ClaimClosed)
+	// Completed reports the fingerprint of a request that was answered.
+	Completed(fingerprint string)
 	// Crashed reports the requests that ran when the upstream died.
 	Crashed(fingerprints []string)
 }
@@ -112,6 +114,9 @@
 		return server.refuse(stream, decision.Reason, decision.RetryAfter)
 	}
 	failed, err = server.run(ctx, stream, head, deadline)
+	if !failed {
+		server.Control.Completed(head.GetFingerprint())
+	}
 	return err
 }
 
