--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -136,7 +136,7 @@
 			return site.instances[0].upstream.Running()+site.instances[1].upstream.Running() == 0
 		})
 	})
-	t.Run("a caller that leaves reaches the upstream", func(t *testing.T) {
+	t.Run("a caller that leaves reaches the upstream", func(*testing.T) {
 		turn(upstream.Switches{Hang: true})
 		ctx, cancel := context.WithCancel(context.Background())
 		sent := make(chan answer, 1)
--- a/standin/deployment/deployment.go
+++ b/standin/deployment/deployment.go
@@ -121,7 +121,7 @@
 
 func (instance *Instance) address(port int) string { return fmt.Sprintf("%s:%d", instance.IP, port) }
 
-// Callers, Operators, Links and Server are the instance's addresses.
+// Callers is where callers reach the daemon.
 func (instance *Instance) Callers() string { return instance.address(callerPort) }
 
 // Operators is where operators reach the daemon.
