Claims: a write whose answer was lost is read back before anything is refused

The clerk refused all that waited as soon as an answer was lost, and looked 250 ms later what had become of the write. Change: it reads back at once and refuses only if that fails. Tests: 'a lost answer is read back' (now granted), 'a write in doubt that cannot be read back refuses'.

--- a/core/once/once.go
+++ b/core/once/once.go
@@ -322,7 +322,7 @@
 	if result.Status == kernel.PlatformOK {
 		return plugin.committed(state, log, at)
 	}
-	if result.Status == kernel.PlatformConflict {
+	if result.Status == kernel.PlatformConflict || result.Status == kernel.PlatformUnknown {
 		return []kernel.Effect{call(log, log.readBack())}
 	}
 	effects := plugin.doubt(log)
