Clerks: the first clerk serves at once after it has lost its log

A clerk that has lost its log left it alone for 5 s, also the one whose turn it is: while the fleet's views change, the log moves between clerks, and all may rest at once. Change: only clerks that took over rest; the first one opens its log again.

--- a/core/once/once.go
+++ b/core/once/once.go
@@ -34,7 +34,7 @@
 const retryWait = 250 * time.Millisecond
 
 // keepTime is how long a clerk that has taken over keeps a partition without
-// being asked, and how long the one it took over from leaves it alone.
+// being asked, and how long it leaves the partition alone after it has lost it.
 const keepTime = 5 * time.Second
 
 // abandonTime is how long a claim may be on its way after its release.
@@ -379,9 +379,7 @@
 	case result.Status == kernel.PlatformOK && log.isOwn(result.Object):
 		return plugin.committed(state, log, at)
 	case result.Status == kernel.PlatformOK:
-		refused := log.close()
-		log.rest(at.Add(keepTime), kernel.ClaimElsewhere)
-		return refuse(refused, kernel.ClaimElsewhere)
+		return refuse(plugin.yield(state, log, at), kernel.ClaimElsewhere)
 	case result.Status == kernel.PlatformAbsent:
 		log.phase = phaseWrite
 		return []kernel.Effect{call(log, log.resend())}
@@ -392,6 +390,17 @@
 	}
 }
 
+// yield gives up a log that another clerk has taken over. A daemon that is not
+// the first clerk leaves the log alone for a while, so that the two do not take
+// it from each other in turn.
+func (plugin *plugin) yield(state *kernel.State, log *partitionLog, at time.Time) []ask {
+	refused := log.close()
+	if !isClerk(state, log.partition, false) {
+		log.rest(at.Add(keepTime), kernel.ClaimElsewhere)
+	}
+	return refused
+}
+
 func refuse(asks []ask, status kernel.ClaimStatus) []kernel.Effect {
 	var effects []kernel.Effect
 	for _, refused := range asks {
--- a/core/once/once_test.go
+++ b/core/once/once_test.go
@@ -35,6 +35,8 @@
 const (
 	partitions = 2
 	retention  = 10 * time.Minute
+	// keepTime is longer than a clerk that has lost a log leaves it alone.
+	keepTime = 6 * time.Second
 )
 
 func newBench(seed uint64, daemons int) *bench {
@@ -74,6 +76,20 @@
 	return asked
 }
 
+// askTo sends a request for a fresh key to a daemon.
+func (bench *bench) askTo(name, key string, partition int, takeOver bool) *claimant {
+	bench.token++
+	asked := &claimant{
+		key: fmt.Sprintf("%s%d", key, bench.token), request: fmt.Sprintf("r%d", bench.token),
+		partition: partition, token: bench.token, node: bench.fleet.Nodes[name],
+	}
+	bench.claimants = append(bench.claimants, asked)
+	bench.fleet.Tell(name, kernel.ClaimAsked{
+		Token: asked.token, Partition: partition, Key: asked.key, Request: asked.request, TakeOver: takeOver,
+	})
+	return asked
+}
+
 // askAgain repeats a request for a key under the same name, as when the answer
 // was lost on its way. The turn says which of the clerks is asked.
 func (bench *bench) askAgain(earlier *claimant, turn int) {
@@ -239,6 +255,20 @@
 		answered(t, bench, bench.ask("a", next, true), kernel.ClaimUnknown)
 		is.New(t).True(bench.fleet.Now.Sub(start) < time.Second)
 	})
+	t.Run("a clerk that is back serves at once", func(t *testing.T) {
+		bench := newBench(12, 4)
+		first := bench.ask("a", "d0", false)
+		answered(t, bench, first, kernel.ClaimGranted)
+		clerks := bench.fleet.Nodes["d0"].View.Clerks[first.partition]
+		for range 3 {
+			answered(t, bench, bench.askTo(clerks[1], "b", first.partition, true), kernel.ClaimGranted)
+			bench.fleet.Run(100 * time.Millisecond)
+			bench.askTo(clerks[0], "c", first.partition, false)
+			bench.fleet.Run(100 * time.Millisecond)
+			answered(t, bench, bench.askTo(clerks[0], "d", first.partition, false), kernel.ClaimGranted)
+			bench.fleet.Run(keepTime)
+		}
+	})
 	t.Run("a paused clerk grants nothing after it has been replaced", func(t *testing.T) {
 		bench := newBench(3, 4)
 		answered(t, bench, bench.ask("b", "d0", false), kernel.ClaimGranted)
