Split grown files; the weight of latency counts in the choice of regions

The profile's weights.latency was documented and did nothing: now a low one makes dear links up to twice as dear ('a profile that minds the cost stays in its region longer'). Nothing changes at the default weight.

--- /dev/null
+++ b/core/call/end.go
@@ -0,0 +1,159 @@
+package call
+
+func (call *Call) claimRefused(refused ClaimRefused) []Effect {
+	call.claiming = false
+	effects := call.withdrawAll()
+	problem := ProblemClaimHeld
+	if !refused.Held {
+		problem = ProblemClaimFailed
+		effects = append(effects, ReleaseClaim{})
+	}
+	call.finished = true
+	return append(effects, Finish{
+		Outcome:    OutcomeNotRun,
+		Problem:    problem,
+		RetryAfter: DefaultRetryAfter,
+		Known:      refused.Known,
+	})
+}
+
+func (call *Call) refuse(refused Refused) []Effect {
+	if !call.open(refused.Attempt) {
+		return nil
+	}
+	call.attempts[refused.Attempt] = stageOver
+	if call.granted == refused.Attempt {
+		call.granted = -1
+	}
+	call.lastReason = ProblemRefused
+	call.retryAfter = max(call.retryAfter, refused.RetryAfter)
+	return call.retry()
+}
+
+func (call *Call) lose(lost Lost) []Effect {
+	if !call.open(lost.Attempt) {
+		return nil
+	}
+	committed := call.attempts[lost.Attempt] == stageCommitted
+	call.attempts[lost.Attempt] = stageOver
+	if call.granted == lost.Attempt {
+		call.granted = -1
+	}
+	call.lastReason = ProblemLost
+	if lost.Crashed {
+		call.crashes++
+		call.lastReason = ProblemCrashed
+	}
+	if committed && !lost.Unsent {
+		call.uncertain = true
+	}
+	if call.uncertain && !call.Repeatable || call.crashes >= maxCrashes {
+		return call.finish(call.lastReason)
+	}
+	return call.retry()
+}
+
+func (call *Call) retry() []Effect {
+	if call.underWay() {
+		return nil
+	}
+	if len(call.attempts) >= MaxAttempts || !call.Retries.Take() {
+		return call.finish(call.lastReason)
+	}
+	return call.choose()
+}
+
+func (call *Call) failing(attempt int) []Effect {
+	if !call.at(attempt, stageCommitted) {
+		return nil
+	}
+	if !call.Repeatable || call.fallback >= 0 {
+		return call.answer(attempt)
+	}
+	call.attempts[attempt] = stageOver
+	call.fallback = attempt
+	return call.retry()
+}
+
+func (call *Call) relayFallback() []Effect {
+	call.relayed = call.fallback
+	call.choosing = false
+	return append(call.withdrawAll(), Relay{Attempt: call.fallback})
+}
+
+func (call *Call) answer(attempt int) []Effect {
+	if !call.at(attempt, stageCommitted) {
+		return nil
+	}
+	call.relayed = attempt
+	call.choosing = false
+	var effects []Effect
+	for other, stage := range call.attempts {
+		if other != attempt && stage != stageOver {
+			call.attempts[other] = stageOver
+			effects = append(effects, Withdraw{Attempt: other})
+		}
+	}
+	return append(effects, Relay{Attempt: attempt})
+}
+
+func (call *Call) endRelay() []Effect {
+	call.finished = true
+	if call.claimed {
+		return []Effect{SettleClaim{}}
+	}
+	return nil
+}
+
+func (call *Call) giveUp(problem Problem) []Effect {
+	if call.relayed >= 0 {
+		return append([]Effect{Withdraw{Attempt: call.relayed}}, call.endRelay()...)
+	}
+	call.lastReason = problem
+	effects := call.withdrawAll()
+	return append(effects, call.finish(problem)...)
+}
+
+func (call *Call) withdrawAll() []Effect {
+	var effects []Effect
+	for attempt, stage := range call.attempts {
+		if stage == stageOver {
+			continue
+		}
+		if stage == stageCommitted {
+			call.uncertain = true
+		}
+		call.attempts[attempt] = stageOver
+		effects = append(effects, Withdraw{Attempt: attempt})
+	}
+	return effects
+}
+
+func (call *Call) finish(problem Problem) []Effect {
+	if call.fallback >= 0 {
+		return call.relayFallback()
+	}
+	call.finished = true
+	outcome := OutcomeNotRun
+	if call.mayHaveRun() {
+		outcome = OutcomeUnknown
+	}
+	var effects []Effect
+	if call.claimed && outcome == OutcomeNotRun {
+		effects = append(effects, ReleaseClaim{})
+	}
+	retryAfter := call.retryAfter
+	if retryAfter == 0 {
+		retryAfter = DefaultRetryAfter
+	}
+	return append(effects, Finish{Outcome: outcome, Problem: problem, RetryAfter: retryAfter})
+}
+
+func (call *Call) mayHaveRun() bool {
+	for _, stage := range call.attempts {
+		if stage == stageCommitted {
+			return true
+		}
+	}
+	return call.uncertain
+}
--- a/core/route/adaptive.go
+++ b/core/route/adaptive.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"ibislift/core/profile"
 )
 
 func init() {
@@ -118,10 +120,16 @@
 	seconds += latency * max(0, load+1-slots) / slots
 	seconds += overdue(candidate)
 	seconds += candidate.Failing * failurePenalty.Seconds()
-	seconds += candidate.Cost * request.Weights.Measuring * linkCostPenalty.Seconds()
+	seconds += candidate.Cost * reluctance(request.Weights) * linkCostPenalty.Seconds()
 	return seconds
 }
 
+// reluctance is how much a profile minds dear links: more with its weight of
+// measuring, and up to twice as much where latency has no weight.
+func reluctance(weights profile.Weights) float64 {
+	return weights.Measuring * (2 - weights.Latency)
+}
+
 // overdue is how much longer than usual the oldest request at the target has
 // waited already: the first sign of a target that has become slow.
 func overdue(candidate Candidate) float64 {
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -54,9 +54,8 @@
 
 // Request is what a choice may depend on besides the candidates.
 type Request struct {
-	Random    uint64
-	Remaining time.Duration
-	Weights   profile.Weights
+	Random  uint64
+	Weights profile.Weights
 }
 
 // Policy chooses one of the candidates, which are never empty, and returns its
--- a/core/route/route_test.go
+++ b/core/route/route_test.go
@@ -87,6 +87,17 @@
 		is.Equal(share(t, "adaptive", far, fresh("b", 5), fresh("c", 5)), 0)
 		is.True(share(t, "adaptive", far, fresh("b", 200), fresh("c", 200)) > 900)
 	})
+	t.Run("a profile that minds the cost stays in its region longer", func(t *testing.T) {
+		policy, err := route.New("adaptive")
+		is := is.New(t)
+		is.NoErr(err)
+		far := fresh("a", 0)
+		far.Link = 30 * time.Millisecond
+		far.Cost = 1
+		candidates := []route.Candidate{far, fresh("b", 55), fresh("c", 55)}
+		is.Equal(policy.Choose(route.Request{Weights: profile.Weights{Latency: 1, Measuring: 0}}, candidates), 0)
+		is.True(policy.Choose(route.Request{Weights: profile.Weights{Latency: 0.5, Measuring: 1}}, candidates) != 0)
+	})
 	t.Run("if all are ejected, all are used", func(t *testing.T) {
 		one, other := fresh("a", 0), fresh("b", 0)
 		one.Ejected, other.Ejected = true, true
--- a/io/caller/attempt.go
+++ b/io/caller/attempt.go
@@ -86,7 +86,6 @@
 		Important:             request.important,
 		Reserve:               send.Reserve || request.streamed,
 		Fingerprint:           request.fingerprint,
-		Repeatable:            request.repeatable,
 	}
 	if request.streamed {
 		head.ContentLength = original.ContentLength
--- a/io/caller/exchange.go
+++ b/io/caller/exchange.go
@@ -233,12 +233,11 @@
 	}
 	candidates := exchange.service.book.Candidates(now, exchange.service.rules, members, exchange.handler.Distance)
 	request := route.Request{
-		Random:    exchange.nextRandom(),
-		Remaining: exchange.request.deadline.Sub(now),
-		Weights:   exchange.service.rules.Weights,
+		Random:  exchange.nextRandom(),
+		Weights: exchange.service.rules.Weights,
 	}
 	index := exchange.service.policy.Choose(request, candidates)
-	exchange.explainChoice(now, candidates, index)
+	exchange.explainChoice(candidates, index)
 	exchange.apply(call.Chosen{Target: members[index].ID})
 }
 
--- a/io/caller/record.go
+++ b/io/caller/record.go
@@ -126,7 +126,7 @@
 }
 
 // explainChoice adds what was known of the candidates to the record.
-func (exchange *exchange) explainChoice(_ time.Time, candidates []route.Candidate, chosen int) {
+func (exchange *exchange) explainChoice(candidates []route.Candidate, chosen int) {
 	step := Step{What: "considered", Candidates: make([]Considered, 0, len(candidates))}
 	for index, candidate := range candidates {
 		step.Candidates = append(step.Candidates, Considered{
