A body that does not come ends at the deadline

Test: 'a body that does not come' hangs before (30 s time-out), passes after. Change: the read deadline of the connection is the request's; 408 bodyTooSlow.

--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
 	"sync"
@@ -82,6 +83,12 @@
 		answer := site.send(0, request{method: "GET", path: "/", header: map[string]string{"X-Long": strings.Repeat("x", 100_000)}})
 		is.New(t).Equal(answer.status, http.StatusRequestHeaderFieldsTooLarge)
 	})
+	t.Run("a body that does not come", func(t *testing.T) {
+		unending, stop := io.Pipe()
+		defer func() { _ = stop.Close() }()
+		answer := site.send(0, request{method: "POST", path: "/enrol", body: unending, header: map[string]string{"Ibislift-Deadline": "100ms"}})
+		told(t, answer, http.StatusRequestTimeout, "notRun", "bodyTooSlow")
+	})
 	t.Run("body too long", func(t *testing.T) {
 		status, _ := site.operate(0, "PUT", "/profiles/tiny", "new", `{"maxBodyBytes": 10}`)
 		is.New(t).Equal(status, http.StatusOK)
--- a/io/caller/caller.go
+++ b/io/caller/caller.go
@@ -16,6 +16,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"sync/atomic"
 	"time"
 
@@ -77,7 +78,7 @@
 	request := &request{id: handler.nextID(), service: serviceOf(original)}
 	view := handler.View()
 	service := handler.services.of(view, request.service)
-	if refusal := handler.prepare(request, service, view, original, arrived); refusal != nil {
+	if refusal := handler.prepare(request, service, view, writer, original, arrived); refusal != nil {
 		refusal.RequestID = request.id
 		refusal.Outcome = call.OutcomeNotRun
 		refusal.write(writer)
@@ -104,7 +105,7 @@
 }
 
 // prepare checks a request, and returns the answer to one that goes no further.
-func (handler *Handler) prepare(request *request, service *service, view *kernel.View, original *http.Request, now time.Time) *problem {
+func (handler *Handler) prepare(request *request, service *service, view *kernel.View, writer http.ResponseWriter, original *http.Request, now time.Time) *problem {
 	switch {
 	case !view.Ready:
 		return &problem{
@@ -121,7 +122,7 @@
 	if err := request.readHeaders(original, now); err != nil {
 		return &problem{Type: problemType + "badHeader", Title: "bad header", Status: http.StatusBadRequest, Detail: err.Error()}
 	}
-	if err := request.readBody(original); err != nil {
+	if err := request.readBodyInTime(writer, original); err != nil {
 		return bodyProblem(err)
 	}
 	request.sign(original)
@@ -133,6 +134,9 @@
 	if errors.Is(err, errTooLarge) || errors.As(err, &tooLarge) {
 		return &problem{Type: problemType + "bodyTooLarge", Title: "the body is too long", Status: http.StatusRequestEntityTooLarge, Detail: err.Error()}
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return &problem{Type: problemType + "bodyTooSlow", Title: "the body did not come within the deadline", Status: http.StatusRequestTimeout}
+	}
 	return &problem{Type: problemType + "badBody", Title: "the body cannot be read", Status: http.StatusBadRequest, Detail: err.Error()}
 }
 
--- a/io/caller/request.go
+++ b/io/caller/request.go
@@ -113,6 +113,21 @@
 // errTooLarge says that a body is longer than the profile allows.
 var errTooLarge = errors.New("the body is longer than the profile allows")
 
+// readBodyInTime is readBody that waits for the body until the request's
+// deadline at most. A streamed body keeps that bound.
+func (request *request) readBodyInTime(writer http.ResponseWriter, original *http.Request) error {
+	if original.Body == nil || original.Body == http.NoBody {
+		return nil
+	}
+	controller := http.NewResponseController(writer)
+	_ = controller.SetReadDeadline(request.deadline)
+	err := request.readBody(original)
+	if err == nil && !request.streamed {
+		_ = controller.SetReadDeadline(time.Time{})
+	}
+	return err
+}
+
 // readBody reads a short body whole, and leaves a longer one to be streamed.
 func (request *request) readBody(original *http.Request) error {
 	if original.ContentLength > request.rules.MaxBodyBytes {
