--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -32,13 +32,13 @@
   esac
 }
 
-mutant "a lost request is sent again" core/call/machine.go \
+mutant "a lost request is sent again" core/call/end.go \
   'if call.uncertain && !call.Repeatable || call.crashes' 'if call.crashes' ./core/call ./standin/matrix
-mutant "notRun is told without proof" core/call/machine.go \
+mutant "notRun is told without proof" core/call/end.go \
   'if call.mayHaveRun() {' 'if false {' ./core/call ./standin/matrix
 mutant "a keyed request runs without a claim" core/call/machine.go \
   'case call.Keyed && !call.claimed:' 'case false:' ./core/call ./standin/matrix
-mutant "a claim of a request that may have run is given back" core/call/machine.go \
+mutant "a claim of a request that may have run is given back" core/call/end.go \
   'if call.claimed && outcome == OutcomeNotRun {' 'if call.claimed {' ./core/call ./standin/matrix
 mutant "retries have no budget" core/call/budget.go \
   'if budget.earned < 1 {' 'if false {' ./core/call
