Configuration under faults on processes; a leaked slot would be noticed

Cause: make mutants, 'a cancelled reservation runs': not caught. The mutant keeps the slot of a cancelled reservation for good, and no check looked at slots.

--- a/cmd/faults/processes.go
+++ b/cmd/faults/processes.go
@@ -103,6 +103,9 @@
 		return err
 	}
 	defer stop()
+	if score.only == "" || score.only == "configuration" {
+		score.configuration(running)
+	}
 	fmt.Println("faults of processes, under load with resends of the same key through other daemons:")
 	writer := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(writer, "fault\trequests\twhole\tnotRun\tunknown\tdoubled\twrong\tverdict")
--- a/core/admit/admit_test.go
+++ b/core/admit/admit_test.go
@@ -146,6 +146,9 @@
 		if !watched.drained {
 			t.Fatalf("nothing runs, but the gate has not drained: %+v", watched.gate.Load())
 		}
+		if running := watched.gate.Load().Running; running != 0 {
+			t.Fatalf("nothing runs, but %d slots are held", running)
+		}
 	})
 }
 
--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -46,12 +46,12 @@
   'case committed.At.Sub(reserved.started) >= ReservationTime:' 'case false:' ./core/admit
 mutant "a draining gate admits" core/admit/admit.go \
   'case gate.draining:' 'case false:' ./core/admit
-mutant "a cancelled reservation runs" core/admit/admit.go \
+mutant "a cancelled reservation keeps its slot" core/admit/admit.go \
   'if known.stage == stageReserved {' 'if false {' ./core/admit
 mutant "a new clerk does not read the log" core/once/once.go \
   'log.replay(result.Objects)' '' ./core/once ./standin/matrix
 mutant "a clerk takes another's segment for its own" core/once/log.go \
-  'return err == nil && decoded.Writer == log.writer && decoded.Nonce == log.sent.Nonce' 'return err == nil' ./core/once
+  'return err == nil && decoded.Writer == log.writer && decoded.Nonce == log.sent.Nonce' 'return err == nil && decoded.Writer != ""' ./core/once
 mutant "a refused request is granted later" core/once/once.go \
   'case held.request == request && held.releasing:' 'case false:' ./core/once
 mutant "a lost answer is not recognised" core/profile/change.go \
