--- a/core/measure/measure_test.go
+++ b/core/measure/measure_test.go
@@ -72,6 +72,18 @@
 	})
 }
 
+func TestNoProbeRightAfterAStart(t *testing.T) {
+	joined := fleet.New(1)
+	joined.Add(kernel.Settings{Self: "d0", Region: "east", DataCentre: "e1", PeerAddress: "d0"})
+	joined.Tell("d0", kernel.UpstreamAnnounced{Target: kernel.Target{Service: "sleeplog", Slots: 1, State: kernel.TargetServing}})
+	gap, _ := measure.Gap(profile.Default().MeasuringBudget.ProbesPerMinute, kernel.DefaultRegionCapacity)
+	joined.Run(gap / 2)
+	is := is.New(t)
+	is.Equal(len(joined.Nodes["d0"].Probes), 0)
+	joined.Run(gap)
+	is.Equal(len(joined.Nodes["d0"].Probes), 1)
+}
+
 func TestGap(t *testing.T) {
 	t.Run("a budget below one probe each allows none", func(t *testing.T) {
 		_, allowed := measure.Gap(10, 11)
--- a/core/member/member_test.go
+++ b/core/member/member_test.go
@@ -89,6 +89,15 @@
 		joined.Run(time.Minute)
 		is.New(t).True(allBelieve(joined, "d1", kernel.MemberAlive))
 	})
+	t.Run("a daemon that hears from nobody accuses nobody", func(t *testing.T) {
+		joined := newFleet(10, 12, 1)
+		joined.Lost = func(from, to kernel.Settings) bool { return from.Self == "d5" || to.Self == "d5" }
+		joined.Run(time.Minute)
+		is := is.New(t)
+		for _, known := range joined.Nodes["d5"].View.Members {
+			is.Equal(known.State, kernel.MemberAlive)
+		}
+	})
 	t.Run("a partition inside a region grows together again", func(t *testing.T) {
 		joined := newFleet(6, 12, 1)
 		half := func(settings kernel.Settings) bool { return settings.Self < "d2" }
