--- a/core/beacon/beacon.go
+++ b/core/beacon/beacon.go
@@ -15,6 +15,7 @@
 	"encoding/json"
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"ibislift/core/kernel"
@@ -31,6 +32,13 @@
 // retryWait is the time before the list of beacons is asked for again.
 const retryWait = 2 * time.Second
 
+// Times of a start. Where a data centre has no beacon the whole fleet may be
+// starting: its beacons are there after some round trips.
+const (
+	coldWait   = 700 * time.Millisecond
+	settleTime = 4 * time.Second
+)
+
 // maxFirstPeers bounds what is taken from beacons.
 const maxFirstPeers = 64
 
@@ -51,9 +59,10 @@
 )
 
 type plugin struct {
-	listed  bool
-	waiting bool
-	nextAt  time.Time
+	listed    bool
+	waiting   bool
+	startedAt time.Time
+	nextAt    time.Time
 }
 
 func (plugin *plugin) Admits(time.Time, kernel.Record) bool { return true }
@@ -63,6 +72,7 @@
 func (plugin *plugin) Update(state *kernel.State, event kernel.Event) []kernel.Effect {
 	switch message := event.Message.(type) {
 	case kernel.Started:
+		plugin.startedAt = event.At
 		return plugin.call(listToken, kernel.ListObjects{Prefix: Prefix})
 	case kernel.Ticked:
 		return plugin.tick(state, event.At)
@@ -93,7 +103,12 @@
 
 // ownName is the name of the beacon of this watcher's place.
 func ownName(state *kernel.State) string {
-	return fmt.Sprintf("%s%s/%s/%d", Prefix, state.Settings.Region, state.Settings.DataCentre, state.WatchRank)
+	return fmt.Sprintf("%s%d", placeOf(state), state.WatchRank)
+}
+
+// placeOf is the start of the names of the beacons of this data centre.
+func placeOf(state *kernel.State) string {
+	return fmt.Sprintf("%s%s/%s/", Prefix, state.Settings.Region, state.Settings.DataCentre)
 }
 
 func (plugin *plugin) call(token uint64, call kernel.PlatformCall) []kernel.Effect {
@@ -104,31 +119,71 @@
 func (plugin *plugin) answered(state *kernel.State, at time.Time, answered kernel.PlatformAnswered) []kernel.Effect {
 	switch answered.Token {
 	case listToken:
-		plugin.learn(state, at, answered.Result)
+		return plugin.learn(state, at, answered.Result)
 	case readToken:
 		return plugin.renew(state, answered.Result)
+	case writeToken:
+		return plugin.written(state, at, answered.Result)
 	}
 	return nil
 }
 
-// learn takes the beacons' addresses as first peers.
-func (plugin *plugin) learn(state *kernel.State, at time.Time, result kernel.PlatformResult) {
+// learn takes the beacons' addresses as first peers. Where the data centre has
+// no beacon yet this daemon offers itself.
+func (plugin *plugin) learn(state *kernel.State, at time.Time, result kernel.PlatformResult) []kernel.Effect {
 	if result.Status != kernel.PlatformOK {
 		plugin.nextAt = at.Add(retryWait)
-		return
+		return nil
 	}
 	plugin.listed = true
-	peers := slices.Clone(state.Settings.FirstPeers)
+	plugin.nextAt = at.Add(settleTime)
+	effects := plugin.take(state, result.Objects)
 	for _, object := range result.Objects {
+		if strings.HasPrefix(object.Name, placeOf(state)) {
+			return effects
+		}
+	}
+	body, err := json.Marshal(beacon{PeerAddress: state.Settings.PeerAddress})
+	if err != nil {
+		return effects
+	}
+	return append(effects, plugin.call(writeToken, kernel.WriteObject{Name: placeOf(state) + "0", Body: body})...)
+}
+
+// take adds the addresses of beacons to the first peers, and lets those that
+// are new be asked.
+func (plugin *plugin) take(state *kernel.State, objects []kernel.Object) []kernel.Effect {
+	peers := slices.Clone(state.Settings.FirstPeers)
+	var fresh []string
+	for _, object := range objects {
 		var found beacon
 		if json.Unmarshal(object.Body, &found) != nil || found.PeerAddress == "" || len(peers) >= maxFirstPeers {
 			continue
 		}
 		if !slices.Contains(peers, found.PeerAddress) {
 			peers = append(peers, found.PeerAddress)
+			fresh = append(fresh, found.PeerAddress)
 		}
 	}
 	state.Settings.FirstPeers = peers
+	if len(fresh) == 0 {
+		return nil
+	}
+	return []kernel.Effect{kernel.Raise{Message: kernel.PeersFound{Addresses: fresh}}}
+}
+
+// written goes on after this daemon has offered itself. The one that was
+// faster may be named in the answer; the other data centres' beacons are there
+// a moment later.
+func (plugin *plugin) written(state *kernel.State, at time.Time, result kernel.PlatformResult) []kernel.Effect {
+	if at.Sub(plugin.startedAt) < settleTime {
+		plugin.listed = false
+		plugin.nextAt = at.Add(coldWait)
+	}
+	if result.Status != kernel.PlatformConflict {
+		return nil
+	}
+	return plugin.take(state, []kernel.Object{result.Object})
 }
 
 // renew writes the beacon if it does not name this daemon. A lost race is seen
--- a/core/kernel/message.go
+++ b/core/kernel/message.go
@@ -42,6 +42,9 @@
 // and now holds all that the peer held.
 type PeerSynced struct{ Peer Neighbour }
 
+// PeersFound names peer addresses of daemons that may not be known yet.
+type PeersFound struct{ Addresses []string }
+
 // PlatformAnswered is the end of a PlatformCall effect.
 type PlatformAnswered struct {
 	Owner  string
@@ -113,6 +116,7 @@
 func (EnvelopeAnswered) message()  {}
 func (PeerFailed) message()        {}
 func (PeerSynced) message()        {}
+func (PeersFound) message()        {}
 func (PlatformAnswered) message()  {}
 func (ChangeAsked) message()       {}
 func (UpstreamAnnounced) message() {}
--- a/core/spread/spread.go
+++ b/core/spread/spread.go
@@ -46,6 +46,8 @@
 	switch message := event.Message.(type) {
 	case kernel.Started:
 		return plugin.join(state, event)
+	case kernel.PeersFound:
+		return ask(state, message.Addresses)
 	case kernel.Ticked:
 		return plugin.tick(state, event)
 	case kernel.Adopted:
@@ -62,8 +64,13 @@
 // join asks all first peers at once.
 func (plugin *plugin) join(state *kernel.State, event kernel.Event) []kernel.Effect {
 	plugin.lastRejoin = event.At
+	return ask(state, state.Settings.FirstPeers)
+}
+
+// ask starts a comparison with the daemons at some addresses.
+func ask(state *kernel.State, addresses []string) []kernel.Effect {
 	var effects []kernel.Effect
-	for _, address := range state.Settings.FirstPeers {
+	for _, address := range addresses {
 		if address != state.Settings.PeerAddress {
 			effects = append(effects, probe(state, kernel.Neighbour{Address: address}))
 		}
