Routing by expected time: slowness of the moment, work by class, price of bytes

Cause: a third of the time an upstream's machine is slowed four times, and targets were chosen without knowing it; a gate knows it from each answer. Gates now report slowness, turn time and work of the class; entries compare all targets by expected time and tell the gate how long the request may take there before another is better; the gate refuses what is better off elsewhere. The queue orders by whether the objective can still be met, rank and objective, and refuses what cannot be served in time. Ruled out: hedging after the mean plus three deviations of all classes together, which doubled the work of long requests.

--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -19,7 +19,6 @@
 package admit
 
 import (
-	"math"
 	"time"
 )
 
@@ -38,6 +37,18 @@
 	Deadline  time.Time
 	Important bool
 	Reserve   bool
+	// Rank orders the requests that are not important, the lowest first.
+	Rank int
+	// Objective is when the answer loses most of its worth; the zero time
+	// stands for the deadline.
+	Objective time.Time
+	// Class names the kind of request, for which the gate learns how long it
+	// runs; it may be empty.
+	Class string
+	// Patience is how much longer than on an idle upstream the request may
+	// take here before it is better off elsewhere; 0 means that there is no
+	// better place.
+	Patience time.Duration
 }
 
 // Committed lets a reserved request run.
@@ -116,6 +127,7 @@
 const (
 	ReasonDraining  Reason = "draining"
 	ReasonQueueFull Reason = "queueFull"
+	ReasonSlower    Reason = "slower"
 	ReasonLate      Reason = "late"
 	ReasonExpired   Reason = "reservationExpired"
 	ReasonCancelled Reason = "cancelled"
@@ -134,6 +146,11 @@
 	// Slowness is how long work takes at this moment, as a multiple of the
 	// usual time; 0 means that the upstream does not tell.
 	Slowness float64 `json:"slowness,omitempty"`
+	// Turn is the mean time between two slots that come free.
+	Turn time.Duration `json:"turn,omitempty"`
+	// Work is how long a request of the class that was asked for runs on the
+	// upstream while it is not slowed; 0 means that it is not known.
+	Work time.Duration `json:"work,omitempty"`
 }
 
 type stage uint8
@@ -148,6 +165,8 @@
 	arrived Arrived
 	stage   stage
 	started time.Time
+	// slowness is the upstream's at the start.
+	slowness float64
 }
 
 // Gate is the admission of one upstream. Set the limits before the first
@@ -155,14 +174,17 @@
 type Gate struct {
 	Slots      int
 	QueueBound int
-
-	requests  map[uint64]*request
-	important []uint64
-	ordinary  []uint64
-	held      int
-	service   time.Duration
-	draining  bool
-	drained   bool
+	// Headroom is the part of the slots that is left free, since upstreams
+	// slow down when they are nearly full.
+	Headroom float64
+
+	work
+	requests map[uint64]*request
+	queue    []uint64
+	held     int
+	service  time.Duration
+	draining bool
+	drained  bool
 }
 
 // Update takes one event and returns what has to be done because of it.
@@ -187,9 +209,15 @@
 		gate.draining = false
 		gate.drained = false
 		return nil
+	case Told:
+		gate.told(event)
+		return nil
 	case Resized:
 		gate.Slots = event.Slots
 		gate.QueueBound = event.QueueBound
+		if gate.Slots == 0 {
+			return append(gate.dropAll(ReasonNoTarget), gate.checkDrained()...)
+		}
 		return gate.fill(event.At)
 	default:
 		return nil
@@ -200,13 +228,25 @@
 func (gate *Gate) Load() Load {
 	return Load{
 		Running:  gate.held,
-		Queued:   gate.queued(),
-		Slots:    gate.Slots,
+		Queued:   len(gate.queue),
+		Slots:    gate.capacity(),
 		Service:  gate.service,
 		Draining: gate.draining,
 	}
 }
 
+// LoadOf reports the gate's state at a time, with what is known of a class of
+// requests.
+func (gate *Gate) LoadOf(at time.Time, class string) Load {
+	load := gate.Load()
+	load.Turn = gate.turnTime(at)
+	load.Work = gate.byClass[class]
+	if gate.slowness > 0 {
+		load.Slowness = gate.slownessAt(at)
+	}
+	return load
+}
+
 func (gate *Gate) arrive(arrived Arrived) []Effect {
 	switch {
 	case gate.draining:
@@ -217,22 +257,33 @@
 	if _, known := gate.requests[arrived.ID]; known {
 		return nil
 	}
-	wait := gate.expectedWait(arrived.Important)
-	if arrived.At.Add(wait + gate.service/2).After(arrived.Deadline) {
+	wait := gate.expectedWait(arrived)
+	run := gate.runTime(arrived.At, arrived.Class)
+	if arrived.At.Add(wait + run/2).After(arrived.Deadline) {
 		return refuse(arrived.ID, ReasonLate, wait)
 	}
+	if extra := wait + gate.slowed(arrived); arrived.Patience > 0 && extra > arrived.Patience {
+		return refuse(arrived.ID, ReasonSlower, wait)
+	}
 	var effects []Effect
-	if gate.held >= gate.Slots && gate.queued() >= gate.QueueBound {
-		if !arrived.Important || len(gate.ordinary) == 0 {
+	if gate.held >= gate.capacity() && len(gate.queue) >= gate.QueueBound {
+		displaced, done := gate.displace(arrived, wait)
+		if !done {
 			return refuse(arrived.ID, ReasonQueueFull, wait)
 		}
-		effects = gate.displace(wait)
+		effects = displaced
 	}
 	gate.requests[arrived.ID] = &request{arrived: arrived}
-	gate.enqueue(arrived)
+	gate.queue = append(gate.queue, arrived.ID)
 	return append(effects, gate.fill(arrived.At)...)
 }
 
+// slowed is how much longer a request runs now than usually.
+func (gate *Gate) slowed(arrived Arrived) time.Duration {
+	run := gate.runTime(arrived.At, arrived.Class)
+	return run - time.Duration(float64(run)/max(1, gate.slownessAt(arrived.At)))
+}
+
 // commit hands a reserved request over, unless its time is up.
 func (gate *Gate) commit(committed Committed) []Effect {
 	reserved, known := gate.requests[committed.ID]
@@ -248,6 +299,7 @@
 	}
 	reserved.stage = stageRunning
 	reserved.started = committed.At
+	reserved.slowness = gate.slownessAt(committed.At)
 	return []Effect{HandOver{ID: committed.ID}}
 }
 
@@ -268,8 +320,7 @@
 	if known.stage == stageReserved {
 		return gate.revoke(cancelled.ID, ReasonCancelled, cancelled.At)
 	}
-	gate.unqueue(cancelled.ID)
-	delete(gate.requests, cancelled.ID)
+	gate.drop(cancelled.ID)
 	return append(refuse(cancelled.ID, ReasonCancelled, 0), gate.checkDrained()...)
 }
 
@@ -281,33 +332,17 @@
 	delete(gate.requests, finished.ID)
 	gate.held--
 	if !finished.Failed {
-		gate.learn(finished.At.Sub(known.started))
+		took := finished.At.Sub(known.started)
+		gate.service = meanOf(gate.service, took)
+		gate.learn(known.arrived.Class, took, (known.slowness+gate.slownessAt(finished.At))/2)
 	}
 	return gate.fill(finished.At)
 }
 
-func (gate *Gate) learn(took time.Duration) {
-	if gate.service == 0 {
-		gate.service = took
-		return
-	}
-	mean := float64(gate.service)*(1-serviceWeight) + float64(took)*serviceWeight
-	gate.service = time.Duration(math.Round(mean))
-}
-
 // drain refuses what waits; what runs or is reserved may finish.
 func (gate *Gate) drain() []Effect {
 	gate.draining = true
-	var effects []Effect
-	for {
-		id, found := gate.dequeue()
-		if !found {
-			break
-		}
-		delete(gate.requests, id)
-		effects = append(effects, refuse(id, ReasonDraining, 0)...)
-	}
-	return append(effects, gate.checkDrained()...)
+	return append(gate.dropAll(ReasonDraining), gate.checkDrained()...)
 }
 
 func (gate *Gate) checkDrained() []Effect {
--- a/core/admit/queue.go
+++ b/core/admit/queue.go
@@ -1,112 +1,202 @@
 package admit
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
 )
 
-func (gate *Gate) queued() int { return len(gate.important) + len(gate.ordinary) }
+// waiting is a queued request with what decides its turn.
+type waiting struct {
+	arrived Arrived
+	// late says that the request cannot meet its objective any more.
+	late bool
+}
+
+// ordinaryRank is the rank of a request that is not important and names none.
+const ordinaryRank = 1
 
-func (gate *Gate) enqueue(arrived Arrived) {
+// rank is 0 for important requests, and above for others.
+func (arrived Arrived) rank() int {
 	if arrived.Important {
-		gate.important = append(gate.important, arrived.ID)
-		return
+		return 0
 	}
-	gate.ordinary = append(gate.ordinary, arrived.ID)
+	return max(ordinaryRank, arrived.Rank)
 }
 
-// displace refuses the newest ordinary request to make room for an important
-// one.
-func (gate *Gate) displace(wait time.Duration) []Effect {
-	last := len(gate.ordinary) - 1
-	id := gate.ordinary[last]
-	gate.ordinary = gate.ordinary[:last]
-	delete(gate.requests, id)
-	return refuse(id, ReasonQueueFull, wait)
+// objective is when the answer loses most of its worth.
+func (arrived Arrived) objective() time.Time {
+	if arrived.Objective.IsZero() {
+		return arrived.Deadline
+	}
+	return arrived.Objective
 }
 
-// expectedWait is the time until a request that arrives now gets a slot.
-func (gate *Gate) expectedWait(important bool) time.Duration {
-	ahead := len(gate.important)
-	if !important {
-		ahead += len(gate.ordinary)
+// compare orders waiting requests: those that can still meet their objective
+// before the others, then by rank, then by objective.
+func compare(one, other waiting) int {
+	return cmp.Or(
+		compareBool(one.late, other.late),
+		cmp.Compare(one.arrived.rank(), other.arrived.rank()),
+		one.arrived.objective().Compare(other.arrived.objective()),
+		cmp.Compare(one.arrived.ID, other.arrived.ID),
+	)
+}
+
+func compareBool(one, other bool) int {
+	switch {
+	case one == other:
+		return 0
+	case other:
+		return -1
+	default:
+		return 1
+	}
+}
+
+// order returns the queue in the order of its turns.
+func (gate *Gate) order(at time.Time) []waiting {
+	order := make([]waiting, 0, len(gate.queue))
+	for _, id := range gate.queue {
+		arrived := gate.requests[id].arrived
+		order = append(order, waiting{arrived: arrived, late: gate.missesObjective(at, arrived)})
 	}
-	if gate.held < gate.Slots && ahead == 0 {
+	slices.SortFunc(order, compare)
+	return order
+}
+
+// missesObjective says whether a request would miss its objective even if it
+// got a slot now.
+func (gate *Gate) missesObjective(at time.Time, arrived Arrived) bool {
+	return at.Add(gate.runTime(at, arrived.Class)).After(arrived.objective())
+}
+
+// capacity is how many requests run at once.
+func (gate *Gate) capacity() int {
+	if gate.Headroom <= 0 || gate.Slots == 0 {
+		return gate.Slots
+	}
+	return max(1, int(float64(gate.Slots)*(1-gate.Headroom)))
+}
+
+// turnTime is the mean time between two slots that come free.
+func (gate *Gate) turnTime(at time.Time) time.Duration {
+	return gate.runTime(at, "") / time.Duration(max(1, gate.capacity()))
+}
+
+// expectedWait is the time until a request that arrives now gets a slot.
+func (gate *Gate) expectedWait(arrived Arrived) time.Duration {
+	if gate.held < gate.capacity() && len(gate.queue) == 0 {
 		return 0
 	}
-	return gate.service * time.Duration(ahead+1) / time.Duration(max(1, gate.Slots))
+	newcomer := waiting{arrived: arrived, late: gate.missesObjective(arrived.At, arrived)}
+	ahead := 0
+	for _, queued := range gate.order(arrived.At) {
+		if compare(queued, newcomer) < 0 {
+			ahead++
+		}
+	}
+	return gate.turnTime(arrived.At) * time.Duration(ahead+1)
 }
 
-// fill gives free slots to waiting requests, the important ones first.
+// displace makes room for a request in a full queue by refusing the last one,
+// if that is of less urgency.
+func (gate *Gate) displace(arrived Arrived, wait time.Duration) ([]Effect, bool) {
+	order := gate.order(arrived.At)
+	if len(order) == 0 {
+		return nil, false
+	}
+	last := order[len(order)-1]
+	newcomer := waiting{arrived: arrived, late: gate.missesObjective(arrived.At, arrived)}
+	behind := cmp.Or(compareBool(newcomer.late, last.late), cmp.Compare(newcomer.arrived.rank(), last.arrived.rank())) < 0
+	if !behind {
+		return nil, false
+	}
+	gate.drop(last.arrived.ID)
+	return refuse(last.arrived.ID, ReasonQueueFull, wait), true
+}
+
+// fill gives free slots to waiting requests in the order of their turns.
 func (gate *Gate) fill(at time.Time) []Effect {
 	var effects []Effect
-	for gate.held < gate.Slots {
-		id, found := gate.dequeue()
-		if !found {
-			break
-		}
-		waiting := gate.requests[id]
-		if at.Add(gate.service / 2).After(waiting.arrived.Deadline) {
-			delete(gate.requests, id)
-			effects = append(effects, refuse(id, ReasonLate, gate.expectedWait(false))...)
-			continue
-		}
-		gate.held++
-		waiting.started = at
-		if waiting.arrived.Reserve {
-			waiting.stage = stageReserved
-			effects = append(effects, Grant{ID: id})
+	for gate.held < gate.capacity() && len(gate.queue) > 0 {
+		next := gate.order(at)[0].arrived
+		if at.Add(gate.runTime(at, next.Class) / 2).After(next.Deadline) {
+			gate.drop(next.ID)
+			effects = append(effects, refuse(next.ID, ReasonLate, gate.turnTime(at))...)
 			continue
 		}
-		waiting.stage = stageRunning
-		effects = append(effects, HandOver{ID: id})
+		gate.unqueue(next.ID)
+		effects = append(effects, gate.start(next, at))
 	}
 	return append(effects, gate.checkDrained()...)
 }
 
-func (gate *Gate) dequeue() (uint64, bool) {
-	for _, queue := range []*[]uint64{&gate.important, &gate.ordinary} {
-		if len(*queue) > 0 {
-			id := (*queue)[0]
-			*queue = (*queue)[1:]
-			return id, true
+// start gives a slot to a request.
+func (gate *Gate) start(arrived Arrived, at time.Time) Effect {
+	started := gate.requests[arrived.ID]
+	gate.held++
+	started.started = at
+	started.slowness = gate.slownessAt(at)
+	if arrived.Reserve {
+		started.stage = stageReserved
+		return Grant{ID: arrived.ID}
+	}
+	started.stage = stageRunning
+	return HandOver{ID: arrived.ID}
+}
+
+// shed refuses the waiting requests that would not get a slot in time for
+// their deadline, so that their callers can go elsewhere at once.
+func (gate *Gate) shed(at time.Time) []Effect {
+	var effects []Effect
+	turn := gate.turnTime(at)
+	ahead := 0
+	for _, queued := range gate.order(at) {
+		ahead++
+		begins := at.Add(turn * time.Duration(ahead))
+		if begins.Add(gate.runTime(at, queued.arrived.Class) / 2).After(queued.arrived.Deadline) {
+			ahead--
+			gate.drop(queued.arrived.ID)
+			effects = append(effects, refuse(queued.arrived.ID, ReasonLate, turn*time.Duration(ahead+1))...)
 		}
 	}
-	return 0, false
+	return effects
 }
 
 func (gate *Gate) unqueue(id uint64) {
-	for _, queue := range []*[]uint64{&gate.important, &gate.ordinary} {
-		for index, queued := range *queue {
-			if queued == id {
-				*queue = append((*queue)[:index:index], (*queue)[index+1:]...)
-				return
-			}
-		}
+	if index := slices.Index(gate.queue, id); index >= 0 {
+		gate.queue = slices.Delete(gate.queue, index, index+1)
 	}
 }
 
-// serviceWeight is the part that one request has in the mean service time.
-const serviceWeight = 0.1
+// drop forgets a waiting request.
+func (gate *Gate) drop(id uint64) {
+	gate.unqueue(id)
+	delete(gate.requests, id)
+}
+
+// dropAll refuses all waiting requests.
+func (gate *Gate) dropAll(reason Reason) []Effect {
+	var effects []Effect
+	for _, id := range gate.queue {
+		delete(gate.requests, id)
+		effects = append(effects, refuse(id, reason, 0)...)
+	}
+	gate.queue = nil
+	return effects
+}
 
 // expire takes back the slots of reservations that were never committed, and
-// refuses the queued requests whose deadline has passed.
+// refuses the queued requests that cannot be served in time any more.
 func (gate *Gate) expire(at time.Time) []Effect {
 	var effects []Effect
 	for _, id := range slices.Sorted(maps.Keys(gate.requests)) {
 		known, found := gate.requests[id]
-		if !found {
-			continue
-		}
-		switch {
-		case known.stage == stageReserved && at.Sub(known.started) >= ReservationTime:
+		if found && known.stage == stageReserved && at.Sub(known.started) >= ReservationTime {
 			effects = append(effects, gate.revoke(id, ReasonExpired, at)...)
-		case known.stage == stageQueued && !at.Before(known.arrived.Deadline):
-			gate.unqueue(id)
-			delete(gate.requests, id)
-			effects = append(effects, refuse(id, ReasonLate, 0)...)
 		}
 	}
-	return effects
+	return append(effects, gate.shed(at)...)
 }
--- a/core/call/machine.go
+++ b/core/call/machine.go
@@ -217,11 +217,11 @@
 // hedge asks a second target while the first is late. A request that may not
 // be repeated is hedged only while nothing is committed.
 func (call *Call) hedge() []Effect {
-	single := len(call.attempts) == 1 && !call.choosing && call.underWay()
+	single := call.openAttempts() == 1 && !call.choosing
 	if !single || call.claiming {
 		return nil
 	}
-	if !call.Repeatable && call.attempts[0] != stageSent {
+	if !call.Repeatable && call.granted >= 0 {
 		return nil
 	}
 	if call.reached() >= call.maxAttempts() || !call.Hedges.Take() {
@@ -230,6 +230,16 @@
 	return call.choose()
 }
 
+func (call *Call) openAttempts() int {
+	count := 0
+	for _, stage := range call.attempts {
+		if stage != stageOver {
+			count++
+		}
+	}
+	return count
+}
+
 func (call *Call) at(attempt int, wanted stage) bool {
 	return attempt >= 0 && attempt < len(call.attempts) && call.attempts[attempt] == wanted
 }
--- a/core/route/book.go
+++ b/core/route/book.go
@@ -15,6 +15,8 @@
 type Distance struct {
 	Link time.Duration
 	Cost float64
+	// SecondsPerByte is the time that a byte of an answer on the way is worth.
+	SecondsPerByte float64
 }
 
 // Book keeps what one daemon knows of the targets of one service. Its methods
@@ -22,6 +24,7 @@
 type Book struct {
 	mutex   sync.Mutex
 	targets map[string]*knowledge
+	classes map[string]Class
 	// latency and deviation are the running mean of all answers and of their
 	// distance from it, in seconds; they set the time of a hedge.
 	latency   float64
@@ -182,6 +185,7 @@
 		candidate := book.candidate(at, member.ID)
 		candidate.Link = way.Link
 		candidate.Cost = way.Cost
+		candidate.SecondsPerByte = way.SecondsPerByte
 		candidate.Warmth = warmth(at, member.Target.Since, time.Duration(rules.SlowStart))
 		if candidate.Load.Slots == 0 {
 			candidate.Load.Slots = member.Target.Slots
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -33,6 +33,9 @@
 	// the link as a fraction of the dearest one.
 	Link time.Duration
 	Cost float64
+	// SecondsPerByte is the time that a byte of an answer on the link is
+	// worth.
+	SecondsPerByte float64
 	// InFlight is what this daemon has sent there and not got back.
 	InFlight int
 	// Load is the last report, Age how old it is; Known says if there is one.
@@ -56,6 +59,10 @@
 type Request struct {
 	Random  uint64
 	Weights profile.Weights
+	// Work is how long the request runs on a target that is not slowed, Bytes
+	// the size of its answer; both are 0 if they are not known.
+	Work  time.Duration
+	Bytes float64
 }
 
 // Policy chooses one of the candidates, which are never empty, and returns its
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -127,7 +127,7 @@
 	daemon.Site = daemon.Site.withDefaults()
 	daemon.platform = &platform.Client{Address: daemon.Settings.PlatformAddress, Codec: daemon.Site.Codec, Log: daemon.Log}
 	daemon.client = &upstream.Client{Dialect: daemon.Site.Dialect}
-	daemon.gate = &upstream.Gate{Now: time.Now}
+	daemon.gate = &upstream.Gate{Now: time.Now, Headroom: daemon.Settings.Headroom}
 	daemon.control = newControl(daemon.Settings.kernelSettings(daemon.started.UnixMilli()))
 	server := &peer.Server{Gate: daemon.gate, Upstream: daemon.client, Control: daemon}
 	counter := &peer.Counter{Count: meter.Control}
--- a/daemon/flags.go
+++ b/daemon/flags.go
@@ -56,6 +56,9 @@
 	command.Flag("silence-time", "How long an upstream may send no heartbeat.").
 		Default(upstream.SilenceTime.String()).DurationVar(&settings.SilenceTime)
 	command.Flag("linger-time", "How long a stopping daemon still takes callers.").Default("0s").DurationVar(&settings.LingerTime)
+	command.Flag("headroom", "Part of an upstream's slots that is left free, from 0 to below 1.").Default("0").Float64Var(&settings.Headroom)
+	command.Flag("byte-price", "How much sooner an answer must come for each megabyte that leaves the data centre.").
+		Default("0s").DurationVar(&settings.BytePrice)
 	command.Flag("shared-retry-ratio", "Extra attempts for each request of a service, over all daemons; 0 leaves it to profiles.").
 		Default("0").Float64Var(&settings.SharedRetryRatio)
 	command.Flag("shared-retry-slack", "Extra attempts for a service beside the ratio, over all daemons.").
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -69,6 +69,12 @@
 	// LingerTime is how long a stopping daemon still takes callers, who learn
 	// only after a while that it stops.
 	LingerTime time.Duration
+	// Headroom is the part of an upstream's slots that is left free, since
+	// upstreams slow down when they are nearly full.
+	Headroom float64
+	// BytePrice is the time that a megabyte on a link out of the data centre
+	// is worth: how much sooner an answer must come to be fetched from there.
+	BytePrice time.Duration
 	// SharedRetryRatio and SharedRetrySlack bound the extra attempts for a
 	// service by all daemons together; a ratio of 0 leaves it to profiles.
 	SharedRetryRatio float64
@@ -144,6 +150,9 @@
 	if settings.LingerTime < 0 || settings.LingerTime > settings.DrainTimeout {
 		add("linger-time", "%s must not be below 0 or above the drain timeout", settings.LingerTime)
 	}
+	if settings.Headroom < 0 || settings.Headroom >= 1 {
+		add("headroom", "%g is not from 0 to below 1", settings.Headroom)
+	}
 	if settings.SharedRetryRatio < 0 || settings.SharedRetryRatio > 1 {
 		add("shared-retry-ratio", "%g is not from 0 to 1", settings.SharedRetryRatio)
 	}
@@ -217,12 +226,14 @@
 		if member.DataCentre == settings.DataCentre {
 			return route.Distance{}
 		}
-		return route.Distance{Link: settings.DataCentreLatency}
+		return route.Distance{Link: settings.DataCentreLatency, SecondsPerByte: settings.secondsPerByte()}
 	}
 	for _, link := range settings.Links {
 		if link.Region == member.Region {
-			return route.Distance{Link: link.Latency, Cost: link.Cost}
+			return route.Distance{Link: link.Latency, Cost: link.Cost, SecondsPerByte: settings.secondsPerByte()}
 		}
 	}
-	return route.Distance{Link: unknownLink, Cost: 1}
+	return route.Distance{Link: unknownLink, Cost: 1, SecondsPerByte: settings.secondsPerByte()}
 }
+
+func (settings Settings) secondsPerByte() float64 { return settings.BytePrice.Seconds() / 1e6 }
--- a/io/caller/attempt.go
+++ b/io/caller/attempt.go
@@ -87,6 +87,8 @@
 		Reserve:               send.Reserve || request.streamed,
 		Fingerprint:           request.fingerprint,
 		Rank:                  int32(request.rank),
+		Class:                 request.class,
+		PatienceMicroseconds:  exchange.patience.Microseconds(),
 		ObjectiveMicroseconds: request.objective.Sub(exchange.handler.Now()).Microseconds(),
 	}
 	if name := exchange.handler.Dialect.CallerService; name != "" {
@@ -199,6 +201,13 @@
 		return call.Answered{Attempt: attempt.index}
 	}
 	now := exchange.handler.Now()
+	size := head.GetContentLength()
+	if head.GetComplete() {
+		size = int64(len(head.GetBody()))
+	}
+	if work := peer.LoadOf(head.GetLoad()).Work; work > 0 || size > 0 {
+		exchange.service.book.Learn(exchange.request.class, work, max(0, size))
+	}
 	exchange.service.book.Answered(attempt.member.ID, now, now.Sub(attempt.started)-2*attempt.link)
 	return call.Answered{Attempt: attempt.index}
 }
--- a/io/caller/caller.go
+++ b/io/caller/caller.go
@@ -110,6 +110,7 @@
 		random:   rand.Uint64(),
 		events:   make(chan call.Event, eventBuffer),
 		tried:    map[string]bool{},
+		declined: map[string]bool{},
 	}
 	exchange.run()
 }
--- a/io/caller/exchange.go
+++ b/io/caller/exchange.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"ibislift/core/admit"
 	"ibislift/core/call"
 	"ibislift/core/kernel"
 	"ibislift/core/route"
@@ -32,6 +33,12 @@
 	events   chan call.Event
 	attempts []*attempt
 	tried    map[string]bool
+	// targets names the attempts' targets; declined are those whose gates hold
+	// the request to be better off elsewhere, and are asked once more if it is
+	// not.
+	targets  []string
+	declined map[string]bool
+	patience time.Duration
 	claiming bool
 	over     bool
 	record   Record
@@ -63,13 +70,25 @@
 		Method: exchange.original.Method, Path: exchange.original.URL.Path,
 	}
 	defer exchange.end()
-	exchange.hedgeAt = exchange.arrived.Add(exchange.service.book.HedgeDelay())
+	exchange.hedgeAt = exchange.arrived.Add(exchange.hedgeDelay())
 	exchange.apply(call.Arrived{})
 	for !exchange.over {
 		exchange.apply(exchange.await())
 	}
 }
 
+// hedgeDelay is how long to wait for an answer before a second target is
+// asked. Where the work is known it is the last moment at which another target
+// could still answer within the objective.
+func (exchange *exchange) hedgeDelay() time.Duration {
+	work := exchange.service.book.Class(exchange.request.class).Work
+	if exchange.request.route == nil || work == 0 {
+		return exchange.service.book.HedgeDelay()
+	}
+	objective := exchange.request.objective.Sub(exchange.arrived)
+	return max(2*work, objective-work*3/2)
+}
+
 // await waits for what happens next. While one attempt alone is under way this
 // goroutine reads its answer itself; otherwise attempts and claims send events.
 func (exchange *exchange) await() call.Event {
@@ -186,11 +205,24 @@
 	exchange.noteClaim(event)
 	exchange.noteFollowed(event)
 	exchange.explain(event)
+	exchange.noteDeclined(event)
 	for _, effect := range exchange.machine.Update(event) {
 		exchange.perform(effect)
 	}
 }
 
+// noteDeclined lets a target be asked again whose gate refused only because
+// the request is better off elsewhere.
+func (exchange *exchange) noteDeclined(event call.Event) {
+	refused, is := event.(call.Refused)
+	if !is || refused.Reason != string(admit.ReasonSlower) {
+		return
+	}
+	target := exchange.targets[refused.Attempt]
+	exchange.declined[target] = true
+	delete(exchange.tried, target)
+}
+
 // noteFollowed counts the goroutines that read attempts. A word of an attempt
 // that was read directly comes when there are none.
 func (exchange *exchange) noteFollowed(event call.Event) {
@@ -237,15 +269,33 @@
 		return
 	}
 	candidates := exchange.service.book.Candidates(now, exchange.service.rules, members, exchange.handler.Distance)
+	class := exchange.service.book.Class(exchange.request.class)
 	request := route.Request{
 		Random:  exchange.nextRandom(),
 		Weights: exchange.service.rules.Weights,
+		Work:    class.Work,
+		Bytes:   class.Bytes,
 	}
-	index := exchange.service.policy.Choose(request, candidates)
+	index := exchange.pick(request, candidates)
 	exchange.explainChoice(candidates, index)
 	exchange.apply(call.Chosen{Target: members[index].ID})
 }
 
+// pick chooses a candidate. The gate of one that has not refused yet is told
+// how long the request may take there before another is better, since it knows
+// its own load best.
+func (exchange *exchange) pick(request route.Request, candidates []route.Candidate) int {
+	exchange.patience = 0
+	if exchange.request.route == nil || request.Work == 0 {
+		return exchange.service.policy.Choose(request, candidates)
+	}
+	index, patience := route.ChooseSoonest(request, candidates)
+	if !exchange.declined[candidates[index].ID] {
+		exchange.patience = patience
+	}
+	return index
+}
+
 // nextRandom steps a small generator that starts at the request's own value.
 func (exchange *exchange) nextRandom() uint64 {
 	exchange.random ^= exchange.random << 13
@@ -256,6 +306,7 @@
 
 func (exchange *exchange) send(send call.Send) {
 	exchange.tried[send.Target] = true
+	exchange.targets = append(exchange.targets, send.Target)
 	kind := "first"
 	if send.Attempt > 0 {
 		kind = "extra"
--- a/io/peer/codec.go
+++ b/io/peer/codec.go
@@ -39,6 +39,8 @@
 		Service:  time.Duration(load.GetServiceMicroseconds()) * time.Microsecond,
 		Draining: load.GetDraining(),
 		Slowness: float64(load.GetSlowness()) / 100,
+		Turn:     time.Duration(load.GetTurnMicroseconds()) * time.Microsecond,
+		Work:     time.Duration(load.GetWorkMicroseconds()) * time.Microsecond,
 	}
 }
 
@@ -50,6 +52,8 @@
 		ServiceMicroseconds: load.Service.Microseconds(),
 		Draining:            load.Draining,
 		Slowness:            int32(math.Round(load.Slowness * 100)),
+		TurnMicroseconds:    load.Turn.Microseconds(),
+		WorkMicroseconds:    load.Work.Microseconds(),
 	}
 }
 
--- a/io/peer/run.go
+++ b/io/peer/run.go
@@ -25,7 +25,7 @@
 
 // run passes an admitted request to the upstream and its answer to the entry.
 // It says whether the upstream failed.
-func (server *Server) run(ctx context.Context, stream GateStream, head *peerpb.CallHead, deadline time.Time) (bool, error) {
+func (server *Server) run(ctx context.Context, stream *gateCall, head *peerpb.CallHead, deadline time.Time) (bool, error) {
 	request, err := server.request(ctx, stream, head, deadline)
 	if err != nil {
 		return true, server.refuse(stream, admit.ReasonCancelled, 0)
@@ -56,7 +56,7 @@
 }
 
 // request builds the upstream's request. The time left travels on, shortened.
-func (server *Server) request(ctx context.Context, stream GateStream, head *peerpb.CallHead, deadline time.Time) (*http.Request, error) {
+func (server *Server) request(ctx context.Context, stream *gateCall, head *peerpb.CallHead, deadline time.Time) (*http.Request, error) {
 	target, err := url.ParseRequestURI(head.GetTarget())
 	if err != nil {
 		return nil, Error.Wrap(err)
@@ -131,7 +131,7 @@
 }
 
 // tell passes on what an answer that is not relayed means for the request.
-func (server *Server) tell(stream GateStream, verdict verdict, response *http.Response) error {
+func (server *Server) tell(stream *gateCall, verdict verdict, response *http.Response) error {
 	switch verdict {
 	case verdictMisdirected:
 		server.Control.Misdirected(server.Upstream.Expected())
@@ -157,7 +157,7 @@
 
 // sendWhole sends a short answer as one frame, after it has been read to its
 // end, so that a short answer is either whole or lost.
-func (server *Server) sendWhole(stream GateStream, answer *upstream.Answer) (bool, error) {
+func (server *Server) sendWhole(stream *gateCall, answer *upstream.Answer) (bool, error) {
 	body, err := io.ReadAll(answer.Body)
 	if err != nil {
 		answer.Abort()
@@ -167,15 +167,15 @@
 	head := headMessage(answer.Response)
 	head.Body = body
 	head.Complete = true
-	head.Load = loadMessage(server.Gate.Load())
+	head.Load = loadMessage(server.Gate.LoadOf(stream.class))
 	err = stream.Send(&peerpb.AnswerFrame{Frame: &peerpb.AnswerFrame_Head{Head: head}})
 	return isServerFailure(answer.StatusCode), Error.Wrap(err)
 }
 
 // sendParts sends a longer answer as it comes.
-func (server *Server) sendParts(stream GateStream, answer *upstream.Answer) (bool, error) {
+func (server *Server) sendParts(stream *gateCall, answer *upstream.Answer) (bool, error) {
 	head := headMessage(answer.Response)
-	head.Load = loadMessage(server.Gate.Load())
+	head.Load = loadMessage(server.Gate.LoadOf(stream.class))
 	if err := stream.Send(&peerpb.AnswerFrame{Frame: &peerpb.AnswerFrame_Head{Head: head}}); err != nil {
 		answer.Abort()
 		return false, Error.Wrap(err)
@@ -200,9 +200,9 @@
 	}
 }
 
-func (server *Server) sendEnd(stream GateStream, answer *upstream.Answer) (bool, error) {
+func (server *Server) sendEnd(stream *gateCall, answer *upstream.Answer) (bool, error) {
 	answer.Finish()
-	end := &peerpb.AnswerEnd{Trailers: FieldsOf(answer.Trailer), Load: loadMessage(server.Gate.Load())}
+	end := &peerpb.AnswerEnd{Trailers: FieldsOf(answer.Trailer), Load: loadMessage(server.Gate.LoadOf(stream.class))}
 	err := stream.Send(&peerpb.AnswerFrame{Frame: &peerpb.AnswerFrame_End{End: end}})
 	return isServerFailure(answer.StatusCode), Error.Wrap(err)
 }
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -92,10 +92,16 @@
 	return &peerpb.Nothing{}, nil
 }
 
+// gateCall is the gate's end of a request of a class.
+type gateCall struct {
+	GateStream
+	class string
+}
+
 // Serve admits one request and passes it to the upstream. It returns an error
 // only when the entry cannot be told anything any more.
-func (server *Server) Serve(stream GateStream) error {
-	frame, err := stream.Recv()
+func (server *Server) Serve(opened GateStream) error {
+	frame, err := opened.Recv()
 	if err != nil {
 		return Error.Wrap(err)
 	}
@@ -103,6 +109,7 @@
 	if head == nil {
 		return Error.New("the first frame is not a head")
 	}
+	stream := &gateCall{GateStream: opened, class: head.GetClass()}
 	if !server.Control.Serves(head.GetService()) {
 		return server.refuse(stream, admit.ReasonNoTarget, 0)
 	}
@@ -110,7 +117,15 @@
 	deadline := server.Gate.Now().Add(remaining)
 	ctx, cancel := context.WithTimeout(stream.Context(), remaining)
 	defer cancel()
-	admission := server.Gate.Admit(deadline, head.GetImportant(), head.GetReserve(), head.GetFingerprint())
+	admission := server.Gate.Admit(admit.Arrived{
+		Deadline:  deadline,
+		Important: head.GetImportant(),
+		Reserve:   head.GetReserve(),
+		Rank:      int(head.GetRank()),
+		Objective: server.Gate.Now().Add(time.Duration(head.GetObjectiveMicroseconds()) * time.Microsecond),
+		Class:     head.GetClass(),
+		Patience:  time.Duration(head.GetPatienceMicroseconds()) * time.Microsecond,
+	}, head.GetFingerprint())
 	failed := true
 	defer func() { admission.Finish(failed) }()
 	decision, err := server.decide(ctx, stream, admission)
@@ -129,12 +144,12 @@
 
 // decide waits for the gate's decision and, for a reserved request, for the
 // entry's commit.
-func (server *Server) decide(ctx context.Context, stream GateStream, admission *upstream.Admission) (upstream.Decision, error) {
+func (server *Server) decide(ctx context.Context, stream *gateCall, admission *upstream.Admission) (upstream.Decision, error) {
 	decision := admission.Wait(ctx)
 	if !decision.Granted {
 		return decision, nil
 	}
-	granted := &peerpb.AnswerFrame{Frame: &peerpb.AnswerFrame_Granted{Granted: loadMessage(server.Gate.Load())}}
+	granted := &peerpb.AnswerFrame{Frame: &peerpb.AnswerFrame_Granted{Granted: loadMessage(server.Gate.LoadOf(stream.class))}}
 	if err := stream.Send(granted); err != nil {
 		admission.Cancel()
 		return upstream.Decision{}, Error.Wrap(err)
@@ -150,22 +165,22 @@
 	return admission.Commit(), nil
 }
 
-func (server *Server) refuse(stream GateStream, reason admit.Reason, retryAfter time.Duration) error {
+func (server *Server) refuse(stream *gateCall, reason admit.Reason, retryAfter time.Duration) error {
 	return server.refuseAs(stream, reason, retryAfter, false)
 }
 
-func (server *Server) refuseAs(stream GateStream, reason admit.Reason, retryAfter time.Duration, reached bool) error {
+func (server *Server) refuseAs(stream *gateCall, reason admit.Reason, retryAfter time.Duration, reached bool) error {
 	refusal := &peerpb.Refusal{
 		Reached:                reached,
 		Reason:                 string(reason),
 		RetryAfterMilliseconds: retryAfter.Milliseconds(),
-		Load:                   loadMessage(server.Gate.Load()),
+		Load:                   loadMessage(server.Gate.LoadOf(stream.class)),
 	}
 	return Error.Wrap(stream.Send(&peerpb.AnswerFrame{Frame: &peerpb.AnswerFrame_Refused{Refused: refusal}}))
 }
 
-func (server *Server) lose(stream GateStream, crashed bool) error {
-	loss := &peerpb.Loss{Crashed: crashed, Load: loadMessage(server.Gate.Load())}
+func (server *Server) lose(stream *gateCall, crashed bool) error {
+	loss := &peerpb.Loss{Crashed: crashed, Load: loadMessage(server.Gate.LoadOf(stream.class))}
 	return Error.Wrap(stream.Send(&peerpb.AnswerFrame{Frame: &peerpb.AnswerFrame_Lost{Lost: loss}}))
 }
 
--- a/io/upstream/gate.go
+++ b/io/upstream/gate.go
@@ -26,6 +26,8 @@
 // it. It may be used by many goroutines. Set the fields before Run.
 type Gate struct {
 	Now func() time.Time
+	// Headroom is the part of the upstream's slots that is left free.
+	Headroom float64
 
 	mutex    sync.Mutex
 	machine  admit.Gate
@@ -35,7 +37,6 @@
 	next     atomic.Uint64
 	drained  chan struct{}
 	handed   atomic.Uint64
-	slowness float64
 }
 
 // Run lets the gate's expiries happen until the context ends.
@@ -71,8 +72,9 @@
 	over        bool
 }
 
-// Admit puts a request before the gate. The decisions come by Wait.
-func (gate *Gate) Admit(deadline time.Time, important, reserve bool, fingerprint string) *Admission {
+// Admit puts a request before the gate, which gives it its ID and time. The
+// decisions come by Wait.
+func (gate *Gate) Admit(arrived admit.Arrived, fingerprint string) *Admission {
 	admission := &Admission{
 		gate:        gate,
 		id:          gate.next.Add(1),
@@ -81,13 +83,9 @@
 	}
 	gate.apply(func() []admit.Effect {
 		gate.waiting[admission.id] = admission.decisions
-		return gate.machine.Update(admit.Arrived{
-			ID:        admission.id,
-			At:        gate.Now(),
-			Deadline:  deadline,
-			Important: important,
-			Reserve:   reserve,
-		})
+		arrived.ID = admission.id
+		arrived.At = gate.Now()
+		return gate.machine.Update(arrived)
 	})
 	return admission
 }
@@ -160,6 +158,7 @@
 		gate.running = map[uint64]string{}
 		gate.reported = map[uint64]bool{}
 		gate.drained = make(chan struct{})
+		gate.machine.Headroom = gate.Headroom
 	}
 	for _, effect := range update() {
 		gate.perform(effect)
@@ -196,17 +195,22 @@
 func (gate *Gate) Load() admit.Load {
 	gate.mutex.Lock()
 	defer gate.mutex.Unlock()
-	load := gate.machine.Load()
-	load.Slowness = gate.slowness
-	return load
+	return gate.machine.Load()
+}
+
+// LoadOf reports the gate's state with what is known of a class of requests.
+func (gate *Gate) LoadOf(class string) admit.Load {
+	gate.mutex.Lock()
+	defer gate.mutex.Unlock()
+	return gate.machine.LoadOf(gate.Now(), class)
 }
 
 // Slowness notes how long the upstream says that work takes now, as a multiple
 // of the usual time.
 func (gate *Gate) Slowness(multiple float64) {
-	gate.mutex.Lock()
-	defer gate.mutex.Unlock()
-	gate.slowness = multiple
+	gate.apply(func() []admit.Effect {
+		return gate.machine.Update(admit.Told{At: gate.Now(), Slowness: multiple})
+	})
 }
 
 // HandedOver is the number of requests handed over so far.
