--- a/cmd/ibislift/platform.go
+++ b/cmd/ibislift/platform.go
@@ -10,6 +10,7 @@
 	"github.com/alecthomas/kingpin/v2"
 
 	"ibislift/daemon"
+	"ibislift/io/logs"
 	"ibislift/platform"
 )
 
@@ -26,7 +27,18 @@
 	if err != nil {
 		return &exitError{code: exitUsage, cause: err}
 	}
-	log := slog.New(slog.NewJSONHandler(os.Stdout, nil))
+	writer := logs.New(os.Stdout)
+	writing, endWriting := context.WithCancel(context.Background())
+	written := make(chan struct{})
+	go func() {
+		writer.Run(writing)
+		close(written)
+	}()
+	defer func() {
+		endWriting()
+		<-written
+	}()
+	log := slog.New(writer.Handler(slog.LevelInfo)).With("instance", settings.Name)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	reloads := make(chan os.Signal, 1)
--- a/core/route/book.go
+++ b/core/route/book.go
@@ -25,6 +25,10 @@
 	mutex   sync.Mutex
 	targets map[string]*knowledge
 	classes map[string]Class
+	// usualLoad and usualSlowness are running means of what all targets have
+	// reported: their share of busy slots, and how slow they were.
+	usualLoad     float64
+	usualSlowness float64
 	// latency and deviation are the running mean of all answers and of their
 	// distance from it, in seconds; they set the time of a hedge.
 	latency   float64
@@ -90,6 +94,30 @@
 	target := book.of(id)
 	target.load = load
 	target.reported = at
+	if load.Slowness > 0 {
+		book.usualSlowness = meanOf(book.usualSlowness, load.Slowness)
+	}
+	if load.Slots > 0 {
+		book.usualLoad = meanOf(book.usualLoad, float64(load.Running+load.Queued)/float64(load.Slots))
+	}
+}
+
+// usualWeight is the part that one report has in the running means.
+const usualWeight = 0.02
+
+func meanOf(old, fresh float64) float64 {
+	if old == 0 {
+		return fresh
+	}
+	return old + (fresh-old)*usualWeight
+}
+
+// Usual returns the running means of what targets have reported: their share
+// of busy slots, and how slow they were.
+func (book *Book) Usual() (load, slowness float64) {
+	book.mutex.Lock()
+	defer book.mutex.Unlock()
+	return book.usualLoad, max(1, book.usualSlowness)
 }
 
 // Answered notes an answer of a target and the time to its start, with the
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -63,6 +63,10 @@
 	// the size of its answer; both are 0 if they are not known.
 	Work  time.Duration
 	Bytes float64
+	// UsualLoad and UsualSlowness are the running means of the service's
+	// targets, which stand for those that have reported nothing lately.
+	UsualLoad     float64
+	UsualSlowness float64
 }
 
 // Policy chooses one of the candidates, which are never empty, and returns its
--- a/core/route/soonest.go
+++ b/core/route/soonest.go
@@ -42,14 +42,12 @@
 // next best is better; 0 means that there is no other.
 func ChooseSoonest(request Request, candidates []Candidate) (best int, patience time.Duration) {
 	usable := usableOf(candidates)
-	mean := meanLoad(candidates, usable)
-	slowness := meanSlowness(candidates, usable)
 	start := int(request.Random % uint64(len(usable)))
 	tie := tieShare * request.Work.Seconds()
 	best, least, next := -1, math.Inf(1), math.Inf(1)
 	for offset := range usable {
 		index := usable[(start+offset)%len(usable)]
-		expected := soonestTime(request, mean, slowness, candidates[index])
+		expected := soonestTime(request, candidates[index])
 		switch {
 		case expected < least-tie:
 			best, next, least = index, least, expected
@@ -71,11 +69,14 @@
 }
 
 // soonestTime is the time in seconds that a request is expected to take.
-func soonestTime(request Request, mean, slowness float64, candidate Candidate) float64 {
-	slow := believedSlowness(slowness, candidate) * (1 + (coldFactor-1)*(1-candidate.Warmth))
+func soonestTime(request Request, candidate Candidate) float64 {
+	slow := believedSlowness(request, candidate)
+	if candidate.Known {
+		slow *= 1 + (coldFactor-1)*(1-candidate.Warmth)
+	}
 	work := request.Work.Seconds()
 	slots := float64(max(1, candidate.Load.Slots))
-	waiting := max(0, believedLoad(mean, candidate)+1-slots)
+	waiting := max(0, reportedLoad(request, candidate)+1-slots)
 	turn := candidate.Load.Turn.Seconds()
 	if turn == 0 {
 		turn = work * slow / slots
@@ -86,26 +87,31 @@
 }
 
 // believedSlowness is the target's last word on its slowness while it is
-// fresh, fading to the mean of all targets.
-func believedSlowness(mean float64, candidate Candidate) float64 {
-	if !candidate.Known || candidate.Load.Slowness == 0 {
-		return mean
+// fresh, fading to the usual one. A target that has never said anything is
+// thought to be at its best, so that newcomers are tried.
+func believedSlowness(request Request, candidate Candidate) float64 {
+	if !candidate.Known {
+		return 1
+	}
+	usual := max(1, request.UsualSlowness)
+	if candidate.Load.Slowness == 0 {
+		return usual
 	}
 	fresh := math.Exp2(-float64(candidate.Age) / float64(slownessHalfLife))
-	return candidate.Load.Slowness*fresh + mean*(1-fresh)
+	return candidate.Load.Slowness*fresh + usual*(1-fresh)
 }
 
-// meanSlowness is the mean of what the targets have said last.
-func meanSlowness(candidates []Candidate, usable []int) float64 {
-	sum, count := 0.0, 0
-	for _, index := range usable {
-		if load := candidates[index].Load; candidates[index].Known && load.Slowness > 0 {
-			sum += load.Slowness
-			count++
-		}
-	}
-	if count == 0 {
-		return 1
+// reportedLoad is the number of requests at the target: its last report,
+// fading to the usual load in the time in which requests come and go there, and
+// never less than this daemon itself has in flight there.
+func reportedLoad(request Request, candidate Candidate) float64 {
+	own := float64(candidate.InFlight)
+	if !candidate.Known {
+		return own
 	}
-	return sum / float64(count)
+	usual := request.UsualLoad * float64(candidate.Load.Slots)
+	reported := float64(candidate.Load.Running + candidate.Load.Queued)
+	halfLife := max(reportHalfLife, request.Work)
+	fresh := math.Exp2(-float64(candidate.Age) / float64(halfLife))
+	return max(own, reported*fresh+usual*(1-fresh))
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -20,6 +20,7 @@
 	"github.com/zeebo/errs"
 	"google.golang.org/grpc"
 
+	"ibislift/core/admit"
 	"ibislift/core/kernel"
 	"ibislift/core/profile"
 	"ibislift/core/routes"
@@ -86,6 +87,8 @@
 	callers  *http1.Server
 	leaving  atomic.Bool
 	failed   chan error
+	// background ends when the daemon has stopped.
+	background context.Context
 }
 
 // Run starts the daemon and serves until the context ends. Then it drains: the
@@ -97,6 +100,7 @@
 	}
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
+	daemon.background = background
 	go daemon.control.run(background)
 	go daemon.gate.Run(background)
 	go daemon.keepHouse(background)
@@ -132,6 +136,13 @@
 	server := &peer.Server{Gate: daemon.gate, Upstream: daemon.client, Control: daemon}
 	counter := &peer.Counter{Count: meter.Control}
 	daemon.server = server
+	server.Reporter = &peer.Reporter{
+		Self:     daemon.Settings.Name,
+		Service:  func() string { return daemon.beside.Current().Service },
+		Load:     daemon.gate.Load,
+		IsNear:   daemon.isNear,
+		Received: func(from, service string, load admit.Load) { daemon.entry.Reported(from, service, load) },
+	}
 	daemon.peers = &peer.Peers{Self: daemon.Settings.Name, Server: server, Dial: daemon.DialPeer, Stats: counter}
 	daemon.control.platform = daemon.platform
 	daemon.control.peers = daemon.peers
@@ -148,6 +159,16 @@
 	return daemon.gauges()
 }
 
+// isNear says whether a daemon's peer address is in the own region.
+func (daemon *Daemon) isNear(address string) bool {
+	for _, member := range daemon.control.view.Load().Members {
+		if member.PeerAddress == address {
+			return member.Region == daemon.Settings.Region
+		}
+	}
+	return false
+}
+
 func (daemon *Daemon) buildEntry() *caller.Handler {
 	return &caller.Handler{
 		Self:     daemon.Settings.Name,
@@ -163,6 +184,7 @@
 		Dialect:  daemon.Site.Dialect,
 		Service:  daemon.Settings.Service,
 		Shared:   daemon.Settings.sharedRetries(),
+		ReportTo: daemon.Settings.PeerAddress,
 		Split:    &routes.Split{Self: daemon.Settings.Name},
 	}
 }
@@ -193,6 +215,10 @@
 		return Error.Wrap(err)
 	}
 	go daemon.watch(func() error { return daemon.server.ServeLines(daemon.lines) })
+	if err := daemon.server.Reporter.Listen(daemon.Settings.PeerAddress); err != nil {
+		return err
+	}
+	go daemon.server.Reporter.Run(daemon.background)
 	api := &operator.API{
 		Name:    daemon.Settings.Name,
 		View:    daemon.control.view.Load,
--- a/io/caller/answer.go
+++ b/io/caller/answer.go
@@ -27,6 +27,8 @@
 	exchange.apply(call.Relayed{})
 	exchange.conclude(call.OutcomeRun, int(head.GetStatus()))
 	if !whole {
+		exchange.handler.Log.Warn("answer cut short", "request", exchange.request.id, "service", exchange.request.service,
+			"target", attempt.member.ID, "callerLeft", exchange.original.Context().Err() != nil)
 		panic(http.ErrAbortHandler)
 	}
 }
--- a/io/caller/attempt.go
+++ b/io/caller/attempt.go
@@ -88,6 +88,7 @@
 		Fingerprint:           request.fingerprint,
 		Rank:                  int32(request.rank),
 		Class:                 request.class,
+		ReportTo:              exchange.handler.ReportTo,
 		PatienceMicroseconds:  exchange.patience.Microseconds(),
 		ObjectiveMicroseconds: request.objective.Sub(exchange.handler.Now()).Microseconds(),
 	}
--- a/io/caller/caller.go
+++ b/io/caller/caller.go
@@ -20,6 +20,7 @@
 	"sync/atomic"
 	"time"
 
+	"ibislift/core/admit"
 	"ibislift/core/call"
 	"ibislift/core/kernel"
 	"ibislift/core/route"
@@ -69,6 +70,8 @@
 	// Shared bounds extra attempts over all daemons together, in place of the
 	// budgets of profiles; nil means the profiles' budgets.
 	Shared *SharedBudget
+	// ReportTo is where gates send reports of their load; empty means nowhere.
+	ReportTo string
 	// Split divides the requests of routes among their services.
 	Split *routes.Split
 
@@ -96,7 +99,7 @@
 		refusal.RequestID = request.id
 		refusal.Outcome = call.OutcomeNotRun
 		refusal.write(writer, handler.Dialect)
-		handler.note(request, service, call.OutcomeNotRun, refusal.Status, arrived)
+		handler.note(request, service, call.OutcomeNotRun, refusal.Status, arrived, nil)
 		return
 	}
 	exchange := &exchange{
@@ -115,6 +118,13 @@
 	exchange.run()
 }
 
+// Reported takes a report of a gate's load.
+func (handler *Handler) Reported(from, name string, load admit.Load) {
+	if service := handler.services.known(name); service != nil {
+		service.book.Reported(from, handler.Now(), load)
+	}
+}
+
 func (handler *Handler) nextID() string {
 	return fmt.Sprintf("%s-%x-%x", handler.Self, handler.Epoch, handler.counter.Add(1))
 }
@@ -209,15 +219,19 @@
 }
 
 // note counts and logs the end of a request.
-func (handler *Handler) note(request *request, service *service, outcome call.Outcome, status int, arrived time.Time) {
+func (handler *Handler) note(request *request, service *service, outcome call.Outcome, status int, arrived time.Time, steps steps) {
 	took := handler.Now().Sub(arrived)
 	name := request.service
 	if !service.known {
 		name = "unknown"
 	}
 	handler.Meter.Request(name, request.class, request.tenant, outcome, status, took)
-	handler.Log.Debug("request ended", "request", request.id, "service", request.service,
-		"status", status, "outcome", outcome, "took", took)
+	level := slog.LevelDebug
+	if status >= http.StatusBadRequest {
+		level = slog.LevelInfo
+	}
+	handler.Log.Log(context.Background(), level, "request ended", "request", request.id, "service", request.service,
+		"class", request.class, "status", status, "outcome", outcome, "took", took, "steps", steps)
 }
 
 var _ http.Handler = (*Handler)(nil)
--- a/io/caller/exchange.go
+++ b/io/caller/exchange.go
@@ -276,6 +276,7 @@
 		Work:    class.Work,
 		Bytes:   class.Bytes,
 	}
+	request.UsualLoad, request.UsualSlowness = exchange.service.book.Usual()
 	index := exchange.pick(request, candidates)
 	exchange.explainChoice(candidates, index)
 	exchange.apply(call.Chosen{Target: members[index].ID})
@@ -364,5 +365,5 @@
 func (exchange *exchange) conclude(outcome call.Outcome, status int) {
 	exchange.record.Outcome = outcome
 	exchange.record.Status = status
-	exchange.handler.note(exchange.request, exchange.service, outcome, status, exchange.arrived)
+	exchange.handler.note(exchange.request, exchange.service, outcome, status, exchange.arrived, exchange.record.Steps)
 }
--- a/io/caller/record.go
+++ b/io/caller/record.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"log/slog"
+	"strings"
 	"sync"
 	"time"
 
@@ -29,6 +31,36 @@
 	Candidates []Considered  `json:"candidates,omitempty"`
 }
 
+// steps writes itself in one line: each step with the milliseconds since the
+// request's arrival.
+type steps []Step
+
+// LogValue is the form of the steps in a log line.
+func (steps steps) LogValue() slog.Value {
+	var text strings.Builder
+	for _, step := range steps {
+		fmt.Fprintf(&text, "%d %s", step.After.Milliseconds(), step.What)
+		if step.Detail != "" {
+			fmt.Fprintf(&text, " (%s)", step.Detail)
+		}
+		text.WriteString(step.chosen())
+		text.WriteString("; ")
+	}
+	return slog.StringValue(strings.TrimSuffix(text.String(), "; "))
+}
+
+// chosen tells what was known of the target that was chosen.
+func (step Step) chosen() string {
+	for _, candidate := range step.Candidates {
+		if candidate.Chosen {
+			return fmt.Sprintf(" %d, %s: running %d of %d, queued %d, slowness %.2f, failing %.2f, age %s", len(step.Candidates),
+				candidate.Target, candidate.Running, candidate.Slots, candidate.Queued, candidate.Slowness, candidate.Failing,
+				candidate.Age.Round(time.Millisecond))
+		}
+	}
+	return ""
+}
+
 // Considered is what was known of a target when one was chosen.
 type Considered struct {
 	Target   string        `json:"target"`
@@ -41,6 +73,7 @@
 	Known    bool          `json:"known"`
 	Latency  time.Duration `json:"latency"`
 	Link     time.Duration `json:"link"`
+	Slowness float64       `json:"slowness,omitempty"`
 	Failing  float64       `json:"failing"`
 	Warmth   float64       `json:"warmth"`
 	Ejected  bool          `json:"ejected,omitempty"`
@@ -133,7 +166,7 @@
 			Target: candidate.ID, Chosen: index == chosen, InFlight: candidate.InFlight,
 			Running: candidate.Load.Running, Queued: candidate.Load.Queued, Slots: candidate.Load.Slots,
 			Age: candidate.Age, Known: candidate.Known, Latency: candidate.Latency, Link: candidate.Link,
-			Failing: candidate.Failing, Warmth: candidate.Warmth, Ejected: candidate.Ejected, Draining: candidate.Load.Draining,
+			Slowness: candidate.Load.Slowness, Failing: candidate.Failing, Warmth: candidate.Warmth, Ejected: candidate.Ejected, Draining: candidate.Load.Draining,
 		})
 	}
 	exchange.step(step)
--- a/io/caller/services.go
+++ b/io/caller/services.go
@@ -64,6 +64,13 @@
 	return made
 }
 
+// known returns a service that requests have gone to, or nil.
+func (services *services) known(name string) *service {
+	services.mutex.Lock()
+	defer services.mutex.Unlock()
+	return services.latest[name]
+}
+
 // renew carries over what outlives a view: the book always, the budgets and
 // the policy while the profile says the same of them.
 func (services *services) renew(name string, rules profile.Profile, shared *SharedBudget, daemons int) *service {
--- a/io/caller/shared.go
+++ b/io/caller/shared.go
@@ -12,7 +12,7 @@
 
 // sharedReserve is the part of a shared budget that is left unspent, for
 // daemons that are not known yet and for repeated calls of repeated runs.
-const sharedReserve = 0.5
+const sharedReserve = 0.3
 
 // renew brings the budget of a service up to the number of daemons.
 func (shared *SharedBudget) renew(old *service, daemons int) *call.Budget {
@@ -20,6 +20,6 @@
 	if old != nil {
 		budget = old.retries
 	}
-	budget.Share(shared.Ratio*sharedReserve, shared.Slack*sharedReserve/float64(daemons))
+	budget.Share(shared.Ratio*(1-sharedReserve), shared.Slack*(1-sharedReserve)/float64(daemons))
 	return budget
 }
--- a/io/http1/conn.go
+++ b/io/http1/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -49,6 +50,8 @@
 	// ending says that an answer has closed the connection: no further
 	// request is taken from it.
 	ending bool
+	// hungUp says that an answer has told the caller so.
+	hungUp bool
 }
 
 // headReader bounds what is read of a request's head.
@@ -56,6 +59,9 @@
 	io.Reader
 	left    int
 	bounded bool
+	// failed is what ended the last read. The parser takes a line that was cut
+	// short for a bad one.
+	failed error
 }
 
 func (headReader *headReader) Read(into []byte) (int, error) {
@@ -63,10 +69,12 @@
 		return headReader.Reader.Read(into)
 	}
 	if headReader.left <= 0 {
+		headReader.failed = errHeaderTooLarge
 		return 0, errHeaderTooLarge
 	}
 	count, err := headReader.Reader.Read(into[:min(len(into), headReader.left)])
 	headReader.left -= count
+	headReader.failed = err
 	return count, err
 }
 
@@ -96,7 +104,7 @@
 	}
 	<-conn.newest
 	conn.cancel()
-	if errors.Is(err, errEnding) {
+	if errors.Is(err, errEnding) && conn.hungUp {
 		_ = conn.SetReadDeadline(time.Now().Add(lingerTime))
 		_, _ = io.Copy(io.Discard, io.LimitReader(conn.Conn, lingerBytes))
 	}
@@ -170,10 +178,11 @@
 	limit := conn.server.limits().HeaderBytes
 	conn.head.left = limit + bufferSize - conn.reader.Buffered()
 	conn.head.bounded = true
+	conn.head.failed = nil
 	request, err := http.ReadRequest(conn.reader)
 	conn.head.bounded = false
 	if err != nil {
-		return nil, err
+		return nil, cmp.Or(conn.head.failed, err)
 	}
 	_ = conn.SetReadDeadline(time.Time{})
 	request.RemoteAddr = conn.RemoteAddr().String()
@@ -229,7 +238,7 @@
 	defer func() {
 		if failure := recover(); failure != nil {
 			if err, isError := failure.(error); !isError || !errors.Is(err, http.ErrAbortHandler) {
-				conn.server.log("a handler panicked", fmt.Errorf("%v", failure))
+				conn.server.logPanic(failure)
 			}
 			conn.abort(response)
 		}
@@ -279,6 +288,7 @@
 // hangUp closes the connection after an answer that ends it. What the caller
 // still sends is read for a while.
 func (conn *conn) hangUp() {
+	conn.hungUp = true
 	if tcp, isTCP := conn.Conn.(*net.TCPConn); isTCP {
 		_ = tcp.CloseWrite()
 	}
--- a/io/http1/server.go
+++ b/io/http1/server.go
@@ -12,9 +12,11 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"log/slog"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -192,6 +194,12 @@
 	return server.Overlaps != nil && server.Overlaps(request)
 }
 
+func (server *Server) logPanic(failure any) {
+	if server.Log != nil {
+		server.Log.Error("a handler panicked", "failure", fmt.Sprint(failure), "stack", string(debug.Stack()))
+	}
+}
+
 func (server *Server) log(what string, err error) {
 	if server.Log != nil {
 		server.Log.Debug(what, "error", err)
--- /dev/null
+++ b/io/peer/report.go
@@ -0,0 +1,185 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"ibislift/core/admit"
+	"ibislift/io/peer/peerpb"
+)
+
+// Times and bounds of load reports.
+const (
+	// subscriptionTime is how long after its last request an entry still gets
+	// reports.
+	subscriptionTime = 2 * time.Second
+	// maxSubscribers bounds the entries that a gate reports to, so that its
+	// cost does not grow with the fleet.
+	maxSubscribers = 64
+	// minReportGap is the least time between two reports, farReportGap that to
+	// entries in other regions, where bytes are dear and the way is long.
+	minReportGap = 40 * time.Millisecond
+	farReportGap = 200 * time.Millisecond
+	// maxReportBytes bounds a datagram.
+	maxReportBytes = 512
+	// slownessStep and loadStep are the changes that are worth a report: as a
+	// multiple, and as a part of the slots.
+	slownessStep = 1.25
+	loadStep     = 0.25
+)
+
+// Reporter tells the entries that have sent requests lately of changes in this
+// gate's load, since answers alone come too seldom to follow them. Set the
+// fields before Run.
+type Reporter struct {
+	Self string
+	// Service names the upstream beside, Load its gate's load.
+	Service func() string
+	Load    func() admit.Load
+	// IsNear says whether an address is in the own region.
+	IsNear func(address string) bool
+	// Received takes the reports of other gates.
+	Received func(from, service string, load admit.Load)
+
+	mutex       sync.Mutex
+	socket      *net.UDPConn
+	subscribers map[string]*subscriber
+	last        admit.Load
+	lastAt      time.Time
+}
+
+// subscriber is an entry that gets reports.
+type subscriber struct {
+	address netip.AddrPort
+	near    bool
+	asked   time.Time
+	told    time.Time
+	// behind says that a change has not been told yet.
+	behind bool
+}
+
+// Listen opens the socket.
+func (reporter *Reporter) Listen(address string) error {
+	local, err := net.ResolveUDPAddr("udp", address)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	socket, err := net.ListenUDP("udp", local)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	reporter.mutex.Lock()
+	reporter.socket = socket
+	reporter.subscribers = map[string]*subscriber{}
+	reporter.mutex.Unlock()
+	return nil
+}
+
+// Run takes reports until the context ends.
+func (reporter *Reporter) Run(ctx context.Context) {
+	stop := context.AfterFunc(ctx, func() { _ = reporter.socket.Close() })
+	defer stop()
+	buffer := make([]byte, maxReportBytes)
+	for {
+		count, _, err := reporter.socket.ReadFromUDPAddrPort(buffer)
+		if ctx.Err() != nil {
+			return
+		}
+		if err != nil {
+			// A datagram that could not be delivered shows as an error of the
+			// next read.
+			continue
+		}
+		report := &peerpb.LoadReport{}
+		if proto.Unmarshal(buffer[:count], report) == nil {
+			reporter.Received(report.GetFrom(), report.GetService(), LoadOf(report.GetLoad()))
+		}
+	}
+}
+
+// Subscribe notes that an entry has sent a request.
+func (reporter *Reporter) Subscribe(address string, at time.Time) {
+	if reporter == nil || address == "" {
+		return
+	}
+	reporter.mutex.Lock()
+	defer reporter.mutex.Unlock()
+	if known, found := reporter.subscribers[address]; found {
+		known.asked = at
+		return
+	}
+	parsed, err := netip.ParseAddrPort(address)
+	if err != nil || reporter.socket == nil || len(reporter.subscribers) >= maxSubscribers {
+		return
+	}
+	reporter.subscribers[address] = &subscriber{address: parsed, near: reporter.IsNear(address), asked: at}
+}
+
+// Check reports the load if it has changed by enough since the last report.
+func (reporter *Reporter) Check(at time.Time) {
+	if reporter == nil {
+		return
+	}
+	reporter.mutex.Lock()
+	defer reporter.mutex.Unlock()
+	if reporter.socket == nil || at.Sub(reporter.lastAt) < minReportGap {
+		return
+	}
+	load := reporter.Load()
+	if isNews(reporter.last, load) {
+		reporter.last = load
+		for _, subscriber := range reporter.subscribers {
+			subscriber.behind = true
+		}
+	}
+	reporter.lastAt = at
+	reporter.tell(load, at)
+}
+
+// tell sends the load to the subscribers that are behind. The mutex is held.
+func (reporter *Reporter) tell(load admit.Load, at time.Time) {
+	var datagram []byte
+	for address, subscriber := range reporter.subscribers {
+		if at.Sub(subscriber.asked) > subscriptionTime {
+			delete(reporter.subscribers, address)
+			continue
+		}
+		if !subscriber.behind || !subscriber.near && at.Sub(subscriber.told) < farReportGap {
+			continue
+		}
+		if datagram == nil {
+			report := &peerpb.LoadReport{From: reporter.Self, Service: reporter.Service(), Load: loadMessage(load)}
+			encoded, err := proto.Marshal(report)
+			if err != nil {
+				return
+			}
+			datagram = encoded
+		}
+		subscriber.behind = false
+		subscriber.told = at
+		// A report that is lost is replaced by the next one.
+		_, _ = reporter.socket.WriteToUDPAddrPort(datagram, subscriber.address)
+	}
+}
+
+// isNews says whether a load differs enough from the one that was told.
+func isNews(told, load admit.Load) bool {
+	slots := float64(max(1, load.Slots))
+	before, now := float64(told.Running+told.Queued), float64(load.Running+load.Queued)
+	// Below half of the slots no request waits, and a difference changes little.
+	if max(before, now) > slots/2 && abs(now-before) >= loadStep*slots {
+		return true
+	}
+	if told.Draining != load.Draining || told.Slots != load.Slots {
+		return true
+	}
+	low, high := min(told.Slowness, load.Slowness), max(told.Slowness, load.Slowness)
+	return high > low*slownessStep
+}
+
+func abs(value float64) float64 { return max(value, -value) }
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -52,6 +52,8 @@
 	Gate     *upstream.Gate
 	Upstream *upstream.Client
 	Control  Control
+	// Reporter tells entries of the load; it may be nil.
+	Reporter *Reporter
 
 	closing    sync.Once
 	closed     context.Context
@@ -113,6 +115,8 @@
 	if !server.Control.Serves(head.GetService()) {
 		return server.refuse(stream, admit.ReasonNoTarget, 0)
 	}
+	server.Reporter.Subscribe(head.GetReportTo(), server.Gate.Now())
+	defer func() { server.Reporter.Check(server.Gate.Now()) }()
 	remaining := time.Duration(head.GetRemainingMicroseconds()) * time.Microsecond
 	deadline := server.Gate.Now().Add(remaining)
 	ctx, cancel := context.WithTimeout(stream.Context(), remaining)
--- a/io/upstream/gate.go
+++ b/io/upstream/gate.go
@@ -195,7 +195,7 @@
 func (gate *Gate) Load() admit.Load {
 	gate.mutex.Lock()
 	defer gate.mutex.Unlock()
-	return gate.machine.Load()
+	return gate.machine.LoadOf(gate.Now(), "")
 }
 
 // LoadOf reports the gate's state with what is known of a class of requests.
