--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -87,6 +87,8 @@
 	callers  *http1.Server
 	leaving  atomic.Bool
 	failed   chan error
+	// live are the settings in force; see Reload.
+	live atomic.Pointer[Settings]
 	// background ends when the daemon has stopped.
 	background context.Context
 }
@@ -123,6 +125,7 @@
 func (daemon *Daemon) build() error {
 	daemon.started = time.Now()
 	daemon.failed = make(chan error, 4)
+	daemon.live.CompareAndSwap(nil, &daemon.Settings)
 	meter, err := metrics.New()
 	if err != nil {
 		return Error.Wrap(err)
@@ -151,7 +154,7 @@
 	daemon.control.log = daemon.Log
 	daemon.beside = &upstream.Beside{
 		Now: time.Now, Announced: daemon.announced, Silent: daemon.silent, Drain: daemon.drainTarget,
-		SilenceTime: daemon.Settings.SilenceTime,
+		Silence: func() time.Duration { return daemon.live.Load().SilenceTime },
 	}
 	daemon.rpc = peer.NewRPCServer(counter)
 	peerpb.RegisterPeerServer(daemon.rpc, server)
@@ -183,7 +186,7 @@
 		Log:      daemon.Log,
 		Dialect:  daemon.Site.Dialect,
 		Service:  daemon.Settings.Service,
-		Shared:   daemon.Settings.sharedRetries(),
+		Shared:   func() *caller.SharedBudget { return daemon.live.Load().sharedRetries() },
 		ReportTo: daemon.Settings.PeerAddress,
 		Split:    &routes.Split{Self: daemon.Settings.Name},
 	}
@@ -319,11 +322,12 @@
 // since they learn late that it is not ready any more.
 func (daemon *Daemon) stop() {
 	daemon.Log.Info("daemon draining")
-	ctx, cancel := context.WithTimeout(context.Background(), daemon.Settings.DrainTimeout)
+	settings := daemon.live.Load()
+	ctx, cancel := context.WithTimeout(context.Background(), settings.DrainTimeout)
 	defer cancel()
 	daemon.leaving.Store(true)
 	daemon.callers.Drain()
-	linger := time.After(daemon.Settings.LingerTime)
+	linger := time.After(settings.LingerTime)
 	daemon.control.tell(kernel.DrainAsked{Leaving: true})
 	select {
 	case <-daemon.gate.Drain():
--- a/io/caller/caller.go
+++ b/io/caller/caller.go
@@ -67,9 +67,10 @@
 	Dialect *dialect.Dialect
 	// Service is that of the upstream beside, which requests come from.
 	Service string
-	// Shared bounds extra attempts over all daemons together, in place of the
-	// budgets of profiles; nil means the profiles' budgets.
-	Shared *SharedBudget
+	// Shared returns what bounds extra attempts over all daemons together, in
+	// place of the budgets of profiles, or nil; it is asked at each change of
+	// the view.
+	Shared func() *SharedBudget
 	// ReportTo is where gates send reports of their load; empty means nowhere.
 	ReportTo string
 	// Split divides the requests of routes among their services.
@@ -163,7 +164,7 @@
 // serviceOf returns what is known of a service. One that a route names is
 // known even while it has no targets.
 func (handler *Handler) serviceOf(view *kernel.View, name string) *service {
-	return handler.services.of(view, name, handler.Shared)
+	return handler.services.of(view, name, handler.Shared())
 }
 
 // prepare checks a request, and returns the answer to one that goes no further.
--- a/io/caller/services.go
+++ b/io/caller/services.go
@@ -100,7 +100,6 @@
 	return made
 }
 
-
 func renewBudget(old *service, rule profile.Budget, of func(*service) (*call.Budget, profile.Budget)) *call.Budget {
 	if old != nil {
 		if budget, same := of(old); same == rule {
--- a/io/upstream/announce.go
+++ b/io/upstream/announce.go
@@ -87,8 +87,9 @@
 	// Drain starts a drain and returns a channel that is closed when nothing
 	// runs any more.
 	Drain func() <-chan struct{}
-	// SilenceTime is how long the upstream may be silent; 0 means the default.
-	SilenceTime time.Duration
+	// Silence returns how long the upstream may be silent; nil, or 0, means the
+	// default.
+	Silence func() time.Duration
 
 	mutex   sync.Mutex
 	current Announcement
@@ -193,7 +194,7 @@
 // Tick notices that the announcements have stopped.
 func (beside *Beside) Tick() {
 	beside.mutex.Lock()
-	silent := !beside.heard.IsZero() && beside.Now().Sub(beside.heard) > cmp.Or(beside.SilenceTime, SilenceTime)
+	silent := !beside.heard.IsZero() && beside.Now().Sub(beside.heard) > beside.silence()
 	if silent {
 		beside.heard = time.Time{}
 	}
@@ -203,6 +204,13 @@
 	}
 }
 
+func (beside *Beside) silence() time.Duration {
+	if beside.Silence == nil {
+		return SilenceTime
+	}
+	return cmp.Or(beside.Silence(), SilenceTime)
+}
+
 // Forget makes the upstream count as gone until it announces itself again.
 func (beside *Beside) Forget() {
 	beside.mutex.Lock()
