Membership: suspicions do not flap; silent connections are noticed

Now failures count once in half a second, a refutation resets them, a control connection is dropped after a call that failed on it, connections have TCP_USER_TIMEOUT and short keep-alive, and a starting daemon asks all first peers for five seconds.

--- a/core/member/member.go
+++ b/core/member/member.go
@@ -26,6 +26,9 @@
 const (
 	// failuresToSuspect is the number of probes in a row without an answer.
 	failuresToSuspect = 2
+	// failureGap is the least time between two failures that count, so that
+	// many messages which fail together count once.
+	failureGap = 500 * time.Millisecond
 	// SuspicionTime is how long a suspect has to refute.
 	SuspicionTime = 3 * time.Second
 	// hearingTime is how long a daemon trusts its own links after the last
@@ -54,6 +57,7 @@
 	counter    uint64
 	entries    map[string]entry
 	failures   map[string]int
+	failedAt   map[string]time.Time
 	heard      time.Time
 	stale      bool
 	forgotAt   time.Time
@@ -110,6 +114,7 @@
 	settings := state.Settings
 	plugin.entries = map[string]entry{}
 	plugin.failures = map[string]int{}
+	plugin.failedAt = map[string]time.Time{}
 	plugin.heard = event.At
 	plugin.self = kernel.Member{
 		ID:              settings.Self,
@@ -153,6 +158,10 @@
 			continue
 		}
 		plugin.stale = true
+		if known := plugin.entries[decoded.ID]; known.member.State == kernel.MemberSuspect && decoded.State == kernel.MemberAlive {
+			// The member has refuted: it takes new failures to suspect it.
+			delete(plugin.failures, decoded.ID)
+		}
 		plugin.entries[decoded.ID] = entry{member: decoded.Member, version: fresh.Version, changed: at, died: time.UnixMilli(decoded.Died)}
 		if decoded.ID == plugin.self.ID {
 			effects = append(effects, plugin.refute(fresh.Version)...)
@@ -213,6 +222,10 @@
 	if peer.ID == "" || !peer.Watched {
 		return nil
 	}
+	if at.Sub(plugin.failedAt[peer.ID]) < failureGap {
+		return nil
+	}
+	plugin.failedAt[peer.ID] = at
 	plugin.failures[peer.ID]++
 	known := plugin.entries[peer.ID]
 	if plugin.failures[peer.ID] < failuresToSuspect || known.member.State != kernel.MemberAlive {
--- a/core/rollout/rollout.go
+++ b/core/rollout/rollout.go
@@ -167,6 +167,9 @@
 }
 
 func (plugin *plugin) Contribute(view *kernel.View) {
+	if !plugin.failing.IsZero() {
+		view.PlatformDown = plugin.failing
+	}
 	if plugin.table == nil {
 		return
 	}
--- a/core/spread/spread.go
+++ b/core/spread/spread.go
@@ -27,6 +27,10 @@
 // believed dead, or a first peer, so that a healed partition grows together.
 const RejoinInterval = 5 * time.Second
 
+// startTime is how long after its start a daemon asks all first peers again and
+// again: after a fault of the whole fleet they start at the same time.
+const startTime = 5 * time.Second
+
 func init() {
 	kernel.Register("spread", func() kernel.Plugin { return &plugin{} })
 }
@@ -34,6 +38,7 @@
 type plugin struct {
 	lastProbe  time.Time
 	lastRejoin time.Time
+	started    time.Time
 	turn       int
 	joined     bool
 }
@@ -64,6 +69,7 @@
 // join asks all first peers at once.
 func (plugin *plugin) join(state *kernel.State, event kernel.Event) []kernel.Effect {
 	plugin.lastRejoin = event.At
+	plugin.started = event.At
 	return ask(state, state.Settings.FirstPeers)
 }
 
@@ -85,11 +91,14 @@
 		effects = append(effects, plugin.probeNeighbours(state)...)
 	}
 	interval := RejoinInterval
-	if !plugin.joined {
+	if !plugin.joined || event.At.Sub(plugin.started) < startTime {
 		interval = ProbeInterval
 	}
 	if event.At.Sub(plugin.lastRejoin) >= interval {
 		plugin.lastRejoin = event.At
+		if event.At.Sub(plugin.started) < startTime {
+			return append(effects, ask(state, state.Settings.FirstPeers)...)
+		}
 		effects = append(effects, plugin.rejoin(state, event)...)
 	}
 	return effects
--- /dev/null
+++ b/daemon/beliefs.go
@@ -0,0 +1,52 @@
+package daemon
+
+import (
+	"log/slog"
+
+	"ibislift/core/kernel"
+)
+
+// logChanges writes a line for each thing that the daemon believes otherwise
+// than before: members and their targets, the route table, the platform, and
+// whether it watches the platform for its data centre.
+func logChanges(log *slog.Logger, before, now *kernel.View) {
+	for _, member := range now.Members {
+		old, known := before.Member(member.ID)
+		if !known || old.State != member.State || old.Epoch != member.Epoch || old.Leaving != member.Leaving {
+			log.Info("member changed", "member", member.ID, "state", member.State, "was", old.State,
+				"incarnation", member.Epoch, "leaving", member.Leaving, "address", member.PeerAddress)
+		}
+		if old.Target != member.Target {
+			log.Info("target changed", "member", member.ID, "service", member.Target.Service, "state", member.Target.State,
+				"was", old.Target.State, "slots", member.Target.Slots, "since", member.Target.Since)
+		}
+	}
+	for _, member := range before.Members {
+		if _, known := now.Member(member.ID); !known {
+			log.Info("member forgotten", "member", member.ID)
+		}
+	}
+	logRoutes(log, before, now)
+	if before.Watching != now.Watching {
+		log.Info("watcher changed", "watching", now.Watching)
+	}
+	switch {
+	case before.PlatformDown.IsZero() && !now.PlatformDown.IsZero():
+		log.Warn("platform lost", "since", now.PlatformDown)
+	case !before.PlatformDown.IsZero() && now.PlatformDown.IsZero():
+		log.Info("platform regained", "lostAt", before.PlatformDown)
+	}
+	if len(before.Suspects) != len(now.Suspects) {
+		log.Info("crash suspects changed", "count", len(now.Suspects), "was", len(before.Suspects))
+	}
+}
+
+func logRoutes(log *slog.Logger, before, now *kernel.View) {
+	old := uint64(0)
+	if before.Routes != nil {
+		old = before.Routes.Version
+	}
+	if now.Routes != nil && now.Routes.Version != old {
+		log.Info("route table in force", "version", now.Routes.Version, "was", old, "routes", len(now.Routes.Routes))
+	}
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -365,7 +365,7 @@
 func (daemon *Daemon) keepHouse(ctx context.Context) {
 	ticker := time.NewTicker(housekeepingInterval)
 	defer ticker.Stop()
-	var seen *kernel.View
+	seen := &kernel.View{}
 	for {
 		select {
 		case <-ctx.Done():
@@ -373,6 +373,7 @@
 		case <-ticker.C:
 			daemon.beside.Tick()
 			if view := daemon.control.view.Load(); view != seen {
+				logChanges(daemon.Log, seen, view)
 				seen = view
 				daemon.resize(daemon.beside.Current())
 				daemon.peers.Keep(view)
--- a/io/peer/line.go
+++ b/io/peer/line.go
@@ -146,7 +146,7 @@
 	if peers.Dial != nil {
 		return peers.Dial(ctx, address)
 	}
-	return (&net.Dialer{}).DialContext(ctx, "tcp", address)
+	return tcp.Dial(ctx, address)
 }
 
 func (lineCall *lineCall) Send(frame *peerpb.CallFrame) error {
--- a/io/peer/peers.go
+++ b/io/peer/peers.go
@@ -13,6 +13,7 @@
 
 	"ibislift/core/kernel"
 	"ibislift/io/peer/peerpb"
+	"ibislift/io/tcp"
 )
 
 // Settings of the connections between daemons.
@@ -99,9 +100,11 @@
 			MinConnectTimeout: time.Second,
 		}),
 	}
+	dial := tcp.Dial
 	if peers.Dial != nil {
-		options = append(options, grpc.WithContextDialer(peers.Dial))
+		dial = peers.Dial
 	}
+	options = append(options, grpc.WithContextDialer(dial))
 	if peers.Stats != nil {
 		options = append(options, grpc.WithStatsHandler(peers.Stats))
 	}
@@ -128,6 +131,17 @@
 	peers.keepControl(control)
 }
 
+// Drop closes the control connection to an address after a call has failed on
+// it: a connection may have gone silent for good while a new one works.
+func (peers *Peers) Drop(address string) {
+	peers.mutex.Lock()
+	defer peers.mutex.Unlock()
+	if connection, known := peers.connections[address]; known {
+		delete(peers.connections, address)
+		_ = connection.Close()
+	}
+}
+
 func (peers *Peers) keepControl(wanted map[string]bool) {
 	peers.mutex.Lock()
 	defer peers.mutex.Unlock()
--- a/io/platform/platform.go
+++ b/io/platform/platform.go
@@ -25,6 +25,7 @@
 	"github.com/zeebo/errs"
 
 	"ibislift/core/kernel"
+	"ibislift/io/tcp"
 )
 
 // Error is the class of all errors of this package.
@@ -72,12 +73,8 @@
 	writes atomic.Uint64
 }
 
-// How soon a connection that has gone silent is noticed: a waiting watch sends
-// nothing by itself.
-var keepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: 500 * time.Millisecond, Count: 2}
-
 var defaultHTTP = &http.Client{Transport: &http.Transport{
-	DialContext:         (&net.Dialer{Timeout: time.Second, KeepAliveConfig: keepAlive}).DialContext,
+	DialContext:         func(ctx context.Context, _, address string) (net.Conn, error) { return tcp.Dial(ctx, address) },
 	MaxIdleConnsPerHost: 2,
 	IdleConnTimeout:     idleConnTimeout,
 	DisableCompression:  true,
