--- a/Makefile
+++ b/Makefile
@@ -18,6 +18,7 @@
 		google.golang.org/protobuf/cmd/protoc-gen-go google.golang.org/grpc/cmd/protoc-gen-go-grpc
 
 check: tools
+	tools/names.sh
 	@unformatted=$$(bin/gofumpt -l $(SOURCES)); test -z "$$unformatted" || { echo "not formatted: $$unformatted"; exit 1; }
 	bin/revive -set_exit_status -exclude ./io/peer/peerpb/... $(PACKAGES)
 	go vet $(PACKAGES)
--- a/core/call/end.go
+++ b/core/call/end.go
@@ -195,11 +195,7 @@
 	if call.claimed && outcome == OutcomeNotRun {
 		effects = append(effects, ReleaseClaim{})
 	}
-	retryAfter := call.retryAfter
-	if retryAfter == 0 {
-		retryAfter = DefaultRetryAfter
-	}
-	return append(effects, Finish{Outcome: outcome, Problem: problem, RetryAfter: retryAfter})
+	return append(effects, Finish{Outcome: outcome, Problem: problem, RetryAfter: call.retryAfter})
 }
 
 // mayHaveRun says whether an attempt that was committed may have run.
--- a/core/routes/routes.go
+++ b/core/routes/routes.go
@@ -14,6 +14,7 @@
 import (
 	"encoding/json"
 	"net"
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -145,14 +146,20 @@
 	return nil, false
 }
 
-// Leads says whether a route of the table goes to the service.
-func (table *Table) Leads(service string) bool {
+// Targets names the services that the table's routes lead to.
+func (table *Table) Targets() []string {
+	var names []string
 	for _, route := range table.Routes {
 		for _, part := range route.Parts {
-			if part.Service == service {
-				return true
+			if !slices.Contains(names, part.Service) {
+				names = append(names, part.Service)
 			}
 		}
 	}
-	return false
+	return names
+}
+
+// Leads says whether a route of the table goes to the service.
+func (table *Table) Leads(service string) bool {
+	return slices.Contains(table.Targets(), service)
 }
--- a/daemon/claims.go
+++ b/daemon/claims.go
@@ -73,8 +73,8 @@
 }
 
 // CloseClaim tells the clerks how a claimed request ended; the one that holds
-// the claim takes note. It is not tried again: an end that is not heard of
-// leaves the key claimed, which is safe.
+// the claim takes note. An end that is not heard of after some tries leaves
+// the key claimed, which is safe.
 func (claims *claims) CloseClaim(service, key, request string, released bool) {
 	partition, clerks := claims.clerksOf(service, key)
 	closed := kernel.ClaimClosed{Partition: partition, Key: fullKey(service, key), Request: request, Released: released}
@@ -88,15 +88,30 @@
 		claims.control.CloseClaim(closed)
 		return
 	}
+	message := &peerpb.ClaimClosed{
+		Partition: uint32(closed.Partition), Key: closed.Key, RequestId: closed.Request, Released: closed.Released,
+	}
+	var failed error
+	for range closeTries {
+		if failed = claims.tellOnce(clerk, message); failed == nil {
+			return
+		}
+	}
+	claims.control.log.Warn("a clerk was not told the end of a claim", "clerk", clerk.ID, "request", closed.Request, "error", failed)
+}
+
+// closeTries is how often a clerk is told the end of a claim until it answers.
+const closeTries = 3
+
+func (claims *claims) tellOnce(clerk kernel.Member, message *peerpb.ClaimClosed) error {
 	client, err := claims.peers.Client(clerk.PeerAddress)
 	if err != nil {
-		return
+		return err
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), peerTimeout)
 	defer cancel()
-	_, _ = client.CloseClaim(ctx, &peerpb.ClaimClosed{
-		Partition: uint32(closed.Partition), Key: closed.Key, RequestId: closed.Request, Released: closed.Released,
-	})
+	_, err = client.CloseClaim(ctx, message)
+	return err
 }
 
 // clerksOf returns a key's partition, and its clerks in the order of their
--- a/daemon/control.go
+++ b/daemon/control.go
@@ -128,7 +128,9 @@
 	answer, err := client.Exchange(ctx, peer.EnvelopeMessage(ask.Envelope))
 	if err != nil {
 		control.log.Debug("peer did not answer", "peer", ask.Peer.ID, "address", ask.Peer.Address, "error", err)
-		control.peers.Drop(ask.Peer.Address)
+		if ctx.Err() != nil {
+			control.peers.Drop(ask.Peer.Address)
+		}
 		control.tell(kernel.PeerFailed{Peer: ask.Peer})
 		return
 	}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -14,6 +14,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -283,11 +284,33 @@
 	return found && route.Repeatable
 }
 
+// learningTime is how long a starting daemon waits until it knows targets of
+// all services that the route table leads to: their heartbeats and its
+// neighbours' records are there by then, if they come at all.
+const learningTime = 3 * time.Second
+
+// takesCallers says whether the daemon can do something for callers.
+func (daemon *Daemon) takesCallers(view *kernel.View) bool {
+	if !view.Ready || daemon.leaving.Load() {
+		return false
+	}
+	if view.Routes == nil || time.Since(daemon.started) > learningTime {
+		return true
+	}
+	for _, name := range view.Routes.Targets() {
+		members, _ := view.Service(name)
+		if !slices.ContainsFunc(members, kernel.Member.Serves) {
+			return false
+		}
+	}
+	return true
+}
+
 // readiness answers whether the daemon takes callers.
 func (daemon *Daemon) readiness() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+daemon.Site.Dialect.ReadyPath, func(writer http.ResponseWriter, _ *http.Request) {
-		if !daemon.control.view.Load().Ready || daemon.leaving.Load() {
+		if !daemon.takesCallers(daemon.control.view.Load()) {
 			writer.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
--- /dev/null
+++ b/io/caller/comeback.go
@@ -0,0 +1,31 @@
+package caller
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// Bounds of the time after which a refused caller may come back.
+const (
+	// minComeback keeps refused callers from asking again at once.
+	minComeback = 50 * time.Millisecond
+	// unknownComeback stands where no gate has said when it expects room.
+	unknownComeback = 200 * time.Millisecond
+	// comebackPart is the part of the time left that a caller waits at most.
+	comebackPart = 3
+	// comebackSpread is how much shorter or longer the time may be, as a part
+	// of it, so that callers who were refused together do not return together.
+	comebackSpread = 0.3
+)
+
+// comeback is when a caller that is refused by a route's targets may come
+// back: when a gate expects room, within a third of the time that it has left,
+// and spread.
+func (request *request) comeback(now time.Time, room time.Duration) time.Duration {
+	if room <= 0 {
+		room = unknownComeback
+	}
+	room = min(room, request.patience.Sub(now)/comebackPart)
+	factor := 1 - comebackSpread + 2*comebackSpread*rand.Float64()
+	return max(minComeback, time.Duration(float64(room)*factor))
+}
--- a/io/caller/exchange.go
+++ b/io/caller/exchange.go
@@ -355,6 +355,11 @@
 
 func (exchange *exchange) finish(finish call.Finish) {
 	exchange.over = true
+	if exchange.request.route != nil {
+		finish.RetryAfter = exchange.request.comeback(exchange.handler.Now(), finish.RetryAfter)
+	} else {
+		finish.RetryAfter = max(finish.RetryAfter, call.DefaultRetryAfter)
+	}
 	answer := problemOf(finish, exchange.handler.Dialect)
 	answer.RequestID = exchange.request.id
 	answer.write(exchange.writer, exchange.handler.Dialect)
--- a/io/caller/request.go
+++ b/io/caller/request.go
@@ -39,7 +39,9 @@
 	fingerprint string
 	// deadline is when the caller's patience or the route's timeout ends,
 	// whichever is first; objective is when the answer loses most of its worth.
+	// patience is when the caller's own ends.
 	deadline   time.Time
+	patience   time.Time
 	objective  time.Time
 	repeatable bool
 	important  bool
@@ -78,6 +80,7 @@
 		return err
 	}
 	request.deadline = now.Add(left)
+	request.patience = request.deadline
 	request.objective = request.deadline
 	if request.key, err = readToken(original.Header, names.IdempotencyKey, maxKeyLength); err != nil {
 		return err
--- a/io/http1/conn.go
+++ b/io/http1/conn.go
@@ -131,12 +131,13 @@
 }
 
 // await waits for the first byte of the next request. While no request is
-// under way that takes the idle time at most.
+// under way that takes the idle time at most. A draining server takes no
+// request behind one that is under way, whose answer closes the connection.
 func (conn *conn) await() error {
 	for {
 		conn.mutex.Lock()
 		conn.reading = false
-		ending := conn.ending
+		ending := conn.ending || conn.pending > 0 && conn.server.draining.Load()
 		conn.setIdleDeadline()
 		conn.mutex.Unlock()
 		if ending {
@@ -156,7 +157,7 @@
 	}
 	conn.mutex.Lock()
 	defer conn.mutex.Unlock()
-	if conn.ending {
+	if conn.ending || conn.pending > 0 && conn.server.draining.Load() {
 		return errEnding
 	}
 	conn.reading = true
--- a/io/http1/server_test.go
+++ b/io/http1/server_test.go
@@ -178,6 +178,28 @@
 		_ = conn.Close()
 		<-ended
 	})
+	t.Run("a draining server takes nothing behind what it has", func(t *testing.T) {
+		began, release := make(chan struct{}), make(chan struct{})
+		served := make(chan string, 4)
+		server := &http1.Server{Overlaps: always, Handler: http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+			served <- request.URL.Path
+			close(began)
+			<-release
+			_, _ = io.WriteString(writer, request.URL.Path)
+		})}
+		conn, reader := serve(t, server)
+		send(t, conn, get("/1"))
+		<-began
+		server.Drain()
+		send(t, conn, get("/2"), get("/3"))
+		time.Sleep(20 * time.Millisecond)
+		close(release)
+		is := is.New(t)
+		is.True(answered(t, reader, http.StatusOK, "/1").Close)
+		_, err := reader.ReadByte()
+		is.True(err != nil)
+		is.Equal(len(served), 1)
+	})
 	t.Run("a draining server answers what it has and closes", func(t *testing.T) {
 		began, release := make(chan struct{}), make(chan struct{})
 		server := &http1.Server{Handler: http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
--- a/io/peer/peers.go
+++ b/io/peer/peers.go
@@ -131,14 +131,18 @@
 	peers.keepControl(control)
 }
 
-// Drop closes the control connection to an address after a call has failed on
-// it: a connection may have gone silent for good while a new one works.
+// dropDelay is how long the other calls on a dropped connection get to end.
+const dropDelay = 3 * time.Second
+
+// Drop lets the next call to an address use a new control connection, after a
+// call has got no answer in time: a connection may have gone silent for good
+// while a new one works. The other calls on the old one may still end.
 func (peers *Peers) Drop(address string) {
 	peers.mutex.Lock()
 	defer peers.mutex.Unlock()
 	if connection, known := peers.connections[address]; known {
 		delete(peers.connections, address)
-		_ = connection.Close()
+		time.AfterFunc(dropDelay, func() { _ = connection.Close() })
 	}
 }
 
