Gate: short queues for what can meet its objective; hopeless requests are told to come back

Now a request waits at most a third of its time to spare, one that has missed its objective only takes a free slot, and an entry stops after a refusal when no target can answer in time.

--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -128,6 +128,7 @@
 	ReasonDraining  Reason = "draining"
 	ReasonQueueFull Reason = "queueFull"
 	ReasonSlower    Reason = "slower"
+	ReasonBusy      Reason = "busy"
 	ReasonLate      Reason = "late"
 	ReasonExpired   Reason = "reservationExpired"
 	ReasonCancelled Reason = "cancelled"
@@ -265,6 +266,9 @@
 	if extra := wait + gate.slowed(arrived); arrived.Patience > 0 && extra > arrived.Patience {
 		return refuse(arrived.ID, ReasonSlower, wait)
 	}
+	if wait > gate.longestWait(arrived, run) {
+		return refuse(arrived.ID, ReasonBusy, wait)
+	}
 	var effects []Effect
 	if gate.held >= gate.capacity() && len(gate.queue) >= gate.QueueBound {
 		displaced, done := gate.displace(arrived, wait)
--- a/core/admit/queue.go
+++ b/core/admit/queue.go
@@ -100,6 +100,21 @@
 	return gate.turnTime(arrived.At) * time.Duration(ahead+1)
 }
 
+// waitPart is the part of the time to spare before its objective that a
+// request may wait for a slot. The rest is for the upstream, which may become
+// slow while it runs. Longer queues serve more requests, but late.
+const waitPart = 3
+
+// longestWait is how long a request may wait for a slot. Without an objective
+// of its own it may wait until its deadline; one that cannot meet its objective
+// any more runs only if there is a slot for it now.
+func (gate *Gate) longestWait(arrived Arrived, run time.Duration) time.Duration {
+	if arrived.Objective.IsZero() || !arrived.Objective.Before(arrived.Deadline) {
+		return arrived.Deadline.Sub(arrived.At)
+	}
+	return max(0, arrived.Objective.Sub(arrived.At)-run) / waitPart
+}
+
 // displace makes room for a request in a full queue by refusing the last one,
 // if that is of less urgency.
 func (gate *Gate) displace(arrived Arrived, wait time.Duration) ([]Effect, bool) {
--- a/core/route/soonest.go
+++ b/core/route/soonest.go
@@ -62,6 +62,17 @@
 	return best, max(time.Millisecond, time.Duration((next-ideal)*float64(time.Second)))
 }
 
+// SoonestTime is the least time in which any of the candidates is expected to
+// answer. The price of bytes does not count.
+func SoonestTime(request Request, candidates []Candidate) time.Duration {
+	request.Bytes = 0
+	least := math.Inf(1)
+	for _, index := range usableOf(candidates) {
+		least = min(least, soonestTime(request, candidates[index]))
+	}
+	return time.Duration(least * float64(time.Second))
+}
+
 // idealTime is the time in seconds that a request takes on an idle target,
 // with the price of its bytes.
 func idealTime(request Request, candidate Candidate) float64 {
--- a/io/caller/caller.go
+++ b/io/caller/caller.go
@@ -232,7 +232,7 @@
 		level = slog.LevelInfo
 	}
 	handler.Log.Log(context.Background(), level, "request ended", "request", request.id, "service", request.service,
-		"class", request.class, "status", status, "outcome", outcome, "took", took, "steps", steps)
+		"class", request.class, "rank", request.rank, "status", status, "outcome", outcome, "took", took, "steps", steps)
 }
 
 var _ http.Handler = (*Handler)(nil)
--- a/io/caller/exchange.go
+++ b/io/caller/exchange.go
@@ -39,6 +39,8 @@
 	targets  []string
 	declined map[string]bool
 	patience time.Duration
+	// refusals counts the gates' refusals.
+	refusals int
 	claiming bool
 	over     bool
 	record   Record
@@ -215,7 +217,11 @@
 // the request is better off elsewhere.
 func (exchange *exchange) noteDeclined(event call.Event) {
 	refused, is := event.(call.Refused)
-	if !is || refused.Reason != string(admit.ReasonSlower) {
+	if !is {
+		return
+	}
+	exchange.refusals++
+	if refused.Reason != string(admit.ReasonSlower) {
 		return
 	}
 	target := exchange.targets[refused.Attempt]
@@ -277,11 +283,26 @@
 		Bytes:   class.Bytes,
 	}
 	request.UsualLoad, request.UsualSlowness = exchange.service.book.Usual()
+	if exchange.refusals > 0 && exchange.isHopeless(request, candidates) {
+		exchange.apply(call.NoneLeft{})
+		return
+	}
 	index := exchange.pick(request, candidates)
 	exchange.explainChoice(candidates, index)
 	exchange.apply(call.Chosen{Target: members[index].ID})
 }
 
+// isHopeless says whether no target is expected to answer within the request's
+// objective. A request that was refused once already is then better told to
+// come back than sent around.
+func (exchange *exchange) isHopeless(request route.Request, candidates []route.Candidate) bool {
+	if exchange.request.route == nil || request.Work == 0 {
+		return false
+	}
+	left := exchange.request.objective.Sub(exchange.handler.Now())
+	return route.SoonestTime(request, candidates) > left
+}
+
 // pick chooses a candidate. The gate of one that has not refused yet is told
 // how long the request may take there before another is better, since it knows
 // its own load best.
