Age of requests; slots kept for what can be in time; when to come back

The age is now read from how much less time a request has than is usual on its route. Under pressure a slot is not given to a request that has missed its objective, unless it ranks higher, and such a caller is told to come back as late as it may.

--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -184,8 +184,12 @@
 	queue    []uint64
 	held     int
 	service  time.Duration
-	draining bool
-	drained  bool
+	// pressed is when a request was refused last that could have met its
+	// objective, and its rank.
+	pressed     time.Time
+	pressedRank int
+	draining    bool
+	drained     bool
 }
 
 // Update takes one event and returns what has to be done because of it.
@@ -266,7 +270,7 @@
 	if extra := wait + gate.slowed(arrived); arrived.Patience > 0 && extra > arrived.Patience {
 		return refuse(arrived.ID, ReasonSlower, wait)
 	}
-	if wait > gate.longestWait(arrived, run) {
+	if gate.isTooBusy(arrived, wait) {
 		return refuse(arrived.ID, ReasonBusy, wait)
 	}
 	var effects []Effect
--- a/core/admit/queue.go
+++ b/core/admit/queue.go
@@ -69,7 +69,7 @@
 // missesObjective says whether a request would miss its objective even if it
 // got a slot now.
 func (gate *Gate) missesObjective(at time.Time, arrived Arrived) bool {
-	return at.Add(gate.runTime(at, arrived.Class)).After(arrived.objective())
+	return at.Add(gate.likelyRunTime(at, arrived.Class)).After(arrived.objective())
 }
 
 // capacity is how many requests run at once.
@@ -105,14 +105,28 @@
 // slow while it runs. Longer queues serve more requests, but late.
 const waitPart = 3
 
-// longestWait is how long a request may wait for a slot. Without an objective
-// of its own it may wait until its deadline; one that cannot meet its objective
-// any more runs only if there is a slot for it now.
-func (gate *Gate) longestWait(arrived Arrived, run time.Duration) time.Duration {
+// pressureTime is how long after a request was refused that could have met its
+// objective the slots are kept for such requests.
+const pressureTime = time.Second
+
+// isTooBusy says whether a request has to wait too long for a slot. Without an
+// objective of its own it may wait until its deadline. One that cannot meet its
+// objective any more takes only a slot that nobody else wants.
+func (gate *Gate) isTooBusy(arrived Arrived, wait time.Duration) bool {
 	if arrived.Objective.IsZero() || !arrived.Objective.Before(arrived.Deadline) {
-		return arrived.Deadline.Sub(arrived.At)
+		return false
+	}
+	spare := arrived.Objective.Sub(arrived.At) - gate.likelyRunTime(arrived.At, arrived.Class)
+	if spare <= 0 {
+		pressed := arrived.At.Sub(gate.pressed) < pressureTime && arrived.rank() >= gate.pressedRank
+		return wait > 0 || pressed
+	}
+	if wait <= spare/waitPart {
+		return false
 	}
-	return max(0, arrived.Objective.Sub(arrived.At)-run) / waitPart
+	gate.pressed = arrived.At
+	gate.pressedRank = arrived.rank()
+	return true
 }
 
 // displace makes room for a request in a full queue by refusing the last one,
--- a/core/admit/work.go
+++ b/core/admit/work.go
@@ -68,6 +68,16 @@
 	return time.Duration(float64(mean) * work.slownessAt(at))
 }
 
+// likelyRunTime is runTime for a request that may start later: the upstream may
+// be less slow by then.
+func (work *work) likelyRunTime(at time.Time, class string) time.Duration {
+	run := work.runTime(at, class)
+	if now := work.slownessAt(at); work.slownessMean > 0 && now > work.slownessMean {
+		return time.Duration(float64(run) * work.slownessMean / now)
+	}
+	return run
+}
+
 // learn takes a request that ran for a time while the upstream was slowed by a
 // multiple.
 func (work *work) learn(class string, took time.Duration, slowness float64) {
--- a/io/caller/caller.go
+++ b/io/caller/caller.go
@@ -77,6 +77,7 @@
 	Split *routes.Split
 
 	services services
+	ages     ages
 	counter  atomic.Uint64
 	running  atomic.Int64
 }
@@ -179,7 +180,7 @@
 	if view.Routes != nil && view.Routes.Limits.BodyBytes > 0 {
 		request.rules.MaxBodyBytes = view.Routes.Limits.BodyBytes
 	}
-	if err := request.readHeaders(original, now, handler.Dialect); err != nil {
+	if err := request.readHeaders(original, now, handler.Dialect, &handler.ages); err != nil {
 		return &problem{Type: problemType + "badHeader", Title: "bad header", Status: http.StatusBadRequest, Detail: err.Error()}
 	}
 	if err := request.readBodyInTime(writer, original); err != nil {
@@ -232,7 +233,8 @@
 		level = slog.LevelInfo
 	}
 	handler.Log.Log(context.Background(), level, "request ended", "request", request.id, "service", request.service,
-		"class", request.class, "rank", request.rank, "status", status, "outcome", outcome, "took", took, "steps", steps)
+		"class", request.class, "rank", request.rank,
+		"deadline", request.patience.Sub(arrived), "objective", request.objective.Sub(arrived), "status", status, "outcome", outcome, "took", took, "steps", steps)
 }
 
 var _ http.Handler = (*Handler)(nil)
--- a/io/caller/comeback.go
+++ b/io/caller/comeback.go
@@ -20,12 +20,17 @@
 
 // comeback is when a caller that is refused by a route's targets may come
 // back: when a gate expects room, within a third of the time that it has left,
-// and spread.
+// and spread. One that would miss its objective by then gives way to those that
+// can still meet theirs, and comes back as late as it may.
 func (request *request) comeback(now time.Time, room time.Duration) time.Duration {
+	longest := request.patience.Sub(now) / comebackPart
 	if room <= 0 {
 		room = unknownComeback
 	}
-	room = min(room, request.patience.Sub(now)/comebackPart)
+	if now.Add(room + request.work).After(request.objective) {
+		room = longest
+	}
+	room = max(minComeback, room)
 	factor := 1 - comebackSpread + 2*comebackSpread*rand.Float64()
-	return max(minComeback, time.Duration(float64(room)*factor))
+	return max(minComeback, min(longest, time.Duration(float64(room)*factor)))
 }
--- a/io/caller/exchange.go
+++ b/io/caller/exchange.go
@@ -377,6 +377,7 @@
 func (exchange *exchange) finish(finish call.Finish) {
 	exchange.over = true
 	if exchange.request.route != nil {
+		exchange.request.work = exchange.service.book.Class(exchange.request.class).Work
 		finish.RetryAfter = exchange.request.comeback(exchange.handler.Now(), finish.RetryAfter)
 	} else {
 		finish.RetryAfter = max(finish.RetryAfter, call.DefaultRetryAfter)
--- a/io/caller/request.go
+++ b/io/caller/request.go
@@ -43,6 +43,8 @@
 	deadline   time.Time
 	patience   time.Time
 	objective  time.Time
+	// work is how long the request is expected to run.
+	work       time.Duration
 	repeatable bool
 	important  bool
 	rank       int
@@ -74,7 +76,7 @@
 }
 
 // readHeaders checks the headers that concern ibislift.
-func (request *request) readHeaders(original *http.Request, now time.Time, names *dialect.Dialect) error {
+func (request *request) readHeaders(original *http.Request, now time.Time, names *dialect.Dialect, ages *ages) error {
 	left, err := readDeadline(original.Header, names, time.Duration(request.rules.DefaultDeadline))
 	if err != nil {
 		return err
@@ -89,7 +91,7 @@
 		return err
 	}
 	if request.route != nil {
-		request.followRoute(now)
+		request.followRoute(now, ages.of(request.route.Name, left))
 		return nil
 	}
 	request.repeatable = request.rules.Repeatable(original.Method, original.URL.Path)
@@ -102,7 +104,7 @@
 }
 
 // followRoute takes what the route says of its requests.
-func (request *request) followRoute(now time.Time) {
+func (request *request) followRoute(now time.Time, age time.Duration) {
 	route := request.route
 	request.repeatable = route.Repeatable
 	request.rank = route.Rank
@@ -113,7 +115,7 @@
 	}
 	request.objective = request.deadline
 	if route.Objective > 0 {
-		request.objective = earlier(request.deadline, now.Add(route.Objective))
+		request.objective = earlier(request.deadline, now.Add(route.Objective-age))
 	}
 }
 
