--- a/cmd/ibislift/client.go
+++ b/cmd/ibislift/client.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -178,7 +179,14 @@
 	request := explain.Flag("request", "Name of a request, from its Ibislift-Request-Id.").String()
 	service := explain.Flag("service", "Show the newest requests of a service.").String()
 	most := explain.Flag("most", "Show at most this many.").Default("5").Int()
+	log := explain.Flag("log", "Read log files of daemons instead of asking one; needs --request.").ExistingFile()
 	commands[explain.FullCommand()] = func() error {
+		if *log != "" {
+			if *request == "" {
+				return &exitError{code: exitUsage, cause: errors.New("--log needs --request")}
+			}
+			return explainLog(*log, *request, os.Stdout)
+		}
 		query := url.Values{"request": {*request}, "service": {*service}, "most": {strconv.Itoa(*most)}}
 		return get(client, "/explain?"+query.Encode(), explainTable)
 	}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -137,7 +137,7 @@
 	daemon.client = &upstream.Client{Dialect: daemon.Site.Dialect}
 	daemon.gate = &upstream.Gate{Now: time.Now, Headroom: daemon.Settings.Headroom}
 	daemon.control = newControl(daemon.Settings.kernelSettings(daemon.started.UnixMilli()))
-	server := &peer.Server{Gate: daemon.gate, Upstream: daemon.client, Control: daemon}
+	server := &peer.Server{Gate: daemon.gate, Upstream: daemon.client, Control: daemon, Log: daemon.Log}
 	counter := &peer.Counter{Count: meter.Control}
 	daemon.server = server
 	server.Reporter = &peer.Reporter{
--- a/io/caller/request.go
+++ b/io/caller/request.go
@@ -40,9 +40,9 @@
 	// deadline is when the caller's patience or the route's timeout ends,
 	// whichever is first; objective is when the answer loses most of its worth.
 	// patience is when the caller's own ends.
-	deadline   time.Time
-	patience   time.Time
-	objective  time.Time
+	deadline  time.Time
+	patience  time.Time
+	objective time.Time
 	// work is how long the request is expected to run.
 	work       time.Duration
 	repeatable bool
--- a/io/peer/run.go
+++ b/io/peer/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"log/slog"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -43,6 +44,7 @@
 		server.checkCrash()
 		return true, server.refuse(stream, admit.ReasonNoTarget, time.Second)
 	case err != nil:
+		server.log(stream, slog.LevelInfo, "upstream failed", "error", err.Error(), "left", deadline.Sub(server.Gate.Now()), "givenUp", ctx.Err() != nil)
 		return true, server.lose(stream, ctx.Err() == nil && server.checkCrash())
 	}
 	if verdict := server.judge(answer); verdict != verdictOwn {
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -16,6 +16,7 @@
 import (
 	"context"
 	"errors"
+	"log/slog"
 	"sync"
 	"time"
 
@@ -54,6 +55,8 @@
 	Control  Control
 	// Reporter tells entries of the load; it may be nil.
 	Reporter *Reporter
+	// Log takes what went wrong with requests; nil means nowhere.
+	Log *slog.Logger
 
 	closing    sync.Once
 	closed     context.Context
@@ -97,7 +100,8 @@
 // gateCall is the gate's end of a request of a class.
 type gateCall struct {
 	GateStream
-	class string
+	request string
+	class   string
 }
 
 // Serve admits one request and passes it to the upstream. It returns an error
@@ -111,7 +115,7 @@
 	if head == nil {
 		return Error.New("the first frame is not a head")
 	}
-	stream := &gateCall{GateStream: opened, class: head.GetClass()}
+	stream := &gateCall{GateStream: opened, request: head.GetRequestId(), class: head.GetClass()}
 	if !server.Control.Serves(head.GetService()) {
 		return server.refuse(stream, admit.ReasonNoTarget, 0)
 	}
@@ -174,6 +178,11 @@
 }
 
 func (server *Server) refuseAs(stream *gateCall, reason admit.Reason, retryAfter time.Duration, reached bool) error {
+	level := slog.LevelDebug
+	if reached {
+		level = slog.LevelInfo
+	}
+	server.log(stream, level, "refused at the gate", "reason", string(reason), "retryAfter", retryAfter, "reached", reached)
 	refusal := &peerpb.Refusal{
 		Reached:                reached,
 		Reason:                 string(reason),
@@ -184,10 +193,22 @@
 }
 
 func (server *Server) lose(stream *gateCall, crashed bool) error {
+	server.log(stream, slog.LevelWarn, "answer lost", "crashed", crashed)
 	loss := &peerpb.Loss{Crashed: crashed, Load: loadMessage(server.Gate.LoadOf(stream.class))}
 	return Error.Wrap(stream.Send(&peerpb.AnswerFrame{Frame: &peerpb.AnswerFrame_Lost{Lost: loss}}))
 }
 
+// log writes a line about a request with the gate's load at the moment.
+func (server *Server) log(stream *gateCall, level slog.Level, what string, attributes ...any) {
+	if server.Log == nil || !server.Log.Enabled(stream.Context(), level) {
+		return
+	}
+	load := server.Gate.LoadOf(stream.class)
+	attributes = append(attributes, "request", stream.request, "class", stream.class, "target", server.Upstream.Expected(),
+		"running", load.Running, "slots", load.Slots, "queued", load.Queued, "slowness", load.Slowness)
+	server.Log.Log(stream.Context(), level, what, attributes...)
+}
+
 // checkCrash finds out whether the upstream has died, and reports what ran.
 func (server *Server) checkCrash() bool {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
