--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -188,8 +188,10 @@
 	// objective, and its rank.
 	pressed     time.Time
 	pressedRank int
-	draining    bool
-	drained     bool
+	// emptyAt is when the queue was empty last.
+	emptyAt  time.Time
+	draining bool
+	drained  bool
 }
 
 // Update takes one event and returns what has to be done because of it.
@@ -262,6 +264,9 @@
 	if _, known := gate.requests[arrived.ID]; known {
 		return nil
 	}
+	if len(gate.queue) == 0 {
+		gate.emptyAt = arrived.At
+	}
 	wait := gate.expectedWait(arrived)
 	run := gate.runTime(arrived.At, arrived.Class)
 	if arrived.At.Add(wait + run/2).After(arrived.Deadline) {
--- a/core/admit/queue.go
+++ b/core/admit/queue.go
@@ -109,11 +109,20 @@
 // objective the slots are kept for such requests.
 const pressureTime = time.Second
 
+// standingTime is how long a queue may last that absorbs a burst, or a moment in
+// which the upstream is slowed. A queue that lasts longer only adds waiting.
+const standingTime = 250 * time.Millisecond
+
+// isStanding says whether the queue has not been empty for long.
+func (gate *Gate) isStanding(at time.Time) bool {
+	return len(gate.queue) > 0 && at.Sub(gate.emptyAt) > standingTime
+}
+
 // isTooBusy says whether a request has to wait too long for a slot. Without an
 // objective of its own it may wait until its deadline. One that cannot meet its
 // objective any more takes only a slot that nobody else wants.
 func (gate *Gate) isTooBusy(arrived Arrived, wait time.Duration) bool {
-	if arrived.Objective.IsZero() || !arrived.Objective.Before(arrived.Deadline) {
+	if arrived.Objective.IsZero() || !arrived.Objective.Before(arrived.Deadline) || !gate.isStanding(arrived.At) {
 		return false
 	}
 	spare := arrived.Objective.Sub(arrived.At) - gate.likelyRunTime(arrived.At, arrived.Class)
@@ -159,6 +168,9 @@
 		gate.unqueue(next.ID)
 		effects = append(effects, gate.start(next, at))
 	}
+	if len(gate.queue) == 0 {
+		gate.emptyAt = at
+	}
 	return append(effects, gate.checkDrained()...)
 }
 
--- a/io/caller/exchange.go
+++ b/io/caller/exchange.go
@@ -220,8 +220,8 @@
 	if !is {
 		return
 	}
-	exchange.refusals++
 	if refused.Reason != string(admit.ReasonSlower) {
+		exchange.refusals++
 		return
 	}
 	target := exchange.targets[refused.Attempt]
