--- a/core/rollout/rollout.go
+++ b/core/rollout/rollout.go
@@ -1,8 +1,9 @@
-// Package rollout puts the operators' route table in force. It reads the table
-// from the platform, watches it there, and hands each newer version to the
-// replicated records, so that daemons which the platform does not serve learn
-// it from their neighbours. A table is applied whole, and never an older one
-// after a newer one.
+// Package rollout puts the operators' route table in force. Each daemon reads
+// the table from the platform when it starts. Then the watchers of each data
+// centre watch it there and hand each newer version to the replicated records,
+// which bring it to the others within a few round trips. A daemon that has lost
+// touch with its neighbours watches for itself. A table is applied whole, and
+// never an older one after a newer one.
 //
 // # Usage
 //
@@ -26,9 +27,14 @@
 	// watchWait is how long one watch waits at the platform: long, since each
 	// waiting watch is a call, and a dead connection shows by its keep-alive.
 	watchWait = 25 * time.Second
-	// watcherWait is the same for the daemons that watch for their data
-	// centre, which are few.
-	watcherWait = 8 * time.Second
+	// touchTime is how long a daemon counts as in touch after its last exchange
+	// with a neighbour, which is one a second.
+	touchTime = 2500 * time.Millisecond
+	// failureTime is how long a neighbour counts as lost after an exchange with
+	// it has failed.
+	failureTime = 3 * time.Second
+	// lostNeighbours is how many lost neighbours are more than a restart.
+	lostNeighbours = 2
 	// retryWait is the time before a failed call is made again; with its
 	// jitter it stays well under the time in which a change has to be applied.
 	retryWait   = 700 * time.Millisecond
@@ -49,8 +55,14 @@
 	table    *routes.Table
 	revision uint64
 	waiting  bool
-	retryAt  time.Time
-	failing  time.Time
+	// rested says that this daemon has not watched since its last answer.
+	rested  bool
+	retryAt time.Time
+	failing time.Time
+	// heard is the last exchange with a neighbour, lost the last failure of
+	// each.
+	heard time.Time
+	lost  map[string]time.Time
 }
 
 func (plugin *plugin) Admits(_ time.Time, record kernel.Record) bool {
@@ -67,7 +79,14 @@
 	}
 	switch message := event.Message.(type) {
 	case kernel.Started:
+		plugin.heard = event.At
+		plugin.lost = map[string]time.Time{}
 		return plugin.read(state)
+	case kernel.EnvelopeAnswered:
+		plugin.heard = event.At
+		delete(plugin.lost, message.Peer.Address)
+	case kernel.PeerFailed:
+		plugin.lost[message.Peer.Address] = event.At
 	case kernel.Ticked:
 		return plugin.tick(state, event.At)
 	case kernel.Adopted:
@@ -99,19 +118,37 @@
 	if plugin.revision == 0 {
 		return plugin.read(state)
 	}
+	if !state.Watching && plugin.inTouch(at) {
+		plugin.rested = true
+		return nil
+	}
+	if plugin.rested {
+		// Others watched meanwhile: the revision may be long past.
+		plugin.rested = false
+		return plugin.read(state)
+	}
 	return plugin.watch(state)
 }
 
+// inTouch says whether neighbours bring this daemon what the watchers learn.
+func (plugin *plugin) inTouch(at time.Time) bool {
+	lost := 0
+	for address, failed := range plugin.lost {
+		if at.Sub(failed) > failureTime {
+			delete(plugin.lost, address)
+			continue
+		}
+		lost++
+	}
+	return at.Sub(plugin.heard) <= touchTime && lost < lostNeighbours
+}
+
 func (plugin *plugin) read(state *kernel.State) []kernel.Effect {
 	return plugin.call(readToken, kernel.ListObjects{Prefix: prefixOf(state)})
 }
 
 func (plugin *plugin) watch(state *kernel.State) []kernel.Effect {
-	wait := watchWait
-	if state.Watching {
-		wait = watcherWait
-	}
-	return plugin.call(watchToken, kernel.WatchObjects{Prefix: prefixOf(state), Revision: plugin.revision, Wait: wait})
+	return plugin.call(watchToken, kernel.WatchObjects{Prefix: prefixOf(state), Revision: plugin.revision, Wait: watchWait})
 }
 
 // prefixOf is the start of the object's name up to its last slash.
@@ -150,6 +187,10 @@
 		records = append(records, kernel.Record{Key: key, Version: table.Version, Body: object.Body})
 	}
 	effects := []kernel.Effect{kernel.Adopt{Records: records}}
+	if !state.Watching && plugin.inTouch(event.At) {
+		plugin.rested = true
+		return effects
+	}
 	return append(effects, plugin.watch(state)...)
 }
 
--- a/core/rollout/rollout_test.go
+++ b/core/rollout/rollout_test.go
@@ -52,6 +52,15 @@
 	daemon.update(kernel.PlatformAnswered{Owner: call.Owner, Token: call.Token, Result: result})
 }
 
+// lose lets exchanges with two neighbours fail, so that the daemon looks for
+// itself.
+func (daemon *daemon) lose() {
+	for _, address := range []string{"b", "c"} {
+		daemon.update(kernel.PeerFailed{Peer: kernel.Neighbour{ID: address, Address: address}})
+	}
+	daemon.pass(kernel.TickInterval)
+}
+
 func table(version int) kernel.Object {
 	body := fmt.Sprintf(`{"version":%d,"routes":[{"host":"h","prefix":"/","parts":[{"service":"s","weight":1}]}]}`, version)
 	return kernel.Object{Name: "config/main", Version: uint64(version), Body: []byte(body)}
@@ -77,6 +86,8 @@
 		daemon := newDaemon()
 		daemon.answer(listed(3, 10))
 		inForce(t, daemon, 3)
+		daemon.lose()
+		daemon.answer(listed(5, 11))
 		daemon.answer(listed(7, 12))
 		inForce(t, daemon, 7)
 		watch := daemon.calls[len(daemon.calls)-1].Call.(kernel.WatchObjects)
@@ -88,9 +99,33 @@
 		daemon.answer(listed(3, 9))
 		inForce(t, daemon, 7)
 	})
+	t.Run("a daemon in touch with its neighbours leaves the watch to the watchers", func(t *testing.T) {
+		daemon := newDaemon()
+		daemon.answer(listed(3, 10))
+		before := len(daemon.calls)
+		for range 20 {
+			daemon.update(kernel.EnvelopeAnswered{Peer: kernel.Neighbour{ID: "b", Address: "b"}})
+			daemon.pass(time.Second)
+		}
+		is.New(t).Equal(len(daemon.calls), before)
+	})
+	t.Run("one that has lost touch reads, and then watches", func(t *testing.T) {
+		daemon := newDaemon()
+		daemon.answer(listed(3, 10))
+		daemon.pass(4 * time.Second)
+		is := is.New(t)
+		_, isList := daemon.calls[len(daemon.calls)-1].Call.(kernel.ListObjects)
+		is.True(isList)
+		daemon.answer(listed(4, 20))
+		inForce(t, daemon, 4)
+		_, isWatch := daemon.calls[len(daemon.calls)-1].Call.(kernel.WatchObjects)
+		is.True(isWatch)
+	})
 	t.Run("after lost history the table is read again at once", func(t *testing.T) {
 		daemon := newDaemon()
 		daemon.answer(listed(3, 10))
+		daemon.lose()
+		daemon.answer(listed(3, 10))
 		daemon.answer(kernel.PlatformResult{Status: kernel.PlatformGone})
 		daemon.pass(kernel.TickInterval)
 		_, isList := daemon.calls[len(daemon.calls)-1].Call.(kernel.ListObjects)
