--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -238,7 +238,7 @@
 		Queued:   len(gate.queue),
 		Slots:    gate.capacity(),
 		Service:  gate.service,
-		Draining: gate.draining,
+		Draining: gate.draining || gate.Slots == 0,
 	}
 }
 
--- a/core/route/book.go
+++ b/core/route/book.go
@@ -59,6 +59,9 @@
 	// weight against the service's mean, so that it is tried again soon after
 	// a short trouble.
 	latencyHalfLife = 300 * time.Millisecond
+	// drainMemory is how long a gate's word that it takes nothing counts: it
+	// may have got another upstream, and its record tells of a real drain.
+	drainMemory = time.Second
 	// maxEjections bounds the doubling of the time of an ejection.
 	maxEjections = 5
 	// hedgeDeviations is how many mean deviations above the mean an answer is
@@ -248,6 +251,9 @@
 		Failing:  decayed(target.failing, at.Sub(target.failed)),
 		Ejected:  at.Before(target.ejectedUntil),
 	}
+	if candidate.Age > drainMemory {
+		candidate.Load.Draining = false
+	}
 	fresh := math.Exp2(-float64(at.Sub(target.answered)) / float64(latencyHalfLife))
 	seconds := target.latency*fresh + book.latency*(1-fresh)
 	candidate.Latency = time.Duration(seconds * float64(time.Second))
--- a/io/caller/age.go
+++ b/io/caller/age.go
@@ -36,8 +36,11 @@
 }
 
 // of notes a request's deadline and returns the request's age: how much less
-// it has left than is usual on its route.
-func (ages *ages) of(route string, left time.Duration) time.Duration {
+// it has left than is usual on its route. Where the route's timeout is not
+// shorter than what callers usually give, they leave no time to come again:
+// then less time means something else, such as that a run which makes a call
+// is near its own end.
+func (ages *ages) of(route string, timeout, left time.Duration) time.Duration {
 	ages.mutex.Lock()
 	defer ages.mutex.Unlock()
 	known := ages.routes[route]
@@ -49,6 +52,9 @@
 		ages.routes[route] = known
 	}
 	known.note(left)
+	if timeout <= 0 || timeout >= known.usual {
+		return 0
+	}
 	return max(0, known.usual-left)
 }
 
--- a/io/caller/exchange.go
+++ b/io/caller/exchange.go
@@ -39,7 +39,7 @@
 	targets  []string
 	declined map[string]bool
 	patience time.Duration
-	// refusals counts the gates' refusals.
+	// refusals counts the gates' refusals for want of room.
 	refusals int
 	claiming bool
 	over     bool
@@ -220,9 +220,13 @@
 	if !is {
 		return
 	}
-	if refused.Reason != string(admit.ReasonSlower) {
+	switch admit.Reason(refused.Reason) {
+	case admit.ReasonSlower:
+	case admit.ReasonBusy, admit.ReasonLate, admit.ReasonQueueFull:
 		exchange.refusals++
 		return
+	default:
+		return
 	}
 	target := exchange.targets[refused.Attempt]
 	exchange.declined[target] = true
--- a/io/caller/request.go
+++ b/io/caller/request.go
@@ -91,7 +91,7 @@
 		return err
 	}
 	if request.route != nil {
-		request.followRoute(now, ages.of(request.route.Name, left))
+		request.followRoute(now, ages.of(request.route.Name, request.route.Timeout, left))
 		return nil
 	}
 	request.repeatable = request.rules.Repeatable(original.Method, original.URL.Path)
