--- a/io/upstream/client.go
+++ b/io/upstream/client.go
@@ -209,11 +209,13 @@
 	return err
 }
 
-// checkOwner refuses an answer that names another request than its own.
+// checkOwner refuses an answer that names another request than its own. Health
+// checks are not requests, and their answers may name none.
 func (client *Client) checkOwner(request *http.Request, response *http.Response) error {
 	named := response.Header.Get(client.Names().RequestID)
 	owned := named == request.Header.Get(client.Names().RequestID)
-	if owned || named == "" && !client.echoes.Load() {
+	isProbe := request.Header.Get(client.Names().RequestID) == probeID
+	if owned || named == "" && (isProbe || !client.echoes.Load()) {
 		return nil
 	}
 	return errCrossed
