--- a/core/routes/routes.go
+++ b/core/routes/routes.go
@@ -40,9 +40,6 @@
 	Prefix string `json:"prefix"`
 	// Repeatable requests may run more than once.
 	Repeatable bool `json:"repeatable"`
-	// Bulky answers are large, so that bytes between data centres matter more
-	// than a little waiting.
-	Bulky bool `json:"bulky,omitempty"`
 	// Timeout is the longest time that a caller is kept waiting; 0 means no
 	// bound but the caller's own deadline.
 	Timeout time.Duration `json:"timeout"`
--- a/io/caller/caller.go
+++ b/io/caller/caller.go
@@ -63,7 +63,7 @@
 	Meter    Meter
 	Records  *Records
 	Log      *slog.Logger
-	// Dialect is how callers speak; nil means the product's own way.
+	// Dialect is how callers speak.
 	Dialect *dialect.Dialect
 	// Service is that of the upstream beside, which requests come from.
 	Service string
@@ -233,8 +233,8 @@
 		level = slog.LevelInfo
 	}
 	handler.Log.Log(context.Background(), level, "request ended", "request", request.id, "service", request.service,
-		"class", request.class, "rank", request.rank,
-		"deadline", request.patience.Sub(arrived), "objective", request.objective.Sub(arrived), "status", status, "outcome", outcome, "took", took, "steps", steps)
+		"class", request.class, "rank", request.rank, "deadline", request.left(arrived, request.patience),
+		"objective", request.left(arrived, request.objective), "status", status, "outcome", outcome, "took", took, "steps", steps)
 }
 
 var _ http.Handler = (*Handler)(nil)
--- a/io/caller/request.go
+++ b/io/caller/request.go
@@ -119,6 +119,15 @@
 	}
 }
 
+// left is the time from a request's arrival to one of its times, or 0 if that
+// was not found out.
+func (request *request) left(arrived, at time.Time) time.Duration {
+	if at.IsZero() {
+		return 0
+	}
+	return at.Sub(arrived)
+}
+
 func earlier(one, other time.Time) time.Time {
 	if other.Before(one) {
 		return other
--- a/io/upstream/announce.go
+++ b/io/upstream/announce.go
@@ -42,9 +42,6 @@
 	Sequence uint64 `json:"sequence,omitempty"`
 	// Draining says that the upstream takes no new work.
 	Draining bool `json:"draining,omitempty"`
-	// Warmup is how much longer the upstream is slow after its start, in
-	// nanoseconds.
-	Warmup time.Duration `json:"warmup,omitempty"`
 }
 
 // maxSlots bounds what an upstream may claim to run at once.
