--- a/cmd/ibislift/explainlog.go
+++ b/cmd/ibislift/explainlog.go
@@ -24,6 +24,7 @@
 	Status   int           `json:"status"`
 	Outcome  string        `json:"outcome"`
 	Took     time.Duration `json:"took"`
+	Problem  string        `json:"problem"`
 	Steps    string        `json:"steps"`
 	Reason   string        `json:"reason"`
 	Error    string        `json:"error"`
@@ -116,6 +117,19 @@
 	{"relayed", "the target's own answer was passed on"},
 }
 
+// early maps the problems of requests that were refused before a target was
+// chosen to sentences.
+var early = map[string]string{
+	"notReady":       "the daemon had no configuration yet",
+	"unknownRoute":   "no route of the table in force matched; see the line \"route table in force\"",
+	"unknownService": "no target and no operator has named the service",
+	"crashSuspect":   "targets have crashed on requests like it, and it is blocked for a time",
+	"badHeader":      "a header of the request was missing or wrong",
+	"badBody":        "the body could not be read",
+	"bodyTooLarge":   "the body was longer than the limit",
+	"bodyTooSlow":    "the body did not come within the deadline",
+}
+
 func causeOf(ended logLine, lines []logLine) string {
 	var sentence []string
 	for _, cause := range causes {
@@ -138,10 +152,8 @@
 	switch {
 	case len(sentence) > 0:
 		return strings.Join(sentence, "; ")
-	case ended.Status == 404:
-		return "no route of the table in force matched; see the line \"route table in force\""
-	case ended.Status == 503:
-		return "the daemon had no route table yet"
+	case early[ended.Problem] != "":
+		return early[ended.Problem]
 	default:
 		return "it was refused before a target was chosen"
 	}
--- a/cmd/ibislift/explainlog_test.go
+++ b/cmd/ibislift/explainlog_test.go
@@ -19,6 +19,12 @@
 	return out.String(), err
 }
 
+// refusedEarly is the end of a request that no target was chosen for.
+func refusedEarly(request, status, problem string) string {
+	return `{"time":"2026-12-04T05:00:01Z","msg":"request ended","instance":"a","request":"` + request + `","status":` + status +
+		`,"outcome":"notRun","problem":"` + problem + `","steps":""}`
+}
+
 func ended(request, outcome, status, steps string) string {
 	return `{"time":"2026-12-04T05:00:01Z","msg":"request ended","instance":"a","request":"` + request + `","status":` + status +
 		`,"outcome":"` + outcome + `","took":5000000,"steps":"` + steps + `"}`
@@ -44,7 +50,9 @@
 			[]string{ended("r", "run", "500", "9 failing (attempt 0)"), ended("r.1", "notRun", "503", "1 refused (attempt 0: late); 1 noTargetLeft")},
 			"The target answered 500 after a call of its run ended with 503",
 		},
-		"no route":   {[]string{ended("r", "notRun", "404", "")}, "no route of the table in force matched"},
+		"no route":   {[]string{refusedEarly("r", "404", "unknownRoute")}, "no route of the table in force matched"},
+		"no table":   {[]string{refusedEarly("r", "503", "notReady")}, "the daemon had no configuration yet"},
+		"suspect":    {[]string{refusedEarly("r", "503", "crashSuspect")}, "targets have crashed on requests like it"},
 		"not logged": {[]string{`{"msg":"upstream failed","request":"r"}`}, "its entry may have been killed"},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/cmd/ibislift/platform.go
+++ b/cmd/ibislift/platform.go
@@ -37,18 +37,18 @@
 	if err != nil {
 		return &exitError{code: exitUsage, cause: err}
 	}
-	log, flush := startLog(level)
+	log, writer, flush := startLog(level)
 	defer flush()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	started := &daemon.Daemon{Settings: settings, Site: platform.Site(), Log: log.With("instance", settings.Name)}
+	started := &daemon.Daemon{Settings: settings, Site: platform.Site(), Log: log.With("instance", settings.Name), LogDropped: writer.Dropped}
 	go followSettings(ctx, path, hangups, started)
 	return started.Run(ctx)
 }
 
-// startLog returns a logger to standard output that never waits, and a
-// function that writes what is left.
-func startLog(text string) (*slog.Logger, func()) {
+// startLog returns a logger to standard output that never waits, its writer,
+// and a function that writes what is left.
+func startLog(text string) (*slog.Logger, *logs.Writer, func()) {
 	var level slog.Level
 	_ = level.UnmarshalText([]byte(text))
 	writer := logs.New(os.Stdout)
@@ -58,7 +58,7 @@
 		writer.Run(ctx)
 		close(done)
 	}()
-	return slog.New(writer.Handler(level)), func() {
+	return slog.New(writer.Handler(level)), writer, func() {
 		cancel()
 		<-done
 	}
--- a/core/call/budget.go
+++ b/core/call/budget.go
@@ -13,6 +13,7 @@
 	most     float64
 	earned   float64
 	taken    int
+	denied   int
 	accepted bool
 }
 
@@ -33,6 +34,7 @@
 	defer budget.mutex.Unlock()
 	budget.start()
 	if budget.earned < 1 {
+		budget.denied++
 		return false
 	}
 	budget.earned--
@@ -40,11 +42,13 @@
 	return true
 }
 
-// Taken is the number of extra attempts used up.
-func (budget *Budget) Taken() int {
+// State is how many extra attempts were used up and denied so far, and how many
+// could be used now.
+func (budget *Budget) State() (taken, denied int, left float64) {
 	budget.mutex.Lock()
 	defer budget.mutex.Unlock()
-	return budget.taken
+	budget.start()
+	return budget.taken, budget.denied, budget.earned
 }
 
 func (budget *Budget) start() {
--- a/core/call/call_test.go
+++ b/core/call/call_test.go
@@ -202,6 +202,18 @@
 	}
 }
 
+func TestBudgetState(t *testing.T) {
+	budget := &call.Budget{Burst: 2}
+	for range 5 {
+		budget.Take()
+	}
+	taken, denied, left := budget.State()
+	is := is.New(t)
+	is.Equal(taken, 2)
+	is.Equal(denied, 3)
+	is.Equal(left, 0.0)
+}
+
 func TestBudgetHoldsWhenEverythingFails(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		ratio := rapid.Float64Range(0, 1).Draw(t, "ratio")
@@ -214,8 +226,9 @@
 				noted++
 			}
 			budget.Take()
-			if most := float64(burst) + ratio*float64(noted); float64(budget.Taken()) > most+1e-6 {
-				t.Fatalf("%d extra attempts for %d requests, at most %.1f allowed", budget.Taken(), noted, most)
+			taken, _, _ := budget.State()
+			if most := float64(burst) + ratio*float64(noted); float64(taken) > most+1e-6 {
+				t.Fatalf("%d extra attempts for %d requests, at most %.1f allowed", taken, noted, most)
 			}
 		}
 	})
--- a/core/kernel/platform.go
+++ b/core/kernel/platform.go
@@ -36,6 +36,24 @@
 func (WatchObjects) platformCall() {}
 func (DeleteObject) platformCall() {}
 
+// CallKind names the kind of a call for logs and metrics.
+func CallKind(call PlatformCall) string {
+	switch call.(type) {
+	case WriteObject:
+		return "write"
+	case ReadObject:
+		return "read"
+	case ListObjects:
+		return "list"
+	case WatchObjects:
+		return "watch"
+	case DeleteObject:
+		return "delete"
+	default:
+		return "other"
+	}
+}
+
 // PlatformStatus says how a call of the platform ended.
 type PlatformStatus uint8
 
@@ -53,6 +71,15 @@
 	PlatformGone
 )
 
+// String names the status for logs and metrics.
+func (status PlatformStatus) String() string {
+	names := [...]string{"ok", "conflict", "absent", "refused", "unknown", "gone"}
+	if int(status) >= len(names) {
+		return "other"
+	}
+	return names[status]
+}
+
 // Object is a versioned object of the platform.
 type Object struct {
 	Name    string
--- a/core/kernel/view.go
+++ b/core/kernel/view.go
@@ -91,6 +91,9 @@
 	// Routes is the operators' route table; it is nil where services are
 	// named by the host alone.
 	Routes *routes.Table
+	// RoutesFrom is the daemon that the table came from, or empty if it came
+	// from the platform.
+	RoutesFrom string
 	// PlatformDown is the time since when the platform has not answered; it
 	// is zero while it does.
 	PlatformDown time.Time
--- a/core/rollout/rollout.go
+++ b/core/rollout/rollout.go
@@ -53,6 +53,7 @@
 
 type plugin struct {
 	table    *routes.Table
+	from     string
 	revision uint64
 	waiting  bool
 	// rested says that this daemon has not watched since its last answer.
@@ -90,7 +91,7 @@
 	case kernel.Ticked:
 		return plugin.tick(state, event.At)
 	case kernel.Adopted:
-		plugin.learn(state, message.Records)
+		plugin.learn(state, message)
 	case kernel.PlatformAnswered:
 		if message.Owner == pluginName {
 			return plugin.answered(state, event, message)
@@ -99,13 +100,14 @@
 	return nil
 }
 
-func (plugin *plugin) learn(state *kernel.State, records []kernel.Record) {
-	for _, record := range records {
+func (plugin *plugin) learn(state *kernel.State, adopted kernel.Adopted) {
+	for _, record := range adopted.Records {
 		if record.Kind != kernel.KindRoutes || record.Name != state.Settings.RouteObject {
 			continue
 		}
 		if table, err := routes.Parse(record.Body); err == nil {
 			plugin.table = table
+			plugin.from = adopted.From
 			state.Dirty = true
 		}
 	}
@@ -215,5 +217,6 @@
 		return
 	}
 	view.Routes = plugin.table
+	view.RoutesFrom = plugin.from
 	view.Ready = true
 }
--- a/core/route/book.go
+++ b/core/route/book.go
@@ -48,6 +48,9 @@
 	failures     int
 	ejections    int
 	ejectedUntil time.Time
+	// slowness is the one that is judged, as of the time of the judgement.
+	slowness float64
+	judged   time.Time
 }
 
 // Weights and times of the running means.
--- a/daemon/beliefs.go
+++ b/daemon/beliefs.go
@@ -4,6 +4,7 @@
 	"log/slog"
 
 	"ibislift/core/kernel"
+	"ibislift/core/route"
 )
 
 // logChanges writes a line for each thing that the daemon believes otherwise
@@ -47,6 +48,23 @@
 		old = before.Routes.Version
 	}
 	if now.Routes != nil && now.Routes.Version != old {
-		log.Info("route table in force", "version", now.Routes.Version, "was", old, "routes", len(now.Routes.Routes))
+		log.Info("route table in force", "version", now.Routes.Version, "was", old, "routes", len(now.Routes.Routes), "from", now.RoutesFrom)
 	}
 }
+
+// logJudgements writes a line for each target that the daemon's own requests
+// have shown to be otherwise than before, and returns what is believed now.
+func logJudgements(log *slog.Logger, before, now map[string]route.Judgement) map[string]route.Judgement {
+	for target, judgement := range now {
+		if judgement == before[target] {
+			continue
+		}
+		log.Info("target judged", "target", target, "slow", judgement.Slow, "failing", judgement.Failing, "ejected", judgement.Ejected)
+	}
+	for target, judgement := range before {
+		if _, judged := now[target]; !judged && judgement != (route.Judgement{}) {
+			log.Info("target judged", "target", target, "slow", false, "failing", false, "ejected", false)
+		}
+	}
+	return now
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -14,6 +14,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -23,6 +24,7 @@
 	"ibislift/core/admit"
 	"ibislift/core/kernel"
 	"ibislift/core/profile"
+	"ibislift/core/route"
 	"ibislift/core/routes"
 	"ibislift/io/caller"
 	"ibislift/io/http1"
@@ -60,6 +62,10 @@
 // and the view's effect on gate and connections.
 const housekeepingInterval = 100 * time.Millisecond
 
+// reachTime is how long it is remembered how far a host is: an address that is
+// used again elsewhere shows in the metrics within that time.
+const reachTime = time.Minute
+
 // Daemon is one ibislift daemon. Set the fields before Run.
 type Daemon struct {
 	Settings Settings
@@ -70,6 +76,8 @@
 	// DialPeer replaces the usual way to connect to other daemons, if it is
 	// set; tests put links with latency or faults there.
 	DialPeer func(ctx context.Context, address string) (net.Conn, error)
+	// LogDropped is the number of log lines left out so far, if the log counts.
+	LogDropped func() uint64
 
 	started  time.Time
 	control  *control
@@ -89,6 +97,10 @@
 	failed   chan error
 	// live are the settings in force; see Reload.
 	live atomic.Pointer[Settings]
+	// applied is when the configuration in force came into force here.
+	applied atomic.Pointer[time.Time]
+	// reaches remembers how far hosts are, for reachTime.
+	reaches sync.Map
 	// background ends when the daemon has stopped.
 	background context.Context
 }
@@ -132,18 +144,19 @@
 	}
 	daemon.meter = meter
 	daemon.Site = daemon.Site.withDefaults()
-	daemon.platform = &platform.Client{Address: daemon.Settings.PlatformAddress, Codec: daemon.Site.Codec, Log: daemon.Log}
+	daemon.platform = &platform.Client{Address: daemon.Settings.PlatformAddress, Codec: daemon.Site.Codec, Log: daemon.Log, Count: meter.PlatformCall}
 	daemon.client = &upstream.Client{Dialect: daemon.Site.Dialect}
-	daemon.gate = &upstream.Gate{Now: time.Now, Headroom: daemon.Settings.Headroom}
+	daemon.gate = &upstream.Gate{Now: time.Now, Headroom: daemon.Settings.Headroom, Waited: meter.Waited}
 	daemon.control = newControl(daemon.Settings.kernelSettings(daemon.started.UnixMilli()))
 	server := &peer.Server{Gate: daemon.gate, Upstream: daemon.client, Control: daemon, Log: daemon.Log}
-	counter := &peer.Counter{Count: meter.Control}
+	counter := &peer.Counter{Count: daemon.countControl}
 	daemon.server = server
 	server.Reporter = &peer.Reporter{
 		Self:     daemon.Settings.Name,
 		Service:  func() string { return daemon.beside.Current().Service },
 		Load:     daemon.gate.Load,
 		IsNear:   daemon.isNear,
+		Count:    daemon.countControl,
 		Received: func(from, service string, load admit.Load) { daemon.entry.Reported(from, service, load) },
 	}
 	daemon.peers = &peer.Peers{Self: daemon.Settings.Name, Server: server, Dial: daemon.DialPeer, Stats: counter}
@@ -162,16 +175,6 @@
 	return daemon.gauges()
 }
 
-// isNear says whether a daemon's peer address is in the own region.
-func (daemon *Daemon) isNear(address string) bool {
-	for _, member := range daemon.control.view.Load().Members {
-		if member.PeerAddress == address {
-			return member.Region == daemon.Settings.Region
-		}
-	}
-	return false
-}
-
 func (daemon *Daemon) buildEntry() *caller.Handler {
 	return &caller.Handler{
 		Self:     daemon.Settings.Name,
@@ -192,21 +195,6 @@
 	}
 }
 
-func (daemon *Daemon) gauges() error {
-	var group errs.Group
-	group.Add(daemon.meter.Gauge("ibislift.gate.running", "Requests that hold a slot of the upstream beside.",
-		func() int64 { return int64(daemon.gate.Load().Running) }))
-	group.Add(daemon.meter.Gauge("ibislift.gate.queued", "Requests that wait for a slot.",
-		func() int64 { return int64(daemon.gate.Load().Queued) }))
-	group.Add(daemon.meter.Gauge("ibislift.gate.handed.over", "Requests handed over to the upstream so far.",
-		func() int64 { return int64(daemon.gate.HandedOver()) }))
-	group.Add(daemon.meter.Gauge("ibislift.platform.reads", "Reads and watches of the platform so far.",
-		func() int64 { reads, _ := daemon.platform.Calls(); return int64(reads) }))
-	group.Add(daemon.meter.Gauge("ibislift.platform.writes", "Writes to the platform so far.",
-		func() int64 { _, writes := daemon.platform.Calls(); return int64(writes) }))
-	return Error.Wrap(group.Err())
-}
-
 // listen opens all addresses before it serves any.
 func (daemon *Daemon) listen() error {
 	peers, err := net.Listen("tcp", daemon.Settings.PeerAddress)
@@ -322,14 +310,25 @@
 	ticker := time.NewTicker(housekeepingInterval)
 	defer ticker.Stop()
 	seen := &kernel.View{}
+	var judged map[string]route.Judgement
+	cleared := time.Now()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
 			daemon.beside.Tick()
+			judged = logJudgements(daemon.Log, judged, daemon.entry.Judgements())
+			if time.Since(cleared) > reachTime {
+				daemon.reaches.Clear()
+				cleared = time.Now()
+			}
 			if view := daemon.control.view.Load(); view != seen {
 				logChanges(daemon.Log, seen, view)
+				if versionOf(view) != versionOf(seen) {
+					now := time.Now()
+					daemon.applied.Store(&now)
+				}
 				seen = view
 				daemon.resize(daemon.beside.Current())
 				daemon.peers.Keep(view)
--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"testing"
@@ -327,11 +328,29 @@
 	})
 	status, body = site.operate(2, "GET", "/metrics", "", "")
 	is.Equal(status, http.StatusOK)
-	is.True(strings.Contains(body, "ibislift_platform_reads"))
+	is.True(strings.Contains(body, "ibislift_platform_calls_total{kind=\"list\""))
+	is.True(strings.Contains(body, "ibislift_control_bytes_total{direction=\"out\",reach=\"dataCentre\"}"))
+	explained(t, body)
 	status, _ = site.operate(2, "GET", "/explain?request=none", "", "")
 	is.Equal(status, http.StatusNotFound)
 }
 
+// explained checks that the operators' page says what each metric means.
+func explained(t *testing.T, scrape string) {
+	t.Helper()
+	page, err := os.ReadFile("../docs/operators/metrics.md")
+	is.New(t).NoErr(err)
+	for _, line := range strings.Split(scrape, "\n") {
+		words := strings.Fields(line)
+		if len(words) < 4 || words[1] != "TYPE" || !strings.HasPrefix(words[2], "ibislift_") {
+			continue
+		}
+		if !bytes.Contains(page, []byte("`"+words[2])) {
+			t.Errorf("docs/operators/metrics.md does not explain %s", words[2])
+		}
+	}
+}
+
 func TestReadyOnlyWithConfiguration(t *testing.T) {
 	site := &site{t: t, store: &platform.Store{}}
 	site.prefix = fmt.Sprintf("127.%d.%d", 220, sites.Add(1))
--- a/io/caller/answer.go
+++ b/io/caller/answer.go
@@ -25,7 +25,7 @@
 	}
 	exchange.over = true
 	exchange.apply(call.Relayed{})
-	exchange.conclude(call.OutcomeRun, int(head.GetStatus()))
+	exchange.conclude(call.OutcomeRun, int(head.GetStatus()), "")
 	if !whole {
 		exchange.handler.Log.Warn("answer cut short", "request", exchange.request.id, "service", exchange.request.service,
 			"target", attempt.member.ID, "callerLeft", exchange.original.Context().Err() != nil)
--- a/io/caller/caller.go
+++ b/io/caller/caller.go
@@ -77,9 +77,11 @@
 	Split *routes.Split
 
 	services services
-	ages     ages
-	counter  atomic.Uint64
-	running  atomic.Int64
+	// judged is what Judgements has returned last; one goroutine calls it.
+	judged  map[string]route.Judgement
+	ages    ages
+	counter atomic.Uint64
+	running atomic.Int64
 }
 
 // Running is the number of requests under way.
@@ -101,7 +103,7 @@
 		refusal.RequestID = request.id
 		refusal.Outcome = call.OutcomeNotRun
 		refusal.write(writer, handler.Dialect)
-		handler.note(request, service, call.OutcomeNotRun, refusal.Status, arrived, nil)
+		handler.note(request, service, ending{refusal.Status, call.OutcomeNotRun, refusal.kind(), nil}, arrived)
 		return
 	}
 	exchange := &exchange{
@@ -220,21 +222,34 @@
 	}
 }
 
+// ending is how a request ended. Problem says why it has no answer of a target,
+// if it has none.
+type ending struct {
+	status  int
+	outcome call.Outcome
+	problem string
+	steps   steps
+}
+
 // note counts and logs the end of a request.
-func (handler *Handler) note(request *request, service *service, outcome call.Outcome, status int, arrived time.Time, steps steps) {
+func (handler *Handler) note(request *request, service *service, ending ending, arrived time.Time) {
 	took := handler.Now().Sub(arrived)
 	name := request.service
 	if !service.known {
 		name = "unknown"
 	}
-	handler.Meter.Request(name, request.class, request.tenant, outcome, status, took)
+	handler.Meter.Request(name, request.class, request.tenant, ending.outcome, ending.status, took)
+	if ending.problem != "" {
+		handler.Meter.Refusal(name, ending.problem)
+	}
 	level := slog.LevelDebug
-	if status >= http.StatusBadRequest {
+	if ending.status >= http.StatusBadRequest {
 		level = slog.LevelInfo
 	}
 	handler.Log.Log(context.Background(), level, "request ended", "request", request.id, "service", request.service,
 		"class", request.class, "rank", request.rank, "deadline", request.left(arrived, request.patience),
-		"objective", request.left(arrived, request.objective), "status", status, "outcome", outcome, "took", took, "steps", steps)
+		"objective", request.left(arrived, request.objective), "status", ending.status, "outcome", ending.outcome,
+		"problem", ending.problem, "took", took, "steps", ending.steps)
 }
 
 var _ http.Handler = (*Handler)(nil)
--- a/io/caller/exchange.go
+++ b/io/caller/exchange.go
@@ -302,12 +302,11 @@
 	answer := problemOf(finish, exchange.handler.Dialect)
 	answer.RequestID = exchange.request.id
 	answer.write(exchange.writer, exchange.handler.Dialect)
-	exchange.handler.Meter.Refusal(exchange.request.service, string(finish.Problem))
-	exchange.conclude(finish.Outcome, answer.Status)
+	exchange.conclude(finish.Outcome, answer.Status, answer.kind())
 }
 
-func (exchange *exchange) conclude(outcome call.Outcome, status int) {
+func (exchange *exchange) conclude(outcome call.Outcome, status int, problem string) {
 	exchange.record.Outcome = outcome
 	exchange.record.Status = status
-	exchange.handler.note(exchange.request, exchange.service, outcome, status, exchange.arrived, exchange.record.Steps)
+	exchange.handler.note(exchange.request, exchange.service, ending{status, outcome, problem, exchange.record.Steps}, exchange.arrived)
 }
--- a/io/caller/problem.go
+++ b/io/caller/problem.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"strings"
 	"time"
 
 	"ibislift/core/call"
@@ -66,6 +67,9 @@
 	return answer
 }
 
+// kind is the problem's name in logs and metrics.
+func (problem problem) kind() string { return strings.TrimPrefix(problem.Type, problemType) }
+
 // write sends the problem at once: nothing is held back.
 func (problem problem) write(writer http.ResponseWriter, names *dialect.Dialect) {
 	header := writer.Header()
--- a/io/caller/services.go
+++ b/io/caller/services.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -12,6 +13,7 @@
 	"ibislift/core/kernel"
 	"ibislift/core/profile"
 	"ibislift/core/route"
+	"ibislift/io/metrics"
 )
 
 // Sizes of the part of a service's targets that one daemon uses.
@@ -71,6 +73,46 @@
 	return services.latest[name]
 }
 
+// Judgements says of each target that requests have gone to what they have
+// shown, as far as it is worth telling.
+func (handler *Handler) Judgements() map[string]route.Judgement {
+	services := &handler.services
+	services.mutex.Lock()
+	books := make([]*route.Book, 0, len(services.latest))
+	for _, service := range services.latest {
+		books = append(books, service.book)
+	}
+	services.mutex.Unlock()
+	now := handler.Now()
+	judged := map[string]route.Judgement{}
+	for _, book := range books {
+		maps.Copy(judged, book.Judge(now, func(id string) route.Judgement { return handler.judged[id] }))
+	}
+	handler.judged = judged
+	return judged
+}
+
+// Budgets are the budgets of extra attempts of all services that requests have
+// gone to. Retries and hedges that share a budget are told once.
+func (handler *Handler) Budgets() []metrics.Budget {
+	services := &handler.services
+	services.mutex.Lock()
+	defer services.mutex.Unlock()
+	var budgets []metrics.Budget
+	for name, service := range services.latest {
+		budgets = append(budgets, budgetOf(name, "retry", service.retries))
+		if service.hedges != service.retries {
+			budgets = append(budgets, budgetOf(name, "hedge", service.hedges))
+		}
+	}
+	return budgets
+}
+
+func budgetOf(name, kind string, budget *call.Budget) metrics.Budget {
+	taken, denied, left := budget.State()
+	return metrics.Budget{Service: name, Kind: kind, Taken: taken, Denied: denied, Left: left}
+}
+
 // renew carries over what outlives a view: the book always, the budgets and
 // the policy while the profile says the same of them.
 func (services *services) renew(name string, rules profile.Profile, shared *SharedBudget, daemons int) *service {
--- a/io/peer/report.go
+++ b/io/peer/report.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
+	"golang.org/x/time/rate"
 	"google.golang.org/protobuf/proto"
 
 	"ibislift/core/admit"
@@ -25,6 +28,13 @@
 	// entries in other regions, where bytes are dear and the way is long.
 	minReportGap = 40 * time.Millisecond
 	farReportGap = 200 * time.Millisecond
+	// reportBytesPerSecond bounds what a gate sends: of the 21 KB a second of a
+	// daemon's control, 18 are left for reports, and what is sent is received
+	// by others. A report that is put off for it is told with the next look.
+	reportBytesPerSecond = 9_000
+	reportBurst          = reportBytesPerSecond / 4
+	// datagramOverhead is what IP and UDP add to a datagram.
+	datagramOverhead = 28
 	// maxReportBytes bounds a datagram.
 	maxReportBytes = 512
 	// slownessStep and loadStep are the changes that are worth a report: as a
@@ -43,6 +53,9 @@
 	Load    func() admit.Load
 	// IsNear says whether an address is in the own region.
 	IsNear func(address string) bool
+	// Count, if it is set, gets the direction, "in" or "out", the other
+	// daemon's address and the bytes of each report.
+	Count func(direction, address string, bytes int)
 	// Received takes the reports of other gates.
 	Received func(from, service string, load admit.Load)
 
@@ -51,6 +64,7 @@
 	subscribers map[string]*subscriber
 	last        admit.Load
 	lastAt      time.Time
+	bytes       *rate.Limiter
 }
 
 // subscriber is an entry that gets reports.
@@ -76,6 +90,7 @@
 	reporter.mutex.Lock()
 	reporter.socket = socket
 	reporter.subscribers = map[string]*subscriber{}
+	reporter.bytes = rate.NewLimiter(reportBytesPerSecond, reportBurst)
 	reporter.mutex.Unlock()
 	return nil
 }
@@ -86,7 +101,7 @@
 	defer stop()
 	buffer := make([]byte, maxReportBytes)
 	for {
-		count, _, err := reporter.socket.ReadFromUDPAddrPort(buffer)
+		count, from, err := reporter.socket.ReadFromUDPAddrPort(buffer)
 		if ctx.Err() != nil {
 			return
 		}
@@ -95,6 +110,7 @@
 			// next read.
 			continue
 		}
+		reporter.count("in", from.String(), count)
 		report := &peerpb.LoadReport{}
 		if proto.Unmarshal(buffer[:count], report) == nil {
 			reporter.Received(report.GetFrom(), report.GetService(), LoadOf(report.GetLoad()))
@@ -144,11 +160,15 @@
 // tell sends the load to the subscribers that are behind. The mutex is held.
 func (reporter *Reporter) tell(load admit.Load, at time.Time) {
 	var datagram []byte
-	for address, subscriber := range reporter.subscribers {
-		if at.Sub(subscriber.asked) > subscriptionTime {
-			delete(reporter.subscribers, address)
-			continue
-		}
+	maps.DeleteFunc(reporter.subscribers, func(_ string, subscriber *subscriber) bool {
+		return at.Sub(subscriber.asked) > subscriptionTime
+	})
+	// Those who were told longest ago come first.
+	addresses := slices.SortedFunc(maps.Keys(reporter.subscribers), func(one, other string) int {
+		return reporter.subscribers[one].told.Compare(reporter.subscribers[other].told)
+	})
+	for _, address := range addresses {
+		subscriber := reporter.subscribers[address]
 		if !subscriber.behind || !subscriber.near && at.Sub(subscriber.told) < farReportGap {
 			continue
 		}
@@ -160,10 +180,20 @@
 			}
 			datagram = encoded
 		}
+		if !reporter.bytes.AllowN(at, len(datagram)+datagramOverhead) {
+			return
+		}
 		subscriber.behind = false
 		subscriber.told = at
 		// A report that is lost is replaced by the next one.
 		_, _ = reporter.socket.WriteToUDPAddrPort(datagram, subscriber.address)
+		reporter.count("out", address, len(datagram))
+	}
+}
+
+func (reporter *Reporter) count(direction, address string, bytes int) {
+	if reporter.Count != nil {
+		reporter.Count(direction, address, bytes)
 	}
 }
 
--- a/io/peer/report_test.go
+++ b/io/peer/report_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"testing"
 	"time"
@@ -83,3 +84,32 @@
 		none(t)
 	})
 }
+
+func TestReportsAreBounded(t *testing.T) {
+	sent := 0
+	gate := &peer.Reporter{
+		Self:    "gate",
+		Service: func() string { return "shop" },
+		IsNear:  func(string) bool { return true },
+		Count:   func(_, _ string, bytes int) { sent += bytes + 28 },
+	}
+	load := admit.Load{Slots: 10, Slowness: 1}
+	gate.Load = func() admit.Load { return load }
+	is := is.New(t)
+	is.NoErr(gate.Listen("127.0.0.1:0"))
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go gate.Run(ctx)
+	at := time.Unix(1_800_000_000, 0)
+	const seconds = 20
+	for step := range seconds * 20 {
+		for entry := range 64 {
+			gate.Subscribe(fmt.Sprintf("127.9.9.%d:9", entry+1), at)
+		}
+		load.Running = step % 2 * 10
+		at = at.Add(50 * time.Millisecond)
+		gate.Check(at)
+	}
+	is.True(sent <= 9_000*seconds+9_000) // the budget, and the burst with one datagram more
+	is.True(sent >= 9_000*seconds/2)     // and it is used
+}
--- a/io/platform/platform.go
+++ b/io/platform/platform.go
@@ -68,6 +68,9 @@
 	HTTP *http.Client
 	// Log takes answers that cannot be read; nil means the default logger.
 	Log *slog.Logger
+	// Count, if it is set, is told of each call that ended: its kind and its
+	// result, in lower camel case.
+	Count func(kind, result string)
 
 	reads  atomic.Uint64
 	writes atomic.Uint64
@@ -110,11 +113,20 @@
 	return kernel.PlatformResult{Status: kernel.PlatformUnknown}
 }
 
-// once sends one request and reads its answer.
+// once makes one request and counts it.
 func (client *Client) once(ctx context.Context, call kernel.PlatformCall, after string) (kernel.PlatformResult, string) {
+	client.count(call)
+	result, next := client.exchange(ctx, call, after)
+	if client.Count != nil {
+		client.Count(kernel.CallKind(call), result.Status.String())
+	}
+	return result, next
+}
+
+// exchange sends one request and reads its answer.
+func (client *Client) exchange(ctx context.Context, call kernel.PlatformCall, after string) (kernel.PlatformResult, string) {
 	ctx, cancel := context.WithTimeout(ctx, timeoutOf(call))
 	defer cancel()
-	client.count(call)
 	request := client.codec().Request(call, after)
 	if request == nil {
 		return kernel.PlatformResult{Status: kernel.PlatformRefused}, ""
--- a/io/upstream/gate.go
+++ b/io/upstream/gate.go
@@ -28,10 +28,13 @@
 	Now func() time.Time
 	// Headroom is the part of the upstream's slots that is left free.
 	Headroom float64
+	// Waited, if it is set, is told of the first decision on each request: its
+	// class, the reason if it was refused, and how long it waited.
+	Waited func(class string, refused admit.Reason, wait time.Duration)
 
 	mutex    sync.Mutex
 	machine  admit.Gate
-	waiting  map[uint64]chan Decision
+	waiting  map[uint64]*place
 	running  map[uint64]string
 	reported map[uint64]bool
 	next     atomic.Uint64
@@ -39,6 +42,14 @@
 	handed   atomic.Uint64
 }
 
+// place is a request before the gate.
+type place struct {
+	decisions chan Decision
+	class     string
+	arrived   time.Time
+	decided   bool
+}
+
 // Run lets the gate's expiries happen until the context ends.
 func (gate *Gate) Run(ctx context.Context) {
 	ticker := time.NewTicker(gateTick)
@@ -82,9 +93,9 @@
 		fingerprint: fingerprint,
 	}
 	gate.apply(func() []admit.Effect {
-		gate.waiting[admission.id] = admission.decisions
 		arrived.ID = admission.id
 		arrived.At = gate.Now()
+		gate.waiting[admission.id] = &place{decisions: admission.decisions, class: arrived.Class, arrived: arrived.At}
 		return gate.machine.Update(arrived)
 	})
 	return admission
@@ -154,7 +165,7 @@
 	gate.mutex.Lock()
 	defer gate.mutex.Unlock()
 	if gate.waiting == nil {
-		gate.waiting = map[uint64]chan Decision{}
+		gate.waiting = map[uint64]*place{}
 		gate.running = map[uint64]string{}
 		gate.reported = map[uint64]bool{}
 		gate.drained = make(chan struct{})
@@ -185,8 +196,12 @@
 	if !known {
 		return
 	}
+	if !waiting.decided && gate.Waited != nil {
+		gate.Waited(waiting.class, decision.Reason, gate.Now().Sub(waiting.arrived))
+	}
+	waiting.decided = true
 	select {
-	case waiting <- decision:
+	case waiting.decisions <- decision:
 	default:
 	}
 }
