core/pick: the choice of targets, hedging and coming back out of the io layer

Ruled out: copying them into the player (two copies drift apart).

Change: core/pick takes times and chances as inputs; core/call has the shared budget, core/admit says when a load is news. No decision changed.

Conclusion: the player can be written against core alone.

--- a/io/caller/shared.go
+++ b/core/call/shared.go
@@ -1,6 +1,4 @@
-package caller
-
-import "ibislift/core/call"
+package call
 
 // SharedBudget bounds the extra attempts for one service by all daemons
 // together: Ratio for each request, and Slack more in any window. Each daemon
@@ -14,12 +12,7 @@
 // daemons that are not known yet and for repeated calls of repeated runs.
 const sharedReserve = 0.3
 
-// renew brings the budget of a service up to the number of daemons.
-func (shared *SharedBudget) renew(old *service, daemons int) *call.Budget {
-	budget := &call.Budget{}
-	if old != nil {
-		budget = old.retries
-	}
-	budget.Share(shared.Ratio*(1-sharedReserve), shared.Slack*(1-sharedReserve)/float64(daemons))
-	return budget
+// Divide brings one daemon's part up to the number of daemons.
+func (shared *SharedBudget) Divide(part *Budget, daemons int) {
+	part.Share(shared.Ratio*(1-sharedReserve), shared.Slack*(1-sharedReserve)/float64(daemons))
 }
--- a/io/caller/age.go
+++ b/core/pick/age.go
@@ -1,4 +1,4 @@
-package caller
+package pick
 
 import (
 	"slices"
@@ -18,11 +18,11 @@
 	usualQuantile = 0.95
 )
 
-// ages tells how long ago callers wanted their requests first. Callers of a
+// Ages tells how long ago callers wanted their requests first. Callers of a
 // route give each request the same time; one that waited at its caller, or was
 // refused and comes back, has less left, by its age. It may be used by many
 // goroutines.
-type ages struct {
+type Ages struct {
 	mutex  sync.Mutex
 	routes map[string]*deadlines
 }
@@ -35,12 +35,12 @@
 	usual time.Duration
 }
 
-// of notes a request's deadline and returns the request's age: how much less
+// Of notes a request's deadline and returns the request's age: how much less
 // it has left than is usual on its route. Where the route's timeout is not
 // shorter than what callers usually give, they leave no time to come again:
 // then less time means something else, such as that a run which makes a call
 // is near its own end.
-func (ages *ages) of(route string, timeout, left time.Duration) time.Duration {
+func (ages *Ages) Of(route string, timeout, left time.Duration) time.Duration {
 	ages.mutex.Lock()
 	defer ages.mutex.Unlock()
 	known := ages.routes[route]
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -22,6 +22,7 @@
 	"google.golang.org/grpc"
 
 	"ibislift/core/admit"
+	"ibislift/core/call"
 	"ibislift/core/kernel"
 	"ibislift/core/profile"
 	"ibislift/core/route"
@@ -189,7 +190,7 @@
 		Log:      daemon.Log,
 		Dialect:  daemon.Site.Dialect,
 		Service:  daemon.Settings.Service,
-		Shared:   func() *caller.SharedBudget { return daemon.live.Load().sharedRetries() },
+		Shared:   func() *call.SharedBudget { return daemon.live.Load().sharedRetries() },
 		ReportTo: daemon.Settings.PeerAddress,
 		Split:    &routes.Split{Self: daemon.Settings.Name},
 	}
--- a/daemon/site.go
+++ b/daemon/site.go
@@ -3,7 +3,7 @@
 import (
 	"net/http"
 
-	"ibislift/io/caller"
+	"ibislift/core/call"
 	"ibislift/io/dialect"
 	"ibislift/io/platform"
 	"ibislift/io/upstream"
@@ -30,9 +30,9 @@
 }
 
 // sharedRetries is the budget that all daemons share, or nil.
-func (settings Settings) sharedRetries() *caller.SharedBudget {
+func (settings Settings) sharedRetries() *call.SharedBudget {
 	if settings.SharedRetryRatio == 0 {
 		return nil
 	}
-	return &caller.SharedBudget{Ratio: settings.SharedRetryRatio, Slack: settings.SharedRetrySlack}
+	return &call.SharedBudget{Ratio: settings.SharedRetryRatio, Slack: settings.SharedRetrySlack}
 }
--- a/io/caller/caller.go
+++ b/io/caller/caller.go
@@ -23,6 +23,7 @@
 	"ibislift/core/admit"
 	"ibislift/core/call"
 	"ibislift/core/kernel"
+	"ibislift/core/pick"
 	"ibislift/core/route"
 	"ibislift/core/routes"
 	"ibislift/io/dialect"
@@ -70,7 +71,7 @@
 	// Shared returns what bounds extra attempts over all daemons together, in
 	// place of the budgets of profiles, or nil; it is asked at each change of
 	// the view.
-	Shared func() *SharedBudget
+	Shared func() *call.SharedBudget
 	// ReportTo is where gates send reports of their load; empty means nowhere.
 	ReportTo string
 	// Split divides the requests of routes among their services.
@@ -79,7 +80,7 @@
 	services services
 	// judged is what Judgements has returned last; one goroutine calls it.
 	judged  map[string]route.Judgement
-	ages    ages
+	ages    pick.Ages
 	counter atomic.Uint64
 	running atomic.Int64
 }
@@ -114,10 +115,8 @@
 		original: original,
 		writer:   writer,
 		arrived:  arrived,
-		random:   rand.Uint64(),
+		picker:   request.picker(service, rand.Uint64()),
 		events:   make(chan call.Event, eventBuffer),
-		tried:    map[string]bool{},
-		declined: map[string]bool{},
 	}
 	exchange.run()
 }
--- a/io/caller/exchange.go
+++ b/io/caller/exchange.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
+	"ibislift/core/admit"
 	"ibislift/core/call"
 	"ibislift/core/kernel"
+	"ibislift/core/pick"
 )
 
 // eventBuffer holds every event that the attempts and the claim of one request
@@ -25,20 +28,13 @@
 	original *http.Request
 	writer   http.ResponseWriter
 	arrived  time.Time
-	random   uint64
+	picker   *pick.Picker
+	// patience is that of the choice that is sent next.
+	patience time.Duration
 
 	machine  call.Call
 	events   chan call.Event
 	attempts []*attempt
-	tried    map[string]bool
-	// targets names the attempts' targets; declined are those whose gates hold
-	// the request to be better off elsewhere, and are asked once more if it is
-	// not.
-	targets  []string
-	declined map[string]bool
-	patience time.Duration
-	// refusals counts the gates' refusals for want of room.
-	refusals int
 	claiming bool
 	over     bool
 	record   Record
@@ -70,25 +66,13 @@
 		Method: exchange.original.Method, Path: exchange.original.URL.Path,
 	}
 	defer exchange.end()
-	exchange.hedgeAt = exchange.arrived.Add(exchange.hedgeDelay())
+	exchange.hedgeAt = exchange.arrived.Add(exchange.picker.HedgeDelay(exchange.arrived))
 	exchange.apply(call.Arrived{})
 	for !exchange.over {
 		exchange.apply(exchange.await())
 	}
 }
 
-// hedgeDelay is how long to wait for an answer before a second target is
-// asked. Where the work is known it is the last moment at which another target
-// could still answer within the objective.
-func (exchange *exchange) hedgeDelay() time.Duration {
-	work := exchange.service.book.Class(exchange.request.class).Work
-	if exchange.request.route == nil || work == 0 {
-		return exchange.service.book.HedgeDelay()
-	}
-	objective := exchange.request.objective.Sub(exchange.arrived)
-	return max(2*work, objective-work*3/2)
-}
-
 // await waits for what happens next. While one attempt alone is under way this
 // goroutine reads its answer itself; otherwise attempts and claims send events.
 func (exchange *exchange) await() call.Event {
@@ -205,7 +189,9 @@
 	exchange.noteClaim(event)
 	exchange.noteFollowed(event)
 	exchange.explain(event)
-	exchange.noteDeclined(event)
+	if refused, is := event.(call.Refused); is {
+		exchange.picker.Refused(refused.Attempt, admit.Reason(refused.Reason))
+	}
 	for _, effect := range exchange.machine.Update(event) {
 		exchange.perform(effect)
 	}
@@ -243,9 +229,20 @@
 	}
 }
 
+// choose picks the next target.
+func (exchange *exchange) choose() {
+	choice, found := exchange.picker.Choose(exchange.handler.Now(), exchange.service.members, exchange.handler.Distance)
+	if !found {
+		exchange.apply(call.NoneLeft{})
+		return
+	}
+	exchange.patience = choice.Patience
+	exchange.explainChoice(choice.Candidates, choice.Index)
+	exchange.apply(call.Chosen{Target: choice.Member.ID})
+}
+
 func (exchange *exchange) send(send call.Send) {
-	exchange.tried[send.Target] = true
-	exchange.targets = append(exchange.targets, send.Target)
+	exchange.picker.Sent(send.Target)
 	kind := "first"
 	if send.Attempt > 0 {
 		kind = "extra"
@@ -294,8 +291,12 @@
 func (exchange *exchange) finish(finish call.Finish) {
 	exchange.over = true
 	if exchange.request.route != nil {
-		exchange.request.work = exchange.service.book.Class(exchange.request.class).Work
-		finish.RetryAfter = exchange.request.comeback(exchange.handler.Now(), finish.RetryAfter)
+		now := exchange.handler.Now()
+		refusal := pick.Refusal{
+			Left: exchange.request.patience.Sub(now), Objective: exchange.request.objective.Sub(now),
+			Room: finish.RetryAfter, Work: exchange.service.book.Class(exchange.request.class).Work,
+		}
+		finish.RetryAfter = refusal.Comeback(rand.Float64())
 	} else {
 		finish.RetryAfter = max(finish.RetryAfter, call.DefaultRetryAfter)
 	}
--- a/io/caller/request.go
+++ b/io/caller/request.go
@@ -12,6 +12,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"ibislift/core/pick"
 	"ibislift/core/profile"
 	"ibislift/core/routes"
 	"ibislift/io/dialect"
@@ -40,11 +41,9 @@
 	// deadline is when the caller's patience or the route's timeout ends,
 	// whichever is first; objective is when the answer loses most of its worth.
 	// patience is when the caller's own ends.
-	deadline  time.Time
-	patience  time.Time
-	objective time.Time
-	// work is how long the request is expected to run.
-	work       time.Duration
+	deadline   time.Time
+	patience   time.Time
+	objective  time.Time
 	repeatable bool
 	important  bool
 	rank       int
@@ -76,7 +75,7 @@
 }
 
 // readHeaders checks the headers that concern ibislift.
-func (request *request) readHeaders(original *http.Request, now time.Time, names *dialect.Dialect, ages *ages) error {
+func (request *request) readHeaders(original *http.Request, now time.Time, names *dialect.Dialect, ages *pick.Ages) error {
 	left, err := readDeadline(original.Header, names, time.Duration(request.rules.DefaultDeadline))
 	if err != nil {
 		return err
@@ -91,7 +90,7 @@
 		return err
 	}
 	if request.route != nil {
-		request.followRoute(now, ages.of(request.route.Name, request.route.Timeout, left))
+		request.followRoute(now, ages.Of(request.route.Name, request.route.Timeout, left))
 		return nil
 	}
 	request.repeatable = request.rules.Repeatable(original.Method, original.URL.Path)
@@ -119,6 +118,14 @@
 	}
 }
 
+// picker chooses the request's targets.
+func (request *request) picker(service *service, random uint64) *pick.Picker {
+	return &pick.Picker{
+		Book: service.book, Rules: service.rules, Policy: service.policy, Class: request.class,
+		Timed: request.route != nil, Objective: request.objective, Random: random,
+	}
+}
+
 // left is the time from a request's arrival to one of its times, or 0 if that
 // was not found out.
 func (request *request) left(arrived, at time.Time) time.Duration {
--- a/io/caller/services.go
+++ b/io/caller/services.go
@@ -47,7 +47,7 @@
 }
 
 // of returns a service as of a view.
-func (services *services) of(view *kernel.View, name string, shared *SharedBudget) *service {
+func (services *services) of(view *kernel.View, name string, shared *call.SharedBudget) *service {
 	held := services.current.Load()
 	if held == nil || held.view != view {
 		held = &snapshot{view: view}
@@ -115,7 +115,7 @@
 
 // renew carries over what outlives a view: the book always, the budgets and
 // the policy while the profile says the same of them.
-func (services *services) renew(name string, rules profile.Profile, shared *SharedBudget, daemons int) *service {
+func (services *services) renew(name string, rules profile.Profile, shared *call.SharedBudget, daemons int) *service {
 	services.mutex.Lock()
 	defer services.mutex.Unlock()
 	made := &service{rules: rules, known: true, book: &route.Book{}}
@@ -129,7 +129,11 @@
 	}
 	services.latest[name] = made
 	if shared != nil {
-		made.retries = shared.renew(old, daemons)
+		made.retries = &call.Budget{}
+		if old != nil {
+			made.retries = old.retries
+		}
+		shared.Divide(made.retries, daemons)
 		made.hedges = made.retries
 		return made
 	}
--- a/io/peer/report.go
+++ b/io/peer/report.go
@@ -37,10 +37,6 @@
 	datagramOverhead = 28
 	// maxReportBytes bounds a datagram.
 	maxReportBytes = 512
-	// slownessStep and loadStep are the changes that are worth a report: as a
-	// multiple, and as a part of the slots.
-	slownessStep = 1.25
-	loadStep     = 0.25
 )
 
 // Reporter tells the entries that have sent requests lately of changes in this
@@ -147,7 +143,7 @@
 		return
 	}
 	load := reporter.Load()
-	if isNews(reporter.last, load) {
+	if load.IsNews(reporter.last) {
 		reporter.last = load
 		for _, subscriber := range reporter.subscribers {
 			subscriber.behind = true
@@ -196,20 +192,3 @@
 		reporter.Count(direction, address, bytes)
 	}
 }
-
-// isNews says whether a load differs enough from the one that was told.
-func isNews(told, load admit.Load) bool {
-	slots := float64(max(1, load.Slots))
-	before, now := float64(told.Running+told.Queued), float64(load.Running+load.Queued)
-	// Below half of the slots no request waits, and a difference changes little.
-	if max(before, now) > slots/2 && abs(now-before) >= loadStep*slots {
-		return true
-	}
-	if told.Draining != load.Draining || told.Slots != load.Slots {
-		return true
-	}
-	low, high := min(told.Slowness, load.Slowness), max(told.Slowness, load.Slowness)
-	return high > low*slownessStep
-}
-
-func abs(value float64) float64 { return max(value, -value) }
