--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -178,12 +178,19 @@
 	// Headroom is the part of the slots that is left free, since upstreams
 	// slow down when they are nearly full.
 	Headroom float64
+	// FreshTime is how old the upstream's word on its slowness may get while
+	// requests come; 0 means that it is taken from answers only.
+	FreshTime time.Duration
 
 	work
-	requests map[uint64]*request
-	queue    []uint64
-	held     int
-	service  time.Duration
+	// arrivedAt is when the last request came, askedAt when the upstream was
+	// asked for its slowness last.
+	arrivedAt time.Time
+	askedAt   time.Time
+	requests  map[uint64]*request
+	queue     []uint64
+	held      int
+	service   time.Duration
 	// pressed is when a request was refused last that could have met its
 	// objective, and its rank.
 	pressed     time.Time
@@ -209,7 +216,8 @@
 	case Finished:
 		return gate.finish(event)
 	case Ticked:
-		return append(gate.expire(event.At), gate.fill(event.At)...)
+		effects := append(gate.expire(event.At), gate.fill(event.At)...)
+		return append(effects, gate.measure(event.At)...)
 	case DrainAsked:
 		return gate.drain()
 	case Reopened:
@@ -255,6 +263,7 @@
 }
 
 func (gate *Gate) arrive(arrived Arrived) []Effect {
+	gate.arrivedAt = arrived.At
 	switch {
 	case gate.draining:
 		return refuse(arrived.ID, ReasonDraining, 0)
--- a/daemon/beside.go
+++ b/daemon/beside.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"ibislift/core/kernel"
 	"ibislift/core/profile"
@@ -42,14 +43,41 @@
 	if daemon.gate.Load().Running > 0 {
 		return
 	}
-	path := daemon.beside.Current().HealthPath
-	healthy := daemon.client.Probe(context.Background(), path)
+	path := daemon.healthPath()
+	healthy, _ := daemon.client.Probe(context.Background(), path)
 	daemon.meter.Probe(healthy)
 	if !healthy {
 		daemon.Log.Warn("upstream failed its health probe", "path", path)
 	}
 }
 
+// measure asks the upstream beside how long work takes now, and reports it. One
+// question at a time is enough: an upstream that hangs gets no more.
+func (daemon *Daemon) measure() {
+	if !daemon.measuring.CompareAndSwap(false, true) {
+		return
+	}
+	defer daemon.measuring.Store(false)
+	healthy, load := daemon.client.Probe(context.Background(), daemon.healthPath())
+	daemon.meter.Probe(healthy)
+	if load != nil {
+		daemon.gate.Slowness(load.Slowness)
+		daemon.server.Reporter.Check(time.Now())
+	}
+}
+
+// healthPath is the one that the route table names or, without it, the one
+// that the upstream announced.
+func (daemon *Daemon) healthPath() string {
+	announced := daemon.beside.Current()
+	if table := daemon.control.view.Load().Routes; table != nil {
+		if path := table.Services[announced.Service].HealthPath; path != "" {
+			return path
+		}
+	}
+	return announced.HealthPath
+}
+
 // Exchange answers another daemon's envelope.
 func (daemon *Daemon) Exchange(ctx context.Context, envelope kernel.Envelope) (kernel.Envelope, error) {
 	return daemon.control.Exchange(ctx, envelope)
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -80,22 +80,23 @@
 	// LogDropped is the number of log lines left out so far, if the log counts.
 	LogDropped func() uint64
 
-	started  time.Time
-	control  *control
-	gate     *upstream.Gate
-	client   *upstream.Client
-	beside   *upstream.Beside
-	peers    *peer.Peers
-	platform *platform.Client
-	entry    *caller.Handler
-	meter    *metrics.Meter
-	rpc      *grpc.Server
-	server   *peer.Server
-	lines    net.Listener
-	servers  []*http.Server
-	callers  *http1.Server
-	leaving  atomic.Bool
-	failed   chan error
+	started   time.Time
+	control   *control
+	gate      *upstream.Gate
+	client    *upstream.Client
+	beside    *upstream.Beside
+	peers     *peer.Peers
+	platform  *platform.Client
+	entry     *caller.Handler
+	meter     *metrics.Meter
+	rpc       *grpc.Server
+	server    *peer.Server
+	lines     net.Listener
+	servers   []*http.Server
+	callers   *http1.Server
+	leaving   atomic.Bool
+	measuring atomic.Bool
+	failed    chan error
 	// live are the settings in force; see Reload.
 	live atomic.Pointer[Settings]
 	// applied is when the configuration in force came into force here.
@@ -147,7 +148,7 @@
 	daemon.Site = daemon.Site.withDefaults()
 	daemon.platform = &platform.Client{Address: daemon.Settings.PlatformAddress, Codec: daemon.Site.Codec, Log: daemon.Log, Count: meter.PlatformCall}
 	daemon.client = &upstream.Client{Dialect: daemon.Site.Dialect}
-	daemon.gate = &upstream.Gate{Now: time.Now, Headroom: daemon.Settings.Headroom, Waited: meter.Waited}
+	daemon.gate = &upstream.Gate{Now: time.Now, Headroom: daemon.Settings.Headroom, Waited: meter.Waited, FreshTime: daemon.Settings.FreshTime, Measure: daemon.measure}
 	daemon.control = newControl(daemon.Settings.kernelSettings(daemon.started.UnixMilli()))
 	server := &peer.Server{Gate: daemon.gate, Upstream: daemon.client, Control: daemon, Log: daemon.Log}
 	counter := &peer.Counter{Count: daemon.countControl}
--- a/daemon/flags.go
+++ b/daemon/flags.go
@@ -59,6 +59,8 @@
 	command.Flag("headroom", "Part of an upstream's slots that is left free, from 0 to below 1.").Default("0").Float64Var(&settings.Headroom)
 	command.Flag("byte-price", "How much sooner an answer must come for each megabyte that leaves the data centre.").
 		Default("0s").DurationVar(&settings.BytePrice)
+	command.Flag("fresh-time", "How old an upstream's word on its slowness may get while requests come; 0 asks for none.").
+		Default("0s").DurationVar(&settings.FreshTime)
 	command.Flag("shared-retry-ratio", "Extra attempts for each request of a service, over all daemons; 0 leaves it to profiles.").
 		Default("0").Float64Var(&settings.SharedRetryRatio)
 	command.Flag("shared-retry-slack", "Extra attempts for a service beside the ratio, over all daemons.").
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -75,6 +75,10 @@
 	// BytePrice is the time that a megabyte on a link out of the data centre
 	// is worth: how much sooner an answer must come to be fetched from there.
 	BytePrice time.Duration
+	// FreshTime is how old the word of an upstream on its slowness may get
+	// while requests come: then its health path is asked. 0 leaves it to
+	// answers.
+	FreshTime time.Duration
 	// SharedRetryRatio and SharedRetrySlack bound the extra attempts for a
 	// service by all daemons together; a ratio of 0 leaves it to profiles.
 	SharedRetryRatio float64
--- a/io/upstream/client.go
+++ b/io/upstream/client.go
@@ -258,27 +258,32 @@
 	return errors.Is(err, syscall.ECONNREFUSED)
 }
 
-// Probe asks the upstream's health path, and says whether it answered with a
-// success.
-func (client *Client) Probe(ctx context.Context, path string) bool {
+// Probe asks the upstream's health path. It says whether it answered with a
+// success, and what it told of its load, if it tells.
+func (client *Client) Probe(ctx context.Context, path string) (healthy bool, load *dialect.Load) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://upstream"+path, nil)
 	if err != nil {
-		return false
+		return false, nil
 	}
 	request.Header.Set(client.Names().RequestID, probeID)
 	answer, err := client.Do(ctx, request, nil)
 	if err != nil {
-		return false
+		return false, nil
 	}
 	_, err = io.Copy(io.Discard, io.LimitReader(answer.Body, maxProbeBytes))
 	if err != nil {
 		answer.Abort()
-		return false
+		return false, nil
 	}
 	answer.Finish()
-	return answer.StatusCode < http.StatusMultipleChoices
+	if parse := client.Names().ParseLoad; parse != nil {
+		if told, is := parse(answer.Header); is {
+			load = &told
+		}
+	}
+	return answer.StatusCode < http.StatusMultipleChoices, load
 }
 
 // probeID is what probes carry as the name of their request.
--- a/io/upstream/echo_test.go
+++ b/io/upstream/echo_test.go
@@ -47,6 +47,9 @@
 			reply(conn, "ok")
 		}))
 		client.ExpectEcho(true)
-		is.New(t).True(client.Probe(context.Background(), "/health"))
+		healthy, load := client.Probe(context.Background(), "/health")
+		is := is.New(t)
+		is.True(healthy)
+		is.True(load == nil) // it tells nothing of its load
 	})
 }
--- a/io/upstream/gate.go
+++ b/io/upstream/gate.go
@@ -28,6 +28,10 @@
 	Now func() time.Time
 	// Headroom is the part of the upstream's slots that is left free.
 	Headroom float64
+	// FreshTime is how old the upstream's word on its slowness may get while
+	// requests come, and Measure asks for it; 0 turns it off.
+	FreshTime time.Duration
+	Measure   func()
 	// Waited, if it is set, is told of the first decision on each request: its
 	// class, the reason if it was refused, and how long it waited.
 	Waited func(class string, refused admit.Reason, wait time.Duration)
@@ -52,7 +56,11 @@
 
 // Run lets the gate's expiries happen until the context ends.
 func (gate *Gate) Run(ctx context.Context) {
-	ticker := time.NewTicker(gateTick)
+	tick := gateTick
+	if gate.FreshTime > 0 {
+		tick = min(tick, gate.FreshTime/2)
+	}
+	ticker := time.NewTicker(tick)
 	defer ticker.Stop()
 	for {
 		select {
@@ -170,6 +178,7 @@
 		gate.reported = map[uint64]bool{}
 		gate.drained = make(chan struct{})
 		gate.machine.Headroom = gate.Headroom
+		gate.machine.FreshTime = gate.FreshTime
 	}
 	for _, effect := range update() {
 		gate.perform(effect)
@@ -184,6 +193,8 @@
 		gate.decide(effect.ID, Decision{HandedOver: true})
 	case admit.Refuse:
 		gate.decide(effect.ID, Decision{Reason: effect.Reason, RetryAfter: effect.RetryAfter})
+	case admit.Measure:
+		go gate.Measure()
 	case admit.Drained:
 		close(gate.drained)
 	}
--- a/standin/play/node.go
+++ b/standin/play/node.go
@@ -16,7 +16,7 @@
 	reportGap    = 40 * time.Millisecond
 	farReportGap = 200 * time.Millisecond
 	subscription = 2 * time.Second
-	gateTick     = 100 * time.Millisecond
+	gateTick     = 50 * time.Millisecond
 )
 
 // node is a daemon with its target: it takes callers, and its gate admits
@@ -65,6 +65,7 @@
 		books: map[string]*route.Book{}, budgets: map[string]*call.Budget{},
 	}
 	node.gate.Headroom = world.scenario.Headroom
+	node.gate.FreshTime = world.policy.FreshTime
 	node.update(admit.Resized{At: world.clock.now, Slots: service.Slots, QueueBound: world.policy.QueueBound})
 	node.upstream.start()
 	node.tick()
@@ -133,10 +134,24 @@
 			node.hand(effect.ID)
 		case admit.Refuse:
 			node.refuse(effect.ID, effect.Reason, effect.RetryAfter, false)
+		case admit.Measure:
+			node.measure()
 		}
 	}
 }
 
+// measure asks the target how slow it is.
+func (node *node) measure() {
+	node.world.report.Probes++
+	if node.upstream.down {
+		return
+	}
+	node.world.clock.after(milliseconds(node.upstream.service.ProbeTime), func() {
+		node.update(admit.Told{At: node.world.clock.now, Slowness: node.upstream.slowness()})
+		node.report()
+	})
+}
+
 // tell sends the gate's word to the entry, with its load.
 func (node *node) tell(id uint64, event func(*attempt) call.Event) {
 	arrival := node.arrivals[id]
--- a/standin/play/policy.go
+++ b/standin/play/policy.go
@@ -2,6 +2,7 @@
 
 import (
 	"sort"
+	"time"
 
 	"ibislift/core/route"
 )
@@ -25,27 +26,34 @@
 	Comeback bool
 	// Reports says that gates report changes of their load.
 	Reports bool
+	// FreshTime is how old a target's word on its slowness may get before its
+	// gate asks for it.
+	FreshTime time.Duration
 	// Knows says that entries see each gate's load as it is, which no system
 	// can: what is lost even so is lost for want of capacity.
 	Knows bool
 }
 
+// freshTime is what the adapter to the users' platform sets.
+const freshTime = 100 * time.Millisecond
+
 // Now is the policy of the product.
 const Now = "now"
 
 // Policies are those that may be compared: the product's own, its earlier ones,
 // plain baselines, and one that knows all loads at each moment.
 var Policies = map[string]Policy{
-	Now:               {Place: route.Soonest, Timed: true, Gated: true, QueueBound: 64, Retries: true, Comeback: true, Reports: true},
-	"withoutReports":  {Place: route.Soonest, Timed: true, Gated: true, QueueBound: 64, Retries: true, Comeback: true},
-	"withoutComeback": {Place: route.Soonest, Timed: true, Gated: true, QueueBound: 64, Retries: true, Reports: true},
-	"withoutRetries":  {Place: route.Soonest, Timed: true, Gated: true, QueueBound: 64, Comeback: true, Reports: true},
-	"adaptive":        {Place: "adaptive", Gated: true, QueueBound: 64, Retries: true},
-	"roundRobin":      {Place: "roundRobin"},
-	"random":          {Place: "random"},
-	"leastInFlight":   {Place: "leastInFlight"},
-	"powerOfTwo":      {Place: "powerOfTwo"},
-	"knowing":         {Place: route.Soonest, Timed: true, Gated: true, QueueBound: 64, Retries: true, Comeback: true, Reports: true, Knows: true},
+	Now:                {Place: route.Soonest, Timed: true, Gated: true, QueueBound: 64, Retries: true, Comeback: true, Reports: true, FreshTime: freshTime},
+	"withoutReports":   {Place: route.Soonest, Timed: true, Gated: true, QueueBound: 64, Retries: true, Comeback: true, FreshTime: freshTime},
+	"withoutMeasuring": {Place: route.Soonest, Timed: true, Gated: true, QueueBound: 64, Retries: true, Comeback: true, Reports: true},
+	"withoutComeback":  {Place: route.Soonest, Timed: true, Gated: true, QueueBound: 64, Retries: true, Reports: true, FreshTime: freshTime},
+	"withoutRetries":   {Place: route.Soonest, Timed: true, Gated: true, QueueBound: 64, Comeback: true, Reports: true, FreshTime: freshTime},
+	"adaptive":         {Place: "adaptive", Gated: true, QueueBound: 64, Retries: true},
+	"roundRobin":       {Place: "roundRobin"},
+	"random":           {Place: "random"},
+	"leastInFlight":    {Place: "leastInFlight"},
+	"powerOfTwo":       {Place: "powerOfTwo"},
+	"knowing":          {Place: route.Soonest, Timed: true, Gated: true, QueueBound: 64, Retries: true, Comeback: true, Reports: true, FreshTime: freshTime, Knows: true},
 }
 
 // PolicyOf returns a policy by its name.
--- a/standin/play/report.go
+++ b/standin/play/report.go
@@ -69,6 +69,8 @@
 	// of slots.
 	Busy  float64
 	Slots int
+	// Probes counts the health checks.
+	Probes int
 	// Steps are the day in steps of StepTime.
 	Steps []Step
 
@@ -177,7 +179,7 @@
 // Compare prints one line for each policy.
 func Compare(out io.Writer, reports []*Report) {
 	table := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
-	fmt.Fprintln(table, "policy\tcredit\tserved\tslots held\twasted s\textra\treturns\tMB between zones\tworst class")
+	fmt.Fprintln(table, "policy\tcredit\tserved\tslots held\twasted s\textra\treturns\tMB between zones\tprobes\tworst class")
 	for _, report := range reports {
 		var wasted, bytes float64
 		extra, returns := 0, 0
@@ -193,8 +195,8 @@
 				}
 			}
 		}
-		fmt.Fprintf(table, "%s\t%.3f\t%.3f\t%.2f\t%.1f\t%d\t%d\t%.1f\t%s %.2f\n", report.Policy, report.Credit(), report.Served(),
-			report.Use(), wasted, extra, returns, bytes/1e6, name, worst)
+		fmt.Fprintf(table, "%s\t%.3f\t%.3f\t%.2f\t%.1f\t%d\t%d\t%.1f\t%d\t%s %.2f\n", report.Policy, report.Credit(), report.Served(),
+			report.Use(), wasted, extra, returns, bytes/1e6, report.Probes, name, worst)
 	}
 	_ = table.Flush()
 }
--- a/standin/play/scenario.go
+++ b/standin/play/scenario.go
@@ -80,6 +80,8 @@
 	NoiseShare  float64 `json:"noiseShare,omitempty"`
 	NoiseFactor float64 `json:"noiseFactor,omitempty"`
 	NoiseEvery  float64 `json:"noiseEvery,omitempty"`
+	// ProbeTime is how long a health check takes.
+	ProbeTime float64 `json:"probeTime,omitempty"`
 }
 
 // Class is a kind of request.
