--- a/standin/deployment/deployment.go
+++ b/standin/deployment/deployment.go
@@ -11,6 +11,7 @@
 package deployment
 
 import (
+	"cmp"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -43,6 +44,9 @@
 	// ServiceShape is how many exponential parts the service time has; more
 	// make it steadier.
 	ServiceShape int
+	// PlatformProxy is the address that daemons use in place of the platform's
+	// own, if it is set.
+	PlatformProxy string
 	// Plain runs the daemons as operators do, without links that take time.
 	Plain bool
 }
@@ -210,7 +214,7 @@
 		"--caller-address", instance.Callers(), "--peer-address", instance.address(peerPort),
 		"--carry-address", instance.address(carryPort),
 		"--upstream-address", instance.address(announcePort), "--operator-address", instance.Operators(),
-		"--platform-address", running.PlatformAddress(), "--platform-region", plan.Regions[0],
+		"--platform-address", cmp.Or(plan.PlatformProxy, running.PlatformAddress()), "--platform-region", plan.Regions[0],
 		"--data-centre-latency", plan.DataCentreLatency.String(), "--region-capacity", "8",
 	}
 	program := "ibislift"
--- a/standin/load/load.go
+++ b/standin/load/load.go
@@ -50,6 +50,8 @@
 	Most int
 	// Resends is how often a request is sent again that has not been answered.
 	Resends int
+	// Alone says of a request that it is never sent again; nil means none.
+	Alone func(Request) bool
 	// During is called at moments of the run, from another goroutine.
 	During []Moment
 
@@ -125,7 +127,11 @@
 // send sends a request, and again if its end is not known or it has not run.
 func (generator *Generator) send(request Request, trial string, intended time.Time) {
 	var found result
-	for sending := range generator.Resends + 1 {
+	resends := generator.Resends
+	if generator.Alone != nil && generator.Alone(request) {
+		resends = 0
+	}
+	for sending := range resends + 1 {
 		name := fmt.Sprintf("%s.%d", trial, sending)
 		if sending > 0 {
 			time.Sleep(resendPause)
--- a/standin/load/report.go
+++ b/standin/load/report.go
@@ -43,7 +43,9 @@
 	Took time.Duration
 	// NotRun holds the sendings that were told notRun, Changes the sendings of
 	// each request that may run once at most.
-	NotRun  map[string]bool
+	NotRun map[string]bool
+	// Broken are the sendings whose connection ended without a whole answer.
+	Broken  []string
 	Changes map[string][]string
 }
 
@@ -79,6 +81,9 @@
 	if result.outcome == "notRun" {
 		generator.report.NotRun[name] = true
 	}
+	if result.broken {
+		generator.report.Broken = append(generator.report.Broken, name)
+	}
 }
 
 // record counts the end of a request.
@@ -155,6 +160,43 @@
 	return doubled, wrong
 }
 
+// Findings are what Audit counts, one line each.
+func (report *Report) Findings(runs map[string]int) []string {
+	var findings []string
+	for trial, sendings := range report.Changes {
+		count := 0
+		for _, name := range sendings {
+			count += runs[name]
+		}
+		if count > 1 {
+			findings = append(findings, fmt.Sprintf("%s ran %d times, in %d sendings", trial, count, len(sendings)))
+		}
+	}
+	for name := range report.NotRun {
+		if runs[name] > 0 {
+			findings = append(findings, name+" has run although notRun was told")
+		}
+	}
+	for key, row := range report.Rows {
+		if row.Wrong > 0 {
+			findings = append(findings, fmt.Sprintf("%d wrong answers to %s %s", row.Wrong, key.Service, key.Class))
+		}
+	}
+	sort.Strings(findings)
+	return findings
+}
+
+// Cut are the sendings that have run and whose answer broke off.
+func (report *Report) Cut(runs map[string]int) []string {
+	var cut []string
+	for _, name := range report.Broken {
+		if runs[name] > 0 {
+			cut = append(cut, name)
+		}
+	}
+	return cut
+}
+
 // Print writes the report as a table.
 func (report *Report) Print(to io.Writer) {
 	writer := tabwriter.NewWriter(to, 0, 0, 2, ' ', tabwriter.AlignRight)
