--- a/core/member/member_test.go
+++ b/core/member/member_test.go
@@ -113,6 +113,21 @@
 			return true
 		}))
 	})
+	t.Run("a partition grows together again without the first peers", func(t *testing.T) {
+		joined := newFleet(11, 14, 1)
+		isEven := func(settings kernel.Settings) bool { return settings.Self[len(settings.Self)-1]%2 == 0 }
+		joined.Lost = func(from, to kernel.Settings) bool { return isEven(from) != isEven(to) }
+		other := func() bool {
+			return stateOf(joined, "d2", "d3") == kernel.MemberDead && stateOf(joined, "d3", "d2") == kernel.MemberDead
+		}
+		is := is.New(t)
+		is.True(joined.RunUntil(time.Minute, other))
+		joined.Stop("d0")
+		joined.Stop("d1")
+		joined.Run(30 * time.Second) // their last answers are long past
+		joined.Lost = nil
+		is.True(joined.RunUntil(time.Minute, func() bool { return livingAgree(joined) && stateOf(joined, "d2", "d3") == kernel.MemberAlive }))
+	})
 	t.Run("a restarted daemon is alive whatever its clock says", func(t *testing.T) {
 		joined := newFleet(7, 6, 1)
 		joined.Stop("d3")
--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -77,6 +77,24 @@
   'time.Duration(share-1)' 'time.Duration(share)' ./core/measure
 mutant "an innocent fingerprint is blocked for good" core/crash/crash.go \
   'if !at.Before(time.UnixMilli(known.Expires)) {' 'if known.Expires < 0 {' ./core/crash
+mutant "a clerk forgets the ends that it was told" core/once/once.go \
+  'log.end(closed.Request, at)' '' ./core/once
+mutant "a settlement waits for the next claim for ever" core/once/once.go \
+  'at.Sub(log.settleFrom) >= settleWait' 'false' ./core/once
+mutant "clerks that lost a partition are not asked again" daemon/claims.go \
+  'if !lost || ctx.Err() != nil {' 'if true {' ./daemon
+mutant "gates never ask how slow their upstream is" core/admit/measure.go \
+  'if gate.FreshTime <= 0' 'if true' ./core/admit ./standin/play
+mutant "load reports have no budget" io/peer/report.go \
+  'if !reporter.bytes.AllowN(at, len(datagram)+datagramOverhead) {' 'if false {' ./io/peer
+mutant "a request is sent to the same target twice" core/pick/pick.go \
+  'picker.tried[target] = true' '' ./core/pick
+mutant "a refused request is sent around without hope" core/pick/pick.go \
+  'if picker.refusals > 0 &&' 'if false &&' ./core/pick
+mutant "ranks do not count in the queue" core/admit/queue.go \
+  'cmp.Compare(one.arrived.rank(), other.arrived.rank()),' '' ./core/admit ./standin/play
+mutant "late requests go before others" core/admit/queue.go \
+  'compareBool(one.late, other.late)' 'compareBool(other.late, one.late)' ./core/admit ./standin/play
 mutant "a connection with a late answer is used again" io/upstream/connection.go \
   'if tcp.IsQuiet(idle.Conn) {' 'if tcp.IsQuiet(idle.Conn) || true {' ./io/upstream
 mutant "a crossed answer is passed on" io/upstream/client.go \
