--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 SOURCES = $(shell git ls-files -co --exclude-standard '*.go' | grep -v '\.pb\.go$$')
 VERSION := $(shell git describe --always --dirty 2>/dev/null || echo development)
 
-.PHONY: build test check tools demo demo-keep faults bench bench-added slopes mutants generate
+.PHONY: build test check tools demo demo-keep faults soak bench bench-added slopes mutants generate
 
 build:
 	go build -ldflags '-X main.version=$(VERSION)' -o bin/ ./cmd/...
@@ -44,6 +44,13 @@
 faults: build
 	bin/faults
 
+FIRST ?= 1
+SEEDS ?= 1
+MINUTES ?= 0
+JOBS ?= 1
+soak: build
+	bin/soak --first $(FIRST) --seeds $(SEEDS) --minutes $(MINUTES) --jobs $(JOBS) $(SOAKFLAGS)
+
 mutants:
 	tools/mutants.sh
 
--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -13,6 +13,8 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -24,6 +26,7 @@
 	programs := app.Flag("programs", "Directory of the programs.").Default("bin").String()
 	first := app.Flag("first", "First seed; 0 takes the clock.").Default("1").Int64()
 	seeds := app.Flag("seeds", "Number of seeds.").Default("1").Int()
+	file := app.Flag("file", "File with seeds to play, one at the start of each line, in place of the others.").String()
 	minutes := app.Flag("minutes", "Go on with further seeds for so long.").Float64()
 	length := app.Flag("length", "Time of harm for each seed.").Default("12s").Duration()
 	jobs := app.Flag("jobs", "Seeds at a time.").Default("2").Int()
@@ -35,7 +38,13 @@
 		*first = time.Now().Unix()
 	}
 	soak := &soak{programs: *programs, length: *length, targets: *targets, safety: *safety, keep: *keep}
-	soak.run(*first, *seeds, *minutes, *jobs)
+	if *file != "" {
+		listed, err := seedsOf(*file)
+		kingpin.FatalIfError(err, "seeds")
+		soak.run(listed, 0, *jobs)
+	} else {
+		soak.run(between(*first, *seeds), *minutes, *jobs)
+	}
 	fmt.Printf("%d seeds, %d with a violation\n", soak.played, soak.violated)
 	if soak.violated > 0 {
 		os.Exit(1)
@@ -55,19 +64,54 @@
 	violated int
 }
 
-// run plays seeds, some at a time, until their number and the time are used up.
-func (soak *soak) run(first int64, seeds int, minutes float64, jobs int) {
+// seedsOf reads the seeds of a file. What stands behind a seed is its cause.
+func seedsOf(path string) ([]int64, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	var seeds []int64
+	for number, line := range strings.Split(string(text), "\n") {
+		words := strings.Fields(line)
+		if len(words) == 0 {
+			continue
+		}
+		seed, err := strconv.ParseInt(words[0], 10, 64)
+		if err != nil {
+			return nil, fmt.Errorf("%s: line %d: %q is not a seed", path, number+1, words[0])
+		}
+		seeds = append(seeds, seed)
+	}
+	return seeds, nil
+}
+
+func between(first int64, count int) []int64 {
+	var seeds []int64
+	for number := range count {
+		seeds = append(seeds, first+int64(number))
+	}
+	return seeds
+}
+
+// run plays seeds, some at a time, and goes on with those that follow the last
+// one until the time is used up.
+func (soak *soak) run(seeds []int64, minutes float64, jobs int) {
 	end := time.Now().Add(time.Duration(minutes * float64(time.Minute)))
 	var mutex sync.Mutex
-	next := first
+	last := int64(0)
 	take := func() (int64, bool) {
 		mutex.Lock()
 		defer mutex.Unlock()
-		if next >= first+int64(seeds) && !time.Now().Before(end) {
+		switch {
+		case len(seeds) > 0:
+			last = seeds[0]
+			seeds = seeds[1:]
+		case time.Now().Before(end):
+			last++
+		default:
 			return 0, false
 		}
-		next++
-		return next - 1, true
+		return last, true
 	}
 	var playing sync.WaitGroup
 	for job := range jobs {
--- a/cmd/soak/trial.go
+++ b/cmd/soak/trial.go
@@ -48,6 +48,7 @@
 func (trial *trial) play() {
 	trial.random = rand.New(rand.NewPCG(uint64(trial.seed), 5))
 	trial.harmed = map[string]bool{}
+	trial.began = time.Now()
 	if err := trial.start(); err != nil {
 		trial.violate("the deployment did not start: %v", err)
 		return
--- a/standin/load/load.go
+++ b/standin/load/load.go
@@ -163,6 +163,9 @@
 	if err != nil {
 		return result{outcome: "unknown"}
 	}
+	// Without a way to read the body again the transport never repeats a
+	// request by itself, as it would a lookup or one with an idempotency key.
+	sent.GetBody = nil
 	sent.Host = request.Service
 	sent.Header.Set(upstream.TrialHeader, name)
 	sent.Header.Set("Ibislift-Deadline", request.Deadline.String())
@@ -178,7 +181,8 @@
 
 func bodyOf(request Request) io.Reader {
 	if request.Method == http.MethodGet {
-		return nil
+		// Not nil, so that the transport takes it for one it cannot repeat.
+		return io.LimitReader(strings.NewReader(""), 0)
 	}
 	return strings.NewReader(`{"volunteer": 17}`)
 }
--- /dev/null
+++ b/standin/load/load_test.go
@@ -0,0 +1,51 @@
+package load_test
+
+import (
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"ibislift/standin/load"
+	"ibislift/standin/upstream"
+)
+
+// TestClientSendsOnce checks that the client never sends a request again by
+// itself: what is told of one sending must not be taken for another's.
+func TestClientSendsOnce(t *testing.T) {
+	for _, method := range []string{"GET", "POST"} {
+		t.Run(method, func(t *testing.T) { sendsOnce(t, method) })
+	}
+}
+
+func sendsOnce(t *testing.T, method string) {
+	var arrived, broken atomic.Int64
+	server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		_, _ = io.Copy(io.Discard, request.Body)
+		if arrived.Add(1)%2 == 0 {
+			// A connection that has carried a request before breaks off.
+			broken.Add(1)
+			panic(http.ErrAbortHandler)
+		}
+		_, _ = fmt.Fprintf(writer, `{"service": "desk", "trial": %q}`, request.Header.Get(upstream.TrialHeader))
+	}))
+	defer server.Close()
+	generator := &load.Generator{Rate: 200, Seed: 1, Prefix: "t", Most: 1, Pick: func(_ *rand.Rand, number int) load.Request {
+		return load.Request{
+			Address: strings.TrimPrefix(server.URL, "http://"), Service: "desk", Method: method, Path: "/entries",
+			Key: fmt.Sprint(number), Deadline: 5 * time.Second,
+		}
+	}}
+	report := generator.Run(200 * time.Millisecond)
+	is := is.New(t)
+	is.True(broken.Load() > 0)
+	is.Equal(int64(len(report.Broken)), broken.Load())
+	is.Equal(int64(report.Total("").Requests-report.Total("").Dropped), arrived.Load())
+}
