One copy of the report times; the age of what was never reported

Cause: the player had its own copy of the load reports' times, and the gate one of the subscription time; the log told an age of 292 years for a target that had reported nothing (seen in the soak's logs).

--- a/core/admit/measure.go
+++ b/core/admit/measure.go
@@ -2,10 +2,6 @@
 
 import "time"
 
-// measureTime is how long after its last request a gate goes on to measure:
-// entries that have sent nothing for that time get no reports either.
-const measureTime = 2 * time.Second
-
 // Measure asks for the upstream's word on how long work takes now.
 type Measure struct{}
 
@@ -17,7 +13,7 @@
 // upstream's machine come and go sooner than answers do.
 func (gate *Gate) measure(at time.Time) []Effect {
 	tells := gate.slowness > 0
-	wanted := gate.Slots > 0 && !gate.draining && at.Sub(gate.arrivedAt) <= measureTime
+	wanted := gate.Slots > 0 && !gate.draining && at.Sub(gate.arrivedAt) <= SubscriptionTime
 	stale := at.Sub(gate.toldAt) >= gate.FreshTime && at.Sub(gate.askedAt) >= gate.FreshTime
 	if gate.FreshTime <= 0 || !tells || !wanted || !stale {
 		return nil
--- a/core/admit/news.go
+++ b/core/admit/news.go
@@ -1,6 +1,20 @@
 package admit
 
-import "math"
+import (
+	"math"
+	"time"
+)
+
+// Times of the reports of a gate's load.
+const (
+	// ReportGap is the least time between two reports to an entry, FarReportGap
+	// that to one in another region, where bytes are dear and the way is long.
+	ReportGap    = 40 * time.Millisecond
+	FarReportGap = 200 * time.Millisecond
+	// SubscriptionTime is how long after its last request an entry still gets
+	// reports.
+	SubscriptionTime = 2 * time.Second
+)
 
 // The changes of a load that are worth a report: as a multiple of the slowness,
 // and as a part of the slots.
--- a/io/caller/record.go
+++ b/io/caller/record.go
@@ -53,9 +53,12 @@
 func (step Step) chosen() string {
 	for _, candidate := range step.Candidates {
 		if candidate.Chosen {
+			age := "none" // nothing was reported yet
+			if candidate.Known {
+				age = candidate.Age.Round(time.Millisecond).String()
+			}
 			return fmt.Sprintf(" %d, %s: running %d of %d, queued %d, slowness %.2f, failing %.2f, age %s", len(step.Candidates),
-				candidate.Target, candidate.Running, candidate.Slots, candidate.Queued, candidate.Slowness, candidate.Failing,
-				candidate.Age.Round(time.Millisecond))
+				candidate.Target, candidate.Running, candidate.Slots, candidate.Queued, candidate.Slowness, candidate.Failing, age)
 		}
 	}
 	return ""
--- a/io/peer/report.go
+++ b/io/peer/report.go
@@ -16,18 +16,11 @@
 	"ibislift/io/peer/peerpb"
 )
 
-// Times and bounds of load reports.
+// Bounds of load reports.
 const (
-	// subscriptionTime is how long after its last request an entry still gets
-	// reports.
-	subscriptionTime = 2 * time.Second
 	// maxSubscribers bounds the entries that a gate reports to, so that its
 	// cost does not grow with the fleet.
 	maxSubscribers = 64
-	// minReportGap is the least time between two reports, farReportGap that to
-	// entries in other regions, where bytes are dear and the way is long.
-	minReportGap = 40 * time.Millisecond
-	farReportGap = 200 * time.Millisecond
 	// reportBytesPerSecond bounds what a gate sends: of the 21 KB a second of a
 	// daemon's control, 18 are left for reports, and what is sent is received
 	// by others. A report that is put off for it is told with the next look.
@@ -139,7 +132,7 @@
 	}
 	reporter.mutex.Lock()
 	defer reporter.mutex.Unlock()
-	if reporter.socket == nil || at.Sub(reporter.lastAt) < minReportGap {
+	if reporter.socket == nil || at.Sub(reporter.lastAt) < admit.ReportGap {
 		return
 	}
 	load := reporter.Load()
@@ -157,7 +150,7 @@
 func (reporter *Reporter) tell(load admit.Load, at time.Time) {
 	var datagram []byte
 	maps.DeleteFunc(reporter.subscribers, func(_ string, subscriber *subscriber) bool {
-		return at.Sub(subscriber.asked) > subscriptionTime
+		return at.Sub(subscriber.asked) > admit.SubscriptionTime
 	})
 	// Those who were told longest ago come first.
 	addresses := slices.SortedFunc(maps.Keys(reporter.subscribers), func(one, other string) int {
@@ -165,7 +158,7 @@
 	})
 	for _, address := range addresses {
 		subscriber := reporter.subscribers[address]
-		if !subscriber.behind || !subscriber.near && at.Sub(subscriber.told) < farReportGap {
+		if !subscriber.behind || !subscriber.near && at.Sub(subscriber.told) < admit.FarReportGap {
 			continue
 		}
 		if datagram == nil {
--- a/standin/play/node.go
+++ b/standin/play/node.go
@@ -11,13 +11,8 @@
 	"ibislift/core/route"
 )
 
-// Times of the load reports, as the daemon has them.
-const (
-	reportGap    = 40 * time.Millisecond
-	farReportGap = 200 * time.Millisecond
-	subscription = 2 * time.Second
-	gateTick     = 50 * time.Millisecond
-)
+// gateTick is how often a gate looks for what has expired.
+const gateTick = 50 * time.Millisecond
 
 // node is a daemon with its target: it takes callers, and its gate admits
 // requests to the target.
@@ -283,7 +278,7 @@
 // report tells the entries that have sent requests lately of a change.
 func (node *node) report() {
 	now := node.world.clock.now
-	if !node.world.policy.Reports || node.world.silent || now.Sub(node.toldAt) < reportGap {
+	if !node.world.policy.Reports || node.world.silent || now.Sub(node.toldAt) < admit.ReportGap {
 		return
 	}
 	load := node.gate.LoadOf(now, "")
@@ -297,13 +292,13 @@
 		if hearer == nil {
 			continue
 		}
-		if now.Sub(hearer.asked) > subscription {
+		if now.Sub(hearer.asked) > admit.SubscriptionTime {
 			delete(node.hearers, entry)
 			continue
 		}
 		hearer.behind = hearer.behind || news
 		far := entry.zone.Region != node.zone.Region
-		if !hearer.behind || far && now.Sub(hearer.told) < farReportGap {
+		if !hearer.behind || far && now.Sub(hearer.told) < admit.FarReportGap {
 			continue
 		}
 		hearer.behind, hearer.told = false, now
