Measuring costs no more than the requests it is for

A gate with a request each second asked ten times for it.

Change: a request earns two health checks, ten are saved at most.

--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -187,10 +187,12 @@
 	// asked for its slowness last.
 	arrivedAt time.Time
 	askedAt   time.Time
-	requests  map[uint64]*request
-	queue     []uint64
-	held      int
-	service   time.Duration
+	// earned is the number of health checks that requests have earned.
+	earned   int
+	requests map[uint64]*request
+	queue    []uint64
+	held     int
+	service  time.Duration
 	// pressed is when a request was refused last that could have met its
 	// objective, and its rank.
 	pressed     time.Time
@@ -264,6 +266,7 @@
 
 func (gate *Gate) arrive(arrived Arrived) []Effect {
 	gate.arrivedAt = arrived.At
+	gate.earned = min(maxEarned, gate.earned+checksPerRequest)
 	switch {
 	case gate.draining:
 		return refuse(arrived.ID, ReasonDraining, 0)
