--- a/core/kernel/platform.go
+++ b/core/kernel/platform.go
@@ -95,12 +95,14 @@
 	Body    []byte
 }
 
-// PlatformResult is the result of a call to the platform.
+// PlatformResult is the result of a call to the platform. Invalid is the number of
+// objects in the reply that were left out because they could not be decoded.
 type PlatformResult struct {
 	Status   PlatformStatus
 	Object   Object
 	Objects  []Object
 	Revision uint64
+	Invalid  int
 }
 
 // ChangeStatus is the outcome of an operator's change.
--- a/core/pick/pick.go
+++ b/core/pick/pick.go
@@ -13,6 +13,7 @@
 package pick
 
 import (
+	"slices"
 	"time"
 
 	"ibislift/core/admit"
@@ -30,6 +31,9 @@
 	// Class is the name of the request's class, for which the tracker holds the
 	// service time.
 	Class string
+	// BodyBytes is the size of the request's body or, if it is not known, of the
+	// part that has arrived.
+	BodyBytes float64
 	// HasObjective says that Objective is set. Without an objective, or as long
 	// as the service time is not known, Policy chooses the target.
 	HasObjective bool
@@ -42,9 +46,11 @@
 	// targets holds the target of each attempt. Targets in tried are not tried
 	// again. Targets in declined refused the request because another target
 	// should be faster; they may be tried once more.
+	// Those in lost may be tried once more if no other target is left.
 	targets  []string
 	tried    map[string]bool
 	declined map[string]bool
+	lost     map[string]bool
 	// refusals counts the refusals for lack of capacity.
 	refusals int
 }
@@ -63,24 +69,19 @@
 	Index      int
 }
 
-// Choose chooses a target among the members that the request has not tried. It
-// returns false if all of them were tried. It also returns false if the request
+// Choose chooses a target among the members that the request has not tried, or
+// else among those whose response was lost. It returns false if there are none. It also returns false if the request
 // was refused for lack of capacity and no target is expected to respond within
 // the objective: it is then better that the caller retries later than that the
 // ingress tries further targets now.
 func (picker *Picker) Choose(now time.Time, members []kernel.Member, linkTo func(kernel.Member) route.Link) (Choice, bool) {
-	var untried []kernel.Member
-	for _, member := range members {
-		if !picker.tried[member.ID] {
-			untried = append(untried, member)
-		}
-	}
+	untried := picker.untried(members)
 	if len(untried) == 0 {
 		return Choice{}, false
 	}
 	choice := Choice{Candidates: picker.Tracker.Candidates(now, picker.Profile, untried, linkTo)}
 	class := picker.Tracker.Class(picker.Class)
-	request := route.Request{Random: picker.nextRandom(), Weights: picker.Profile.Weights, ServiceTime: class.ServiceTime, ResponseBytes: class.ResponseBytes}
+	request := route.Request{Random: picker.nextRandom(), Weights: picker.Profile.Weights, ServiceTime: class.ServiceTime, Bytes: picker.BodyBytes + class.ResponseBytes}
 	request.MeanUtilization, request.MeanSlowness = picker.Tracker.Means()
 	if !picker.HasObjective || request.ServiceTime == 0 {
 		choice.Index = picker.Policy.Choose(request, choice.Candidates)
@@ -99,6 +100,24 @@
 	return choice, true
 }
 
+// untried returns the members that the request may be sent to: those that it has
+// not been sent to or, if there are none, those whose response was lost.
+func (picker *Picker) untried(members []kernel.Member) []kernel.Member {
+	var untried, lost []kernel.Member
+	for _, member := range members {
+		switch {
+		case !picker.tried[member.ID]:
+			untried = append(untried, member)
+		case picker.lost[member.ID]:
+			lost = append(lost, member)
+		}
+	}
+	if len(untried) == 0 {
+		return lost
+	}
+	return untried
+}
+
 // nextRandom returns the next number of the request's own xorshift generator.
 func (picker *Picker) nextRandom() uint64 {
 	picker.Random ^= picker.Random << 13
@@ -113,6 +132,7 @@
 		picker.tried = map[string]bool{}
 	}
 	picker.tried[target] = true
+	delete(picker.lost, target)
 	picker.targets = append(picker.targets, target)
 }
 
@@ -132,6 +152,20 @@
 	}
 }
 
+// RecordLoss records that the response of an attempt was lost although the target
+// did not crash, for example because a duplicate of an earlier response arrived on
+// its connection. The target may be tried once more, on another connection.
+func (picker *Picker) RecordLoss(attempt int) {
+	target := picker.targets[attempt]
+	if slices.Contains(picker.targets[:attempt], target) {
+		return
+	}
+	if picker.lost == nil {
+		picker.lost = map[string]bool{}
+	}
+	picker.lost[target] = true
+}
+
 // HedgeDelay returns how long to wait for a response before the request is also
 // sent to a second target. If the service time is known, the hedge is sent at
 // the last moment at which another target could still respond within the
--- a/core/pick/pick_test.go
+++ b/core/pick/pick_test.go
@@ -82,6 +82,25 @@
 		is.True(found)
 		is.Equal(target, "t1")
 	})
+	t.Run("a large body keeps a request away from a link that is paid by the byte", func(t *testing.T) {
+		fixture := newFixture()
+		fixture.report("t0", 14) // the only target without such a link waits for a slot
+		chooseWith := func(bodyBytes float64) string {
+			picker := fixture.picker(time.Second)
+			picker.BodyBytes = bodyBytes
+			choice, found := picker.Choose(fixture.now, fixture.members, func(member kernel.Member) route.Link {
+				if member.ID == "t0" {
+					return route.Link{}
+				}
+				return route.Link{SecondsPerByte: 8e-6}
+			})
+			is.New(t).True(found)
+			return choice.Member.ID
+		}
+		is := is.New(t)
+		is.True(chooseWith(0) != "t0")
+		is.Equal(chooseWith(60_000), "t0")
+	})
 	t.Run("no target is chosen twice", func(t *testing.T) {
 		fixture := newFixture()
 		picker := fixture.picker(time.Second)
@@ -105,6 +124,23 @@
 		is.True(found)
 		is.Equal(second, first)
 	})
+	t.Run("a target whose response was lost is tried once more when no other is left", func(t *testing.T) {
+		fixture := newFixture()
+		fixture.members = fixture.members[:2]
+		picker := fixture.picker(time.Second)
+		first, _ := fixture.choose(picker)
+		picker.RecordLoss(0)
+		second, _ := fixture.choose(picker)
+		is := is.New(t)
+		is.True(second != first)
+		third, found := fixture.choose(picker)
+		is.True(found)
+		is.Equal(third, first)
+		picker.RecordLoss(2)
+		_, found = fixture.choose(picker)
+		is.True(!found)
+		is.Equal(picker.DescribeExclusions(fixture.members, fixture.members), "2 tried: t0 t1")
+	})
 	t.Run("a refused request is not sent on if no target can meet the objective", func(t *testing.T) {
 		fixture := newFixture()
 		for _, member := range fixture.members {
--- a/core/route/leasttime.go
+++ b/core/route/leasttime.go
@@ -30,7 +30,7 @@
 )
 
 // leastTime compares all candidates by the expected time for link, queue and
-// execution at the current slowness, and by the price of the response's bytes.
+// execution at the current slowness, and by the price of the bytes of both bodies.
 type leastTime struct{}
 
 func (leastTime) Choose(request Request, candidates []Candidate) int {
@@ -68,7 +68,7 @@
 // LeastExpectedTime returns the least time in which any of the candidates is
 // expected to respond. It ignores the price of bytes.
 func LeastExpectedTime(request Request, candidates []Candidate) time.Duration {
-	request.ResponseBytes = 0
+	request.Bytes = 0
 	least := math.Inf(1)
 	for _, index := range usableIndexes(candidates) {
 		least = min(least, expectedSeconds(request, candidates[index]))
@@ -79,7 +79,7 @@
 // idleSeconds returns the time that a request takes on an idle target,
 // including the price of its bytes.
 func idleSeconds(request Request, candidate Candidate) float64 {
-	return 2*candidate.LinkLatency.Seconds() + request.ServiceTime.Seconds() + request.ResponseBytes*candidate.SecondsPerByte
+	return 2*candidate.LinkLatency.Seconds() + request.ServiceTime.Seconds() + request.Bytes*candidate.SecondsPerByte
 }
 
 // expectedSeconds returns the expected time of a request on a candidate,
--- a/core/route/leasttime_test.go
+++ b/core/route/leasttime_test.go
@@ -15,7 +15,7 @@
 	return route.Candidate{HasReport: true, Warmth: 1, Load: admit.Load{Running: running, Slots: 10, Slowness: slowness}}
 }
 
-var typicalRequest = route.Request{ServiceTime: 100 * time.Millisecond, ResponseBytes: 5000, MeanUtilization: 0.4, MeanSlowness: 1.75}
+var typicalRequest = route.Request{ServiceTime: 100 * time.Millisecond, Bytes: 5000, MeanUtilization: 0.4, MeanSlowness: 1.75}
 
 // checkChosen checks which candidate is chosen.
 func checkChosen(t *testing.T, request route.Request, expected int, candidates ...route.Candidate) {
@@ -41,7 +41,7 @@
 	})
 	t.Run("a request with a large response stays near, even on a slowed target", func(t *testing.T) {
 		large := typicalRequest
-		large.ResponseBytes = 90_000
+		large.Bytes = 90_000
 		checkChosen(t, large, 1, far(candidateWith(0, 1)), candidateWith(0, 4))
 	})
 	t.Run("an old report of slowness moves to the mean", func(t *testing.T) {
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -37,7 +37,7 @@
 	// one.
 	LinkLatency time.Duration
 	LinkCost    float64
-	// SecondsPerByte is the cost of sending one byte of a response over the
+	// SecondsPerByte is the cost of sending one byte of a body over the
 	// link. It is given in seconds, so that it can be added to the expected time
 	// of a response.
 	SecondsPerByte float64
@@ -67,10 +67,10 @@
 	Random  uint64
 	Weights profile.Weights
 	// ServiceTime is how long the request runs on a target that is not
-	// slowed down, and ResponseBytes the size of its response. Both are 0 if
-	// they are not known.
-	ServiceTime   time.Duration
-	ResponseBytes float64
+	// slowed down. Bytes is the size of the request's body and its expected
+	// response. Both are 0 if they are not known.
+	ServiceTime time.Duration
+	Bytes       float64
 	// MeanUtilization and MeanSlowness are the running means over the
 	// service's targets, which replace the values of targets that have not
 	// reported recently. Utilization is the number of running and queued
--- a/core/route/tracker.go
+++ b/core/route/tracker.go
@@ -17,7 +17,7 @@
 	// most expensive one.
 	Latency time.Duration
 	Cost    float64
-	// SecondsPerByte is the cost of sending one byte of a response over the
+	// SecondsPerByte is the cost of sending one byte of a body over the
 	// link. It is given in seconds, so that it can be added to the expected time
 	// of a response.
 	SecondsPerByte float64
--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -10,6 +10,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -134,6 +135,17 @@
 			}
 		}
 	})
+	t.Run("a repeatable request that meets late duplicates on all targets is served", func(t *testing.T) {
+		setSwitches(upstream.Switches{DuplicateResponses: true, DuplicateDelay: 400 * time.Millisecond})
+		for range 4 {
+			checkServed(t, cluster.send(0, request{method: "GET", path: "/logs/17"}))
+		}
+		setSwitches(upstream.Switches{})
+		time.Sleep(100 * time.Millisecond) // until the connections may be reused
+		for range 4 {
+			checkServed(t, cluster.send(0, request{method: "GET", path: "/logs/17"}))
+		}
+	})
 	t.Run("a repeatable request is retried on another target after a server error", func(t *testing.T) {
 		setSwitches(upstream.Switches{})
 		cluster.instances[0].upstream.SetSwitches(upstream.Switches{FailFast: true})
--- a/io/caller/exchange.go
+++ b/io/caller/exchange.go
@@ -198,8 +198,13 @@
 	exchange.updateClaiming(event)
 	exchange.updateReaders(event)
 	exchange.recordEvent(event)
-	if refused, is := event.(call.AttemptRefused); is {
-		exchange.picker.RecordRefusal(refused.Attempt, admit.Reason(refused.Reason))
+	switch event := event.(type) {
+	case call.AttemptRefused:
+		exchange.picker.RecordRefusal(event.Attempt, admit.Reason(event.Reason))
+	case call.AttemptLost:
+		if !event.Crashed && !event.Unsent {
+			exchange.picker.RecordLoss(event.Attempt)
+		}
 	}
 	for _, effect := range exchange.machine.Update(event) {
 		exchange.perform(effect)
@@ -243,6 +248,8 @@
 func (exchange *exchange) choose() {
 	choice, found := exchange.picker.Choose(exchange.handler.Now(), exchange.service.members, exchange.handler.LinkTo)
 	if !found {
+		members, _ := exchange.view.Service(exchange.request.service)
+		exchange.addStep(Step{Event: "excluded", Detail: exchange.picker.DescribeExclusions(members, exchange.service.members)})
 		exchange.apply(call.NoTargetLeft{})
 		return
 	}
--- a/io/caller/request.go
+++ b/io/caller/request.go
@@ -55,6 +55,9 @@
 	// body is its beginning.
 	body     []byte
 	streamed bool
+	// bodyBytes is the size of the body or, if the caller has not stated it, of
+	// the part in body.
+	bodyBytes float64
 }
 
 // serviceFromHost returns the service that a request names by its host.
@@ -126,7 +129,7 @@
 func (request *request) picker(service *service, random uint64) *pick.Picker {
 	return &pick.Picker{
 		Tracker: service.tracker, Profile: service.profile, Policy: service.policy, Class: request.class,
-		HasObjective: request.route != nil, Objective: request.objective, Random: random,
+		BodyBytes: request.bodyBytes, HasObjective: request.route != nil, Objective: request.objective, Random: random,
 	}
 }
 
@@ -207,6 +210,7 @@
 		return errBodyTooLarge
 	}
 	request.body = body
+	request.bodyBytes = max(float64(len(body)), float64(original.ContentLength))
 	request.streamed = len(body) > peer.MaxInlineBodySize || len(original.Trailer) > 0
 	return nil
 }
--- a/io/platform/platform.go
+++ b/io/platform/platform.go
@@ -33,6 +33,11 @@
 // Error is the class of all errors of this package.
 var Error = errs.Class("platform")
 
+// InvalidObjectError is the class of the errors that a Codec returns for an
+// object of a reply that could not be decoded. The result of the call holds the
+// other objects.
+var InvalidObjectError = errs.Class("invalid object")
+
 // callTimeout limits a call, not counting the time that a watch waits for
 // changes.
 const callTimeout = 2 * time.Second
@@ -57,7 +62,8 @@
 	// the platform does not support the call.
 	Request(call kernel.PlatformCall, after string) *http.Request
 	// Result decodes a reply. After is the name after which a list continues,
-	// or empty if the list is complete.
+	// or empty if the list is complete. An InvalidObjectError comes with a
+	// result that lacks the invalid objects.
 	Result(call kernel.PlatformCall, response *http.Response) (result kernel.PlatformResult, after string, err error)
 }
 
@@ -80,6 +86,8 @@
 
 	reads  atomic.Uint64
 	writes atomic.Uint64
+	// lastInvalid is the text of the last InvalidObjectError that was logged.
+	lastInvalid atomic.Pointer[string]
 }
 
 var defaultHTTP = &http.Client{Transport: &http.Transport{
@@ -125,11 +133,19 @@
 	client.count(call)
 	result, next := client.roundTrip(ctx, call, after)
 	if client.OnCallEnd != nil {
-		client.OnCallEnd(kernel.CallKind(call), result.Status.String())
+		client.OnCallEnd(kernel.CallKind(call), resultLabel(result))
 	}
 	return result, next
 }
 
+// resultLabel returns the result of a call as it appears in the metrics.
+func resultLabel(result kernel.PlatformResult) string {
+	if result.Invalid > 0 {
+		return "invalid"
+	}
+	return result.Status.String()
+}
+
 // roundTrip sends one request and decodes the reply.
 func (client *Client) roundTrip(ctx context.Context, call kernel.PlatformCall, after string) (kernel.PlatformResult, string) {
 	ctx, cancel := context.WithTimeout(ctx, timeoutOf(call))
@@ -152,6 +168,10 @@
 		return kernel.PlatformResult{Status: status}, ""
 	}
 	result, next, err := client.codec().Result(call, response)
+	if InvalidObjectError.Has(err) {
+		client.logInvalid(err)
+		return result, next
+	}
 	if err != nil {
 		client.log().Warn("cannot decode platform reply", "status", response.StatusCode, "error", err)
 		return kernel.PlatformResult{Status: kernel.PlatformUnknown}, ""
@@ -159,6 +179,15 @@
 	return result, next
 }
 
+// logInvalid logs an object that cannot be decoded, once for each error, since the
+// same object is read again and again.
+func (client *Client) logInvalid(err error) {
+	text := err.Error()
+	if last := client.lastInvalid.Swap(&text); last == nil || *last != text {
+		client.log().Error("platform object is not used because it is invalid", "error", err)
+	}
+}
+
 // maxDiscardBytes limits how much of an unused reply body is read. Reading the
 // body to its end lets the connection be reused.
 const maxDiscardBytes = 4 << 10
--- a/io/platform/platform_test.go
+++ b/io/platform/platform_test.go
@@ -15,6 +15,38 @@
 	"ibislift/io/platform"
 )
 
+// invalidCodec decodes each reply as a list with an invalid object.
+type invalidCodec struct{}
+
+func (invalidCodec) Request(kernel.PlatformCall, string) *http.Request {
+	request, _ := http.NewRequest(http.MethodGet, "/", nil)
+	return request
+}
+
+func (invalidCodec) Result(kernel.PlatformCall, *http.Response) (kernel.PlatformResult, string, error) {
+	return kernel.PlatformResult{Revision: 7, Invalid: 1}, "", platform.InvalidObjectError.New("route-type: \"other\" is unknown")
+}
+
+func TestInvalidObject(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	defer server.Close()
+	var logged strings.Builder
+	counted := map[string]int{}
+	client := &platform.Client{
+		Address: strings.TrimPrefix(server.URL, "http://"), Codec: invalidCodec{},
+		Log:       slog.New(slog.NewTextHandler(&logged, nil)),
+		OnCallEnd: func(kind, result string) { counted[kind+" "+result]++ },
+	}
+	is := is.New(t)
+	for range 3 {
+		result := client.Do(context.Background(), kernel.ListObjects{Prefix: "config/"})
+		is.Equal(result.Status, kernel.PlatformOK)
+		is.Equal(result.Revision, uint64(7))
+	}
+	is.Equal(counted["list invalid"], 3)
+	is.Equal(strings.Count(logged.String(), "route-type"), 1)
+}
+
 func TestCallsAreCounted(t *testing.T) {
 	status := http.StatusNotFound
 	server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
--- a/standin/upstream/upstream.go
+++ b/standin/upstream/upstream.go
@@ -42,6 +42,8 @@
 	Truncate bool `json:"truncate"`
 	// DuplicateResponses sends each response a second time on the same connection.
 	DuplicateResponses bool `json:"twice"`
+	// DuplicateDelay is the time between a response and its duplicate.
+	DuplicateDelay time.Duration `json:"duplicateDelay"`
 	// Hang holds requests, and their slots, until it is switched off.
 	Hang bool `json:"hang"`
 }
@@ -241,7 +243,7 @@
 	header.Set("Content-Length", strconv.Itoa(len(text)))
 	_, _ = io.WriteString(writer, text)
 	if switches.DuplicateResponses {
-		respondAgain(writer, text)
+		respondAgain(writer, text, switches.DuplicateDelay)
 	}
 }
 
@@ -270,9 +272,9 @@
 	panic(http.ErrAbortHandler)
 }
 
-// respondAgain sends the response once more on the same connection, as a faulty
-// server might.
-func respondAgain(writer http.ResponseWriter, text string) {
+// respondAgain sends the response once more on the same connection after a delay,
+// as a faulty server might. The connection then takes no further request.
+func respondAgain(writer http.ResponseWriter, text string, delay time.Duration) {
 	controller := http.NewResponseController(writer)
 	if controller.Flush() != nil {
 		return
@@ -282,6 +284,7 @@
 		return
 	}
 	duplicate := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(text), text)
+	time.Sleep(delay)
 	_, _ = buffer.WriteString(duplicate)
 	_ = buffer.Flush()
 	time.AfterFunc(time.Second, func() { _ = conn.Close() })
