Bytes between daemons are counted by kind

Cause: the dearest price of the large and the further deployment are bytes between zones and regions, and the metrics did not tell what they are spent on. Change: ibislift_control_bytes_total has the kind (message, report), and ibislift_forwarded_bytes_total counts heads and bodies of forwarded requests, each by direction and by how far the other daemon is. Reports count with the headers of their datagrams. Two tests name the new label, as strict as before.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -158,18 +158,18 @@
 	daemon.client = &upstream.Client{Dialect: daemon.Site.Dialect}
 	daemon.gate = &upstream.Gate{Now: time.Now, Headroom: daemon.Settings.Headroom, RecordWait: meter.GateDecision, MaxSlownessAge: daemon.Settings.MaxSlownessAge, MeasureSlowness: daemon.measureUpstream}
 	daemon.control = newControl(daemon.Settings.kernelSettings(daemon.startedAt.UnixMilli()))
-	peerServer := &peer.Server{Gate: daemon.gate, Upstream: daemon.client, Control: daemon, Log: daemon.Log}
-	counter := &peer.Counter{CountBytes: daemon.countControlBytes}
+	peerServer := &peer.Server{Gate: daemon.gate, Upstream: daemon.client, Control: daemon, CountBytes: daemon.countBytes, Log: daemon.Log}
+	counter := &peer.Counter{CountBytes: daemon.countBytes}
 	daemon.peerServer = peerServer
 	peerServer.Reporter = &peer.Reporter{
 		Self:         daemon.Settings.Name,
 		Service:      func() string { return daemon.monitor.Current().Service },
 		Load:         daemon.gate.Load,
 		InSameRegion: daemon.isSameRegion,
-		CountBytes:   daemon.countControlBytes,
+		CountBytes:   daemon.countBytes,
 		OnReport:     func(from, service string, load admit.Load) { daemon.ingress.RecordReport(from, service, load) },
 	}
-	daemon.peers = &peer.Peers{Self: daemon.Settings.Name, Server: peerServer, Dial: daemon.DialPeer, StatsHandler: counter}
+	daemon.peers = &peer.Peers{Self: daemon.Settings.Name, Server: peerServer, Dial: daemon.DialPeer, CountBytes: daemon.countBytes, StatsHandler: counter}
 	daemon.control.platform = daemon.platform
 	daemon.control.peers = daemon.peers
 	daemon.control.probe = daemon.probeUpstream
--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -343,7 +343,7 @@
 	status, body = cluster.callOperatorAPI(2, "GET", "/metrics", "", "")
 	is.Equal(status, http.StatusOK)
 	is.True(strings.Contains(body, "ibislift_platform_calls_total{kind=\"list\""))
-	is.True(strings.Contains(body, "ibislift_control_bytes_total{direction=\"out\",reach=\"dataCentre\"}"))
+	is.True(strings.Contains(body, "ibislift_control_bytes_total{direction=\"out\",kind=\"message\",reach=\"dataCentre\"}"))
 	checkMetricsDocumented(t, body)
 	status, _ = cluster.callOperatorAPI(2, "GET", "/explain?request=none", "", "")
 	is.Equal(status, http.StatusNotFound)
--- a/daemon/gauges.go
+++ b/daemon/gauges.go
@@ -8,6 +8,8 @@
 
 	"ibislift/core/kernel"
 	"ibislift/core/measure"
+	"ibislift/io/metrics"
+	"ibislift/io/peer"
 )
 
 // registerGauges registers the metrics whose values are read at each scrape.
@@ -140,7 +142,12 @@
 	return proximity == proximitySameDataCentre || proximity == proximitySameRegion
 }
 
-// countControlBytes adds to the metric for bytes of control messages.
-func (daemon *Daemon) countControlBytes(direction, address string, bytes int) {
-	daemon.meter.ControlBytes(direction, string(daemon.proximityOf(address)), bytes)
+// countBytes adds to the metric for bytes between daemons.
+func (daemon *Daemon) countBytes(direction string, kind peer.ByteKind, address string, bytes int) {
+	labels := metrics.ByteLabels{Direction: direction, Proximity: string(daemon.proximityOf(address)), Kind: string(kind)}
+	if kind.IsControl() {
+		daemon.meter.ControlBytes(labels, bytes)
+		return
+	}
+	daemon.meter.ForwardedBytes(labels, bytes)
 }
--- a/io/metrics/metrics.go
+++ b/io/metrics/metrics.go
@@ -63,11 +63,14 @@
 	gateRefusals   metric.Int64Counter
 	claims         metric.Int64Counter
 	controlBytes   metric.Int64Counter
+	forwardedBytes metric.Int64Counter
 	platformCalls  metric.Int64Counter
 	probes         metric.Int64Counter
 	services       labelLimiter
 	classes        labelLimiter
 	tenants        labelLimiter
+	// byteOptions holds a metric.AddOption for each ByteLabels.
+	byteOptions sync.Map
 }
 
 // New returns a meter that has its own registry.
@@ -117,7 +120,8 @@
 		{&meter.gateRefusals, "ibislift.gate.refusals", "Requests that the gate refused, by reason."},
 		// Requests to claim an idempotency key.
 		{&meter.claims, "ibislift.claims", "Requests for idempotency keys, by result."},
-		{&meter.controlBytes, "ibislift.control.bytes", "Bytes of control messages, by direction and by how far the other daemon is."},
+		{&meter.controlBytes, "ibislift.control.bytes", "Bytes of control messages and load reports, by direction, kind and how far the other daemon is."},
+		{&meter.forwardedBytes, "ibislift.forwarded.bytes", "Bytes of forwarded requests, by direction, kind and how far the other daemon is."},
 		{&meter.platformCalls, "ibislift.platform.calls", "Calls of the platform, by kind and result."},
 		// Probes of the upstream that runs beside the daemon.
 		{&meter.probes, "ibislift.probes", "Probes of the upstream beside, by result."},
@@ -237,12 +241,31 @@
 	meter.claims.Add(context.Background(), 1, metric.WithAttributes(attribute.String("result", result)))
 }
 
-// ControlBytes counts the bytes of control messages by direction and by the
-// proximity of the other daemon. The metric's label for the proximity is called
-// reach.
-func (meter *Meter) ControlBytes(direction, proximity string, bytes int) {
-	meter.controlBytes.Add(context.Background(), int64(bytes), metric.WithAttributes(
-		attribute.String("direction", direction), attribute.String("reach", proximity)))
+// ByteLabels are the labels of bytes between daemons: the direction, the
+// proximity of the other daemon and the kind. The metric's label for the
+// proximity is called reach.
+type ByteLabels struct{ Direction, Proximity, Kind string }
+
+// ControlBytes counts bytes of control traffic.
+func (meter *Meter) ControlBytes(labels ByteLabels, bytes int) {
+	meter.controlBytes.Add(context.Background(), int64(bytes), meter.byteOption(labels))
+}
+
+// ForwardedBytes counts bytes of forwarded requests and their responses.
+func (meter *Meter) ForwardedBytes(labels ByteLabels, bytes int) {
+	meter.forwardedBytes.Add(context.Background(), int64(bytes), meter.byteOption(labels))
+}
+
+// byteOption returns the attributes of the labels. They are kept, since there are
+// few of them and bytes are counted several times a request.
+func (meter *Meter) byteOption(labels ByteLabels) metric.AddOption {
+	if known, found := meter.byteOptions.Load(labels); found {
+		return known.(metric.AddOption)
+	}
+	option := metric.WithAttributeSet(attribute.NewSet(
+		attribute.String("direction", labels.Direction), attribute.String("kind", labels.Kind), attribute.String("reach", labels.Proximity)))
+	meter.byteOptions.Store(labels, metric.AddOption(option))
+	return option
 }
 
 // PlatformCall counts a call to the platform.
--- a/io/metrics/metrics_test.go
+++ b/io/metrics/metrics_test.go
@@ -109,10 +109,10 @@
 	})
 	t.Run("control bytes and platform calls have their labels", func(t *testing.T) {
 		meter := newMeter(t)
-		meter.ControlBytes("out", "region", 120)
+		meter.ControlBytes(metrics.ByteLabels{Direction: "out", Proximity: "region", Kind: "report"}, 120)
 		meter.PlatformCall("watch", "unknown")
 		text := scrape(meter)
-		requireLine(t, text, `ibislift_control_bytes_total{direction="out",reach="region"} 120`)
+		requireLine(t, text, `ibislift_control_bytes_total{direction="out",kind="report",reach="region"} 120`)
 		requireLine(t, text, `ibislift_platform_calls_total{kind="watch",result="unknown"} 1`)
 	})
 }
--- a/io/peer/counter.go
+++ b/io/peer/counter.go
@@ -9,10 +9,8 @@
 // Counter is a stats.Handler that counts the bytes of control messages on the
 // wire.
 type Counter struct {
-	// CountBytes is called with the direction ("in" or "out"), the address of the
-	// other daemon and the number of bytes. If the other daemon made the call, the
-	// port is not the one on which that daemon listens.
-	CountBytes func(direction, address string, bytes int)
+	// CountBytes is called for each message.
+	CountBytes CountBytes
 }
 
 // remoteKey is the context key of a call's remote.
@@ -43,9 +41,9 @@
 			remote.address = event.RemoteAddr.String()
 		}
 	case *stats.InPayload:
-		counter.CountBytes("in", remote.address, event.WireLength)
+		counter.CountBytes.count("in", BytesMessage, remote.address, event.WireLength)
 	case *stats.OutPayload:
-		counter.CountBytes("out", remote.address, event.WireLength)
+		counter.CountBytes.count("out", BytesMessage, remote.address, event.WireLength)
 	}
 }
 
--- a/io/peer/forward_conn.go
+++ b/io/peer/forward_conn.go
@@ -25,30 +25,51 @@
 	address string
 	reader  *bufio.Reader
 	writer  *bufio.Writer
+	// countBytes, if set, is called for each message.
+	countBytes CountBytes
 }
 
 // forwardBufferSize is the size in bytes of a connection's read buffer and of its
 // write buffer. Longer messages bypass the buffers.
 const forwardBufferSize = 4 << 10
 
-func newForwardConn(conn net.Conn, address string) *forwardConn {
+func newForwardConn(conn net.Conn, address string, countBytes CountBytes) *forwardConn {
 	return &forwardConn{
-		Conn:    conn,
-		address: address,
-		reader:  bufio.NewReaderSize(conn, forwardBufferSize),
-		writer:  bufio.NewWriterSize(conn, forwardBufferSize),
+		Conn:       conn,
+		address:    address,
+		reader:     bufio.NewReaderSize(conn, forwardBufferSize),
+		writer:     bufio.NewWriterSize(conn, forwardBufferSize),
+		countBytes: countBytes,
 	}
 }
 
 func (forwardConn *forwardConn) send(message proto.Message) error {
-	if _, err := protodelim.MarshalTo(forwardConn.writer, message); err != nil {
+	size, err := protodelim.MarshalTo(forwardConn.writer, message)
+	if err != nil {
 		return err
 	}
+	forwardConn.count("out", message, size)
 	return forwardConn.writer.Flush()
 }
 
 func (forwardConn *forwardConn) receive(message proto.Message) error {
-	return protodelim.UnmarshalOptions{MaxSize: MaxMessageSize}.UnmarshalFrom(forwardConn.reader, message)
+	if err := (protodelim.UnmarshalOptions{MaxSize: MaxMessageSize}).UnmarshalFrom(forwardConn.reader, message); err != nil {
+		return err
+	}
+	if forwardConn.countBytes != nil {
+		forwardConn.count("in", message, proto.Size(message))
+	}
+	return nil
+}
+
+func (forwardConn *forwardConn) count(direction string, message proto.Message, size int) {
+	address := forwardConn.RemoteAddr().String()
+	switch frame := message.(type) {
+	case *peerpb.CallFrame:
+		forwardConn.countBytes.countCall(direction, address, frame, size)
+	case *peerpb.AnswerFrame:
+		forwardConn.countBytes.countAnswer(direction, address, frame, size)
+	}
 }
 
 // maxIdleConns is the maximum number of idle connections to one gate.
@@ -130,7 +151,7 @@
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
-	return peers.newIngressStream(ctx, newForwardConn(conn, address)), nil
+	return peers.newIngressStream(ctx, newForwardConn(conn, address, peers.CountBytes)), nil
 }
 
 func (peers *Peers) newIngressStream(ctx context.Context, forwardConn *forwardConn) *ingressConnStream {
--- a/io/peer/forward_server.go
+++ b/io/peer/forward_server.go
@@ -24,7 +24,7 @@
 		if err != nil {
 			return Error.Wrap(err)
 		}
-		go server.serveConn(newForwardConn(conn, ""))
+		go server.serveConn(newForwardConn(conn, "", server.CountBytes))
 	}
 }
 
--- a/io/peer/peers.go
+++ b/io/peer/peers.go
@@ -35,6 +35,8 @@
 	Server *Server
 	// Dial, if set, replaces tcp.Dial.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
+	// CountBytes, if set, is called for each message of a forwarded request.
+	CountBytes CountBytes
 	// StatsHandler, if set, observes the gRPC connections.
 	StatsHandler stats.Handler
 
--- a/io/peer/report.go
+++ b/io/peer/report.go
@@ -46,9 +46,8 @@
 	// InSameRegion reports whether the daemon at an address is in the same region
 	// as this one.
 	InSameRegion func(address string) bool
-	// CountBytes, if set, is called for each report with the direction ("in" or
-	// "out"), the address of the other daemon and the number of bytes.
-	CountBytes func(direction, address string, bytes int)
+	// CountBytes, if set, is called for each report.
+	CountBytes CountBytes
 	// OnReport is called with each report of another gate.
 	OnReport func(from, service string, load admit.Load)
 
@@ -103,7 +102,7 @@
 			// the error.
 			continue
 		}
-		reporter.countBytes("in", from.String(), count)
+		reporter.CountBytes.count("in", BytesReport, from.String(), count+datagramOverhead)
 		report := &peerpb.LoadReport{}
 		if proto.Unmarshal(buffer[:count], report) == nil {
 			reporter.OnReport(report.GetFrom(), report.GetService(), DecodeLoad(report.GetLoad()))
@@ -183,12 +182,6 @@
 		subscriber.reportedAt = at
 		// Write errors are ignored, since the next report replaces a lost one.
 		_, _ = reporter.socket.WriteToUDPAddrPort(datagram, subscriber.address)
-		reporter.countBytes("out", address, len(datagram))
-	}
-}
-
-func (reporter *Reporter) countBytes(direction, address string, bytes int) {
-	if reporter.CountBytes != nil {
-		reporter.CountBytes(direction, address, bytes)
+		reporter.CountBytes.count("out", BytesReport, address, len(datagram)+datagramOverhead)
 	}
 }
--- a/io/peer/report_test.go
+++ b/io/peer/report_test.go
@@ -92,7 +92,7 @@
 		Self:         "gate",
 		Service:      func() string { return "shop" },
 		InSameRegion: func(string) bool { return true },
-		CountBytes:   func(_, _ string, bytes int) { sent += bytes + 28 },
+		CountBytes:   func(_ string, _ peer.ByteKind, _ string, bytes int) { sent += bytes },
 	}
 	load := admit.Load{Slots: 10, Slowness: 1}
 	gate.Load = func() admit.Load { return load }
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -58,6 +58,8 @@
 	Control  Control
 	// Reporter sends load reports to ingresses. It may be nil.
 	Reporter *Reporter
+	// CountBytes, if set, is called for each message of a forwarded request.
+	CountBytes CountBytes
 	// Log receives messages about failed requests. It may be nil.
 	Log *slog.Logger
 
