--- a/core/pick/pick.go
+++ b/core/pick/pick.go
@@ -38,8 +38,10 @@
 	// as the service time is not known, Policy chooses the target.
 	HasObjective bool
 	// Objective is the time until which a response meets the latency objective.
-	// A later response is still sent but is less important.
-	Objective time.Time
+	// A later response is still sent but is less important. ObjectiveLength is
+	// the whole time that the objective allows.
+	Objective       time.Time
+	ObjectiveLength time.Duration
 	// Random is the seed of the request's random numbers. It must not be 0.
 	Random uint64
 
@@ -55,6 +57,9 @@
 	refusals int
 }
 
+// headBytes is the usual size of the heads of a forwarded request and its response.
+const headBytes = 1000
+
 // Choice is a target for the next attempt.
 type Choice struct {
 	Member kernel.Member
@@ -81,8 +86,11 @@
 	}
 	choice := Choice{Candidates: picker.Tracker.Candidates(now, picker.Profile, untried, linkTo)}
 	class := picker.Tracker.Class(picker.Class)
-	request := route.Request{Random: picker.nextRandom(), Weights: picker.Profile.Weights, ServiceTime: class.ServiceTime, Bytes: picker.BodyBytes + class.ResponseBytes}
+	request := route.Request{Random: picker.nextRandom(), Weights: picker.Profile.Weights, ServiceTime: class.ServiceTime, Bytes: picker.BodyBytes + class.ResponseBytes + headBytes}
 	request.MeanUtilization, request.MeanSlowness = picker.Tracker.Means()
+	if picker.HasObjective {
+		request.Objective = picker.ObjectiveLength
+	}
 	if !picker.HasObjective || request.ServiceTime == 0 {
 		choice.Index = picker.Policy.Choose(request, choice.Candidates)
 		choice.Member = untried[choice.Index]
--- a/core/pick/pick_test.go
+++ b/core/pick/pick_test.go
@@ -87,12 +87,12 @@
 		fixture.report("t0", 14) // the only target without such a link waits for a slot
 		chooseWith := func(bodyBytes float64) string {
 			picker := fixture.picker(time.Second)
-			picker.BodyBytes = bodyBytes
+			picker.BodyBytes, picker.ObjectiveLength = bodyBytes, time.Second
 			choice, found := picker.Choose(fixture.now, fixture.members, func(member kernel.Member) route.Link {
 				if member.ID == "t0" {
 					return route.Link{}
 				}
-				return route.Link{SecondsPerByte: 8e-6}
+				return route.Link{BytePrice: 8e-6}
 			})
 			is.New(t).True(found)
 			return choice.Member.ID
--- a/core/route/leasttime.go
+++ b/core/route/leasttime.go
@@ -38,9 +38,9 @@
 	return best
 }
 
-// ChooseLeastTime returns the index of the candidate with the least expected
-// time. maxDelay is the largest delay with which the best candidate is still better
-// than the second best: the expected time of the second best minus the time of the
+// ChooseLeastTime returns the index of the candidate with the least cost: the
+// expected time and the price of the bytes. maxDelay is the largest delay with which the best candidate is still
+// better than the second best: the cost of the second best minus the cost of the
 // best when idle. It is at least 1 ms, because 0 means that there is no limit, as
 // is the case if there is no other candidate.
 func ChooseLeastTime(request Request, candidates []Candidate) (best int, maxDelay time.Duration) {
@@ -50,25 +50,24 @@
 	best, least, next := -1, math.Inf(1), math.Inf(1)
 	for offset := range usable {
 		index := usable[(start+offset)%len(usable)]
-		expected := expectedSeconds(request, candidates[index])
+		cost := costSeconds(request, candidates[index])
 		switch {
-		case expected < least-tie:
-			best, next, least = index, least, expected
-		case expected < next:
-			next = expected
+		case cost < least-tie:
+			best, next, least = index, least, cost
+		case cost < next:
+			next = cost
 		}
 	}
 	if math.IsInf(next, 1) {
 		return best, 0
 	}
-	idle := idleSeconds(request, candidates[best])
+	idle := idleSeconds(request, candidates[best]) + priceSeconds(request, candidates[best])
 	return best, max(time.Millisecond, time.Duration((next-idle)*float64(time.Second)))
 }
 
 // LeastExpectedTime returns the least time in which any of the candidates is
-// expected to respond. It ignores the price of bytes.
+// expected to respond.
 func LeastExpectedTime(request Request, candidates []Candidate) time.Duration {
-	request.Bytes = 0
 	least := math.Inf(1)
 	for _, index := range usableIndexes(candidates) {
 		least = min(least, expectedSeconds(request, candidates[index]))
@@ -76,14 +75,35 @@
 	return time.Duration(least * float64(time.Second))
 }
 
-// idleSeconds returns the time that a request takes on an idle target,
-// including the price of its bytes.
+// worthSeconds is the delay that counts as much as the whole worth of a response:
+// the objective or, without one, the service time.
+func worthSeconds(request Request) float64 {
+	if request.Objective == 0 {
+		return request.ServiceTime.Seconds()
+	}
+	return request.Objective.Seconds()
+}
+
+// costSeconds returns the cost of a request on a candidate as a time: the expected
+// time and the price of the bytes.
+func costSeconds(request Request, candidate Candidate) float64 {
+	return expectedSeconds(request, candidate) + priceSeconds(request, candidate)
+}
+
+// priceSeconds returns the price of the request's bytes as a time. It is at most
+// what the response is worth, so that a request with a large body crosses a link
+// rather than wait for longer than its objective.
+func priceSeconds(request Request, candidate Candidate) float64 {
+	return min(1, request.Bytes*candidate.BytePrice) * worthSeconds(request)
+}
+
+// idleSeconds returns the time that a request takes on an idle target.
 func idleSeconds(request Request, candidate Candidate) float64 {
-	return 2*candidate.LinkLatency.Seconds() + request.ServiceTime.Seconds() + request.Bytes*candidate.SecondsPerByte
+	return 2*candidate.LinkLatency.Seconds() + request.ServiceTime.Seconds()
 }
 
 // expectedSeconds returns the expected time of a request on a candidate,
-// including the price of its bytes and the penalty for failures.
+// including the penalty for failures.
 func expectedSeconds(request Request, candidate Candidate) float64 {
 	slowness := estimatedSlowness(request, candidate)
 	if candidate.HasReport {
--- a/core/route/leasttime_test.go
+++ b/core/route/leasttime_test.go
@@ -27,7 +27,7 @@
 func TestLeastTime(t *testing.T) {
 	far := func(candidate route.Candidate) route.Candidate {
 		candidate.LinkLatency = 30 * time.Millisecond
-		candidate.SecondsPerByte = 8e-6
+		candidate.BytePrice = 30e-6
 		return candidate
 	}
 	t.Run("a slowed target is avoided", func(t *testing.T) {
@@ -41,9 +41,21 @@
 	})
 	t.Run("a request with a large response stays near, even on a slowed target", func(t *testing.T) {
 		large := typicalRequest
-		large.Bytes = 90_000
+		large.Bytes, large.Objective = 90_000, time.Second
 		checkChosen(t, large, 1, far(candidateWith(0, 1)), candidateWith(0, 4))
 	})
+	t.Run("a large response crosses a link rather than wait for longer than its objective", func(t *testing.T) {
+		large := typicalRequest
+		large.Bytes, large.Objective = 90_000, 500*time.Millisecond
+		checkChosen(t, large, 0, far(candidateWith(0, 1)), candidateWith(100, 1))
+	})
+	t.Run("the price of bytes grows with the objective", func(t *testing.T) {
+		patient := typicalRequest
+		patient.Objective = 5 * time.Second
+		checkChosen(t, patient, 1, far(candidateWith(0, 1)), candidateWith(0, 6))
+		patient.Objective = time.Second
+		checkChosen(t, patient, 0, far(candidateWith(0, 1)), candidateWith(0, 6))
+	})
 	t.Run("an old report of slowness moves to the mean", func(t *testing.T) {
 		old := candidateWith(0, 4)
 		old.ReportAge = 2 * time.Second
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -37,10 +37,9 @@
 	// one.
 	LinkLatency time.Duration
 	LinkCost    float64
-	// SecondsPerByte is the cost of sending one byte of a body over the
-	// link. It is given in seconds, so that it can be added to the expected time
-	// of a response.
-	SecondsPerByte float64
+	// BytePrice is the price of sending one byte over the link, as a fraction of
+	// what a response in time is worth.
+	BytePrice float64
 	// InFlight is the number of requests that this daemon has sent to the
 	// target and that have not ended.
 	InFlight int
@@ -71,6 +70,8 @@
 	// response. Both are 0 if they are not known.
 	ServiceTime time.Duration
 	Bytes       float64
+	// Objective is the latency objective of the class, or 0 if it has none.
+	Objective time.Duration
 	// MeanUtilization and MeanSlowness are the running means over the
 	// service's targets, which replace the values of targets that have not
 	// reported recently. Utilization is the number of running and queued
--- a/core/route/tracker.go
+++ b/core/route/tracker.go
@@ -17,10 +17,9 @@
 	// most expensive one.
 	Latency time.Duration
 	Cost    float64
-	// SecondsPerByte is the cost of sending one byte of a body over the
-	// link. It is given in seconds, so that it can be added to the expected time
-	// of a response.
-	SecondsPerByte float64
+	// BytePrice is the price of sending one byte over the link, as a fraction of
+	// what a response in time is worth.
+	BytePrice float64
 }
 
 // Tracker records what one daemon knows about the targets of one service. It
@@ -230,7 +229,7 @@
 		candidate := tracker.candidate(at, member.ID)
 		candidate.LinkLatency = link.Latency
 		candidate.LinkCost = link.Cost
-		candidate.SecondsPerByte = link.SecondsPerByte
+		candidate.BytePrice = link.BytePrice
 		candidate.Warmth = warmth(at, member.Target.StartedAt, time.Duration(settings.SlowStart))
 		if candidate.Load.Slots == 0 {
 			candidate.Load.Slots = member.Target.Slots
--- a/daemon/flags.go
+++ b/daemon/flags.go
@@ -57,8 +57,10 @@
 		Default(upstream.DefaultSilenceTimeout.String()).DurationVar(&settings.SilenceTimeout)
 	command.Flag("linger-time", "How long a stopping daemon still accepts callers.").Default("0s").DurationVar(&settings.LingerTime)
 	command.Flag("headroom", "Fraction of an upstream's slots that stays free, from 0 to below 1.").Default("0").Float64Var(&settings.Headroom)
-	command.Flag("byte-price", "How much sooner a response must arrive for each megabyte that leaves the data centre.").
-		Default("0s").DurationVar(&settings.BytePrice)
+	command.Flag("data-centre-byte-price", "Price of a megabyte sent to another data centre of the region, in responses in time that it is worth.").
+		Default("0").Float64Var(&settings.DataCentreBytePrice)
+	command.Flag("region-byte-price", "Price of a megabyte sent to another region, in responses in time that it is worth.").
+		Default("0").Float64Var(&settings.RegionBytePrice)
 	command.Flag("fresh-time", "Maximum age of an upstream's slowness report while requests arrive; 0 means that its health path is not queried for it.").
 		Default("0s").DurationVar(&settings.MaxSlownessAge)
 	command.Flag("shared-retry-ratio", "Extra attempts for each request of a service, over all daemons; with 0 only the budgets of profiles apply.").
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -79,10 +79,11 @@
 	// Headroom is the fraction of an upstream's slots that stays free, since
 	// upstreams slow down when they are nearly full.
 	Headroom float64
-	// BytePrice is the cost of a megabyte sent out of the data centre,
-	// expressed as time: a response must arrive this much sooner per megabyte
-	// for a remote target to be preferred.
-	BytePrice time.Duration
+	// DataCentreBytePrice and RegionBytePrice are the prices of a megabyte that
+	// is sent to another data centre of the region and to another region, in
+	// responses in time that it is worth.
+	DataCentreBytePrice float64
+	RegionBytePrice     float64
 	// MaxSlownessAge is the maximum age of an upstream's last slowness report
 	// while requests arrive; after that its health path is queried. With 0 the
 	// slowness is only read from responses.
@@ -166,6 +167,11 @@
 	if settings.Headroom < 0 || settings.Headroom >= 1 {
 		add("headroom", "%g is not in the range 0 to below 1", settings.Headroom)
 	}
+	for flag, price := range map[string]float64{"data-centre-byte-price": settings.DataCentreBytePrice, "region-byte-price": settings.RegionBytePrice} {
+		if price < 0 {
+			add(flag, "%g must be at least 0", price)
+		}
+	}
 	if settings.SharedRetryRatio < 0 || settings.SharedRetryRatio > 1 {
 		add("shared-retry-ratio", "%g is not in the range 0 to 1", settings.SharedRetryRatio)
 	}
@@ -239,14 +245,14 @@
 		if member.DataCentre == settings.DataCentre {
 			return route.Link{}
 		}
-		return route.Link{Latency: settings.DataCentreLatency, SecondsPerByte: settings.secondsPerByte()}
+		return route.Link{Latency: settings.DataCentreLatency, BytePrice: settings.DataCentreBytePrice / bytesPerMegabyte}
 	}
 	for _, link := range settings.Links {
 		if link.Region == member.Region {
-			return route.Link{Latency: link.Latency, Cost: link.Cost, SecondsPerByte: settings.secondsPerByte()}
+			return route.Link{Latency: link.Latency, Cost: link.Cost, BytePrice: settings.RegionBytePrice / bytesPerMegabyte}
 		}
 	}
-	return route.Link{Latency: unknownLinkLatency, Cost: 1, SecondsPerByte: settings.secondsPerByte()}
+	return route.Link{Latency: unknownLinkLatency, Cost: 1, BytePrice: settings.RegionBytePrice / bytesPerMegabyte}
 }
 
-func (settings Settings) secondsPerByte() float64 { return settings.BytePrice.Seconds() / 1e6 }
+const bytesPerMegabyte = 1e6
--- a/io/caller/request.go
+++ b/io/caller/request.go
@@ -129,10 +129,19 @@
 func (request *request) picker(service *service, random uint64) *pick.Picker {
 	return &pick.Picker{
 		Tracker: service.tracker, Profile: service.profile, Policy: service.policy, Class: request.class,
-		BodyBytes: request.bodyBytes, HasObjective: request.route != nil, Objective: request.objective, Random: random,
+		BodyBytes: request.bodyBytes, HasObjective: request.route != nil, Objective: request.objective,
+		ObjectiveLength: request.objectiveLength(), Random: random,
 	}
 }
 
+// objectiveLength returns the latency objective of the request's route, or 0.
+func (request *request) objectiveLength() time.Duration {
+	if request.route == nil {
+		return 0
+	}
+	return request.route.Objective
+}
+
 // remaining returns the time from the arrival of the request until at, or 0 if
 // at was never set.
 func (request *request) remaining(arrived, at time.Time) time.Duration {
--- a/io/caller/services.go
+++ b/io/caller/services.go
@@ -1,29 +1,18 @@
 package caller
 
 import (
-	"cmp"
 	"maps"
-	"slices"
 	"sync"
 	"sync/atomic"
 
-	"github.com/cespare/xxhash/v2"
-
 	"ibislift/core/call"
 	"ibislift/core/kernel"
+	"ibislift/core/pick"
 	"ibislift/core/profile"
 	"ibislift/core/route"
 	"ibislift/io/metrics"
 )
 
-// Limits on the number of targets of a service that one daemon uses: in its own
-// region (near) and in other regions (far). If fewer are near, more far ones are
-// used.
-const (
-	maxNearTargets = 12
-	maxFarTargets  = 6
-)
-
 // service is the state that this daemon keeps for a service it forwards
 // requests to.
 type service struct {
@@ -185,29 +174,5 @@
 		}
 	}
 	self, _ := view.Member(view.Self)
-	return subset(self, serving)
-}
-
-// subset returns the targets that this daemon uses, so that its number of
-// connections does not grow with the fleet. It chooses them by rendezvous
-// hashing: most from its own region, and a few from other regions.
-func subset(self kernel.Member, members []kernel.Member) []kernel.Member {
-	if len(members) <= maxNearTargets+maxFarTargets {
-		return members
-	}
-	order := slices.Clone(members)
-	slices.SortFunc(order, func(one, other kernel.Member) int {
-		return cmp.Compare(xxhash.Sum64String(self.ID+"\x00"+one.ID), xxhash.Sum64String(self.ID+"\x00"+other.ID))
-	})
-	var near, far []kernel.Member
-	for _, member := range order {
-		if member.Region == self.Region {
-			near = append(near, member)
-			continue
-		}
-		far = append(far, member)
-	}
-	near = near[:min(maxNearTargets, len(near))]
-	wanted := max(maxFarTargets, maxNearTargets+maxFarTargets-len(near))
-	return append(near, far[:min(wanted, len(far))]...)
+	return pick.Subset(self, serving)
 }
--- a/standin/play/exchange.go
+++ b/standin/play/exchange.go
@@ -67,7 +67,8 @@
 	// The seed of a picker must not be 0, so its lowest bit is set.
 	exchange.picker = &pick.Picker{
 		Tracker: ingress.tracker(class.Service), Profile: defaults, Policy: ingress.routePolicy, Class: class.Name,
-		HasObjective: simulation.policy.UseObjectives, Objective: exchange.objective, Random: simulation.modelRandom.Uint64() | 1,
+		BodyBytes: class.RequestBytes, HasObjective: simulation.policy.UseObjectives, Objective: exchange.objective,
+		ObjectiveLength: milliseconds(class.Objective), Random: simulation.modelRandom.Uint64() | 1,
 	}
 	budget := ingress.budget(class.Service)
 	if budget != nil {
@@ -216,12 +217,25 @@
 	for _, other := range exchange.attempts {
 		other.cancel()
 	}
-	if attempt.daemon.zone != exchange.ingress.zone && attempt.run != nil {
-		exchange.simulation.tally(exchange.class).CrossZoneBytes += exchange.class.ResponseBytes
+	if attempt.run != nil {
+		exchange.recordBytes(attempt.daemon.zone)
 	}
 	exchange.onFinish(response{succeeded: attempt.run != nil, run: attempt.run})
 }
 
+// recordBytes counts the bytes of the exchange if they have left the zone of the
+// ingress.
+func (exchange *exchange) recordBytes(to *Zone) {
+	bytes := exchange.class.RequestBytes + exchange.class.ResponseBytes
+	tally := exchange.simulation.tally(exchange.class)
+	switch {
+	case to.Region != exchange.ingress.zone.Region:
+		tally.CrossRegionBytes += bytes
+	case to != exchange.ingress.zone:
+		tally.CrossZoneBytes += bytes
+	}
+}
+
 func (exchange *exchange) finish(finish call.Finish) {
 	exchange.finished = true
 	for _, attempt := range exchange.attempts {
--- a/standin/play/play_test.go
+++ b/standin/play/play_test.go
@@ -20,7 +20,7 @@
 		Links:      play.Links{InZone: 0.1, CrossZone: 1, CrossRegion: 20, Caller: 4},
 		Services:   []play.Service{{Name: "shop", Slots: 10, QueueBound: 20, WhenFull: "hang", ProbeTime: 1}},
 		Classes:    []play.Class{class("look", 1)},
-		RetryRatio: 0.2, RetrySlack: 20, ByteSeconds: 8,
+		RetryRatio: 0.2, RetrySlack: 20, ZoneBytePrice: 12, RegionBytePrice: 35,
 	}
 	for _, name := range []string{"n1", "n2", "s1", "s2"} {
 		scenario.Zones = append(scenario.Zones, play.Zone{
@@ -143,7 +143,8 @@
 		report := checkCredit(t, smallScenario(), 0.98)
 		is := is.New(t)
 		is.Equal(findTally(report, "look").Refused+findTally(report, "look").Failed, 0)
-		is.True(findTally(report, "look").CrossZoneBytes < 0.05*5000*float64(findTally(report, "look").Offered))
+		look := findTally(report, "look")
+		is.True(look.CrossZoneBytes+look.CrossRegionBytes < 0.05*5000*float64(look.Offered))
 	})
 	for _, baseline := range []string{"random", "roundRobin", "powerOfTwo", "leastInFlight", "adaptive"} {
 		t.Run("noisy targets: better than "+baseline, func(t *testing.T) {
--- a/standin/play/report.go
+++ b/standin/play/report.go
@@ -27,10 +27,13 @@
 	WastedSeconds float64
 	// ExtraAttempts counts the attempts of daemons after the first of each
 	// request, CallerRetries the retries of callers.
-	ExtraAttempts  int
-	CallerRetries  int
-	CrossZoneBytes float64
-	Credit         float64
+	ExtraAttempts int
+	CallerRetries int
+	// CrossZoneBytes are the bytes of bodies that were sent to another zone of
+	// the region, CrossRegionBytes those to another region.
+	CrossZoneBytes   float64
+	CrossRegionBytes float64
+	Credit           float64
 
 	maxCredit float64
 	latencies []time.Duration
@@ -172,13 +175,13 @@
 	fmt.Fprintf(out, "%s, policy %s: credit %.3f of the maximum, served %.3f, slots in use %.2f\n",
 		report.Scenario, report.Policy, report.Credit(), report.ServedFraction(), report.SlotUtilization())
 	table := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
-	fmt.Fprintln(table, "class\toffered\tin time\tlate\trefused\tfailed\tleft early\tp50\tp99\twasted s\textra attempts\tcaller retries\tMB between zones")
+	fmt.Fprintln(table, "class\toffered\tin time\tlate\trefused\tfailed\tleft early\tp50\tp99\twasted s\textra attempts\tcaller retries\tMB between zones\tMB between regions")
 	for _, tally := range report.Classes {
 		share := func(count int) string { return fmt.Sprintf("%.3f", float64(count)/float64(max(1, tally.Awaited()))) }
-		fmt.Fprintf(table, "%s\t%d\t%s\t%s\t%s\t%s\t%d\t%s\t%s\t%.1f\t%d\t%d\t%.1f\n", tally.Class, tally.Offered,
+		fmt.Fprintf(table, "%s\t%d\t%s\t%s\t%s\t%s\t%d\t%s\t%s\t%.1f\t%d\t%d\t%.1f\t%.1f\n", tally.Class, tally.Offered,
 			share(tally.InTime), share(tally.Late), share(tally.Refused), share(tally.Failed), tally.LeftEarly,
 			tally.Quantile(0.5).Round(time.Millisecond), tally.Quantile(0.99).Round(time.Millisecond),
-			tally.WastedSeconds, tally.ExtraAttempts, tally.CallerRetries, tally.CrossZoneBytes/1e6)
+			tally.WastedSeconds, tally.ExtraAttempts, tally.CallerRetries, tally.CrossZoneBytes/1e6, tally.CrossRegionBytes/1e6)
 	}
 	_ = table.Flush()
 }
@@ -186,14 +189,15 @@
 // Compare prints one line per report, with its policy.
 func Compare(out io.Writer, reports []*Report) {
 	table := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
-	fmt.Fprintln(table, "policy\tcredit\tserved\tslots in use\twasted s\textra attempts\tcaller retries\tMB between zones\tprobes\tworst class")
+	fmt.Fprintln(table, "policy\tcredit\tserved\tslots in use\twasted s\textra attempts\tcaller retries\tMB between zones\tMB between regions\tprobes\tworst class")
 	for _, report := range reports {
-		var wasted, bytes float64
+		var wasted, zoneBytes, regionBytes float64
 		extraAttempts, callerRetries := 0, 0
 		worst, name := 2.0, ""
 		for _, tally := range report.Classes {
 			wasted += tally.WastedSeconds
-			bytes += tally.CrossZoneBytes
+			zoneBytes += tally.CrossZoneBytes
+			regionBytes += tally.CrossRegionBytes
 			extraAttempts += tally.ExtraAttempts
 			callerRetries += tally.CallerRetries
 			if tally.maxCredit > 0 {
@@ -202,8 +206,8 @@
 				}
 			}
 		}
-		fmt.Fprintf(table, "%s\t%.3f\t%.3f\t%.2f\t%.1f\t%d\t%d\t%.1f\t%d\t%s %.2f\n", report.Policy, report.Credit(), report.ServedFraction(),
-			report.SlotUtilization(), wasted, extraAttempts, callerRetries, bytes/1e6, report.Probes, name, worst)
+		fmt.Fprintf(table, "%s\t%.3f\t%.3f\t%.2f\t%.1f\t%d\t%d\t%.1f\t%.1f\t%d\t%s %.2f\n", report.Policy, report.Credit(), report.ServedFraction(),
+			report.SlotUtilization(), wasted, extraAttempts, callerRetries, zoneBytes/1e6, regionBytes/1e6, report.Probes, name, worst)
 	}
 	_ = table.Flush()
 }
--- a/standin/play/scenario.go
+++ b/standin/play/scenario.go
@@ -31,9 +31,10 @@
 	RetrySlack float64 `json:"retrySlack"`
 	// Headroom is the fraction of the slots that gates keep free.
 	Headroom float64 `json:"headroom"`
-	// ByteSeconds is the cost of sending a megabyte to another zone, in seconds
-	// of response time.
-	ByteSeconds float64 `json:"byteSeconds"`
+	// ZoneBytePrice and RegionBytePrice are the prices of sending a megabyte to
+	// another zone of the region and to another region, in responses in time.
+	ZoneBytePrice   float64 `json:"zoneBytePrice"`
+	RegionBytePrice float64 `json:"regionBytePrice"`
 }
 
 // Links holds one-way latencies: within a zone, between zones of a region, between
@@ -110,8 +111,10 @@
 	Timeout   float64 `json:"timeout,omitempty"`
 	// ServiceTime is the mean duration of a run on an idle target. Variation is
 	// its standard deviation as a fraction of the mean.
-	ServiceTime   float64 `json:"work"`
-	Variation     float64 `json:"spread,omitempty"`
+	ServiceTime float64 `json:"work"`
+	Variation   float64 `json:"spread,omitempty"`
+	// RequestBytes and ResponseBytes are the sizes of the bodies.
+	RequestBytes  float64 `json:"requestBytes,omitempty"`
 	ResponseBytes float64 `json:"bytes,omitempty"`
 	// MaxRetries is how often a caller retries after a refusal, or after a failure
 	// if the request is repeatable.
--- a/standin/play/simulation.go
+++ b/standin/play/simulation.go
@@ -130,14 +130,15 @@
 
 // linkTo returns the assumed latency and cost of the link to a member.
 func (daemon *daemon) linkTo(member kernel.Member) route.Link {
-	secondsPerByte := daemon.simulation.scenario.ByteSeconds / 1e6
+	const bytesPerMegabyte = 1e6
+	scenario := daemon.simulation.scenario
 	switch {
 	case member.DataCentre == daemon.zone.Name:
 		return route.Link{}
 	case member.Region == daemon.zone.Region:
-		return route.Link{Latency: assumedZoneLatency, SecondsPerByte: secondsPerByte}
+		return route.Link{Latency: assumedZoneLatency, BytePrice: scenario.ZoneBytePrice / bytesPerMegabyte}
 	default:
-		return route.Link{Latency: assumedRegionLatency, Cost: 1, SecondsPerByte: secondsPerByte}
+		return route.Link{Latency: assumedRegionLatency, Cost: 1, BytePrice: scenario.RegionBytePrice / bytesPerMegabyte}
 	}
 }
 
