Records are offered and flooded together

Change: a flood offers versions, as for large tables, and waits 25 ms after the last one, so that records which arrive together are one envelope.

--- a/core/spread/spread.go
+++ b/core/spread/spread.go
@@ -1,9 +1,10 @@
 // Package spread replicates records between all daemons.
 //
-// A daemon that stores a new record immediately sends it to all neighbours
-// except the one that it came from. Of a large record it sends only the version,
-// and each neighbour requests the record once, from the first daemon that offers
-// it. Records missed because of lost messages are repaired by anti-entropy: every second a daemon sends the digest of its table
+// A daemon that stores a new record offers it to all neighbours except the one that
+// it came from. Each neighbour hears of the record from several daemons and requests
+// it once, from the first; only a very short record is sent without being requested.
+// Records that arrive shortly after each other, as during a start of the whole
+// fleet, are offered together. Records missed because of lost messages are repaired by anti-entropy: every second a daemon sends the digest of its table
 // to its monitored neighbours and one other. Where the digests differ, the two
 // daemons compare the digests of buckets, then the versions of records, and
 // exchange only the records that one of them lacks.
@@ -39,8 +40,11 @@
 }
 
 // maxFloodedSize is the size in bytes up to which a record is sent without being
-// requested. A daemon hears of each record from several neighbours.
-const maxFloodedSize = 2 << 10
+// requested, because its key and version are hardly shorter.
+const maxFloodedSize = 100
+
+// floodInterval is the minimum time between two floods of a daemon.
+const floodInterval = 25 * time.Millisecond
 
 // requestTimeout is how long a daemon waits for a record that it has requested
 // before it requests it from another daemon. It allows for a large record on a slow
@@ -53,7 +57,16 @@
 	at      time.Time
 }
 
+// pendingRecord is a record that is to be flooded, with the daemon it came from.
+type pendingRecord struct {
+	record kernel.Record
+	from   string
+}
+
 type plugin struct {
+	// pending holds the records to flood, in the order in which they arrived.
+	pending     []pendingRecord
+	lastFloodAt time.Time
 	// requested holds the last request for each large record.
 	requested     map[kernel.Key]requestedRecord
 	lastCompare   time.Time
@@ -76,7 +89,10 @@
 	case kernel.Ticked:
 		return plugin.tick(state, event)
 	case kernel.RecordsMerged:
-		return flood(state, message)
+		for _, record := range message.Records {
+			plugin.pending = append(plugin.pending, pendingRecord{record: record, from: message.From})
+		}
+		return plugin.flood(state, event.At)
 	case kernel.EnvelopeReceived:
 		return plugin.handleEnvelope(state, event.At, message)
 	case kernel.PeerReplied:
@@ -106,7 +122,7 @@
 
 // tick starts the comparisons that are due.
 func (plugin *plugin) tick(state *kernel.State, event kernel.Event) []kernel.Effect {
-	var effects []kernel.Effect
+	effects := plugin.flood(state, event.At)
 	if event.At.Sub(plugin.lastCompare) >= CompareInterval {
 		plugin.lastCompare = event.At
 		effects = append(effects, plugin.compareWithNeighbours(state)...)
@@ -165,26 +181,44 @@
 	return kernel.CallPeer{Peer: peer, Envelope: kernel.Envelope{From: state.Settings.Self, TableDigest: state.Table.Digest()}}
 }
 
-// flood sends newly stored records, or the versions of large ones, to all
-// neighbours except the one that they came from.
-func flood(state *kernel.State, merged kernel.RecordsMerged) []kernel.Effect {
-	envelope := kernel.Envelope{From: state.Settings.Self}
-	for _, record := range merged.Records {
-		if len(record.Body) <= maxFloodedSize {
-			envelope.Records = append(envelope.Records, record)
-			continue
-		}
-		envelope.Versions = append(envelope.Versions, kernel.KeyVersion{Key: record.Key, Version: record.Version})
+// flood offers the pending records to all neighbours except those that they came
+// from, unless the last flood was too recent.
+func (plugin *plugin) flood(state *kernel.State, at time.Time) []kernel.Effect {
+	if len(plugin.pending) == 0 {
+		return nil
+	}
+	if wait := floodInterval - at.Sub(plugin.lastFloodAt); wait > 0 {
+		return []kernel.Effect{kernel.Wake{After: wait}}
 	}
+	plugin.lastFloodAt = at
 	var effects []kernel.Effect
 	for _, neighbour := range state.Neighbours {
-		if neighbour.ID != merged.From {
+		envelope := kernel.Envelope{From: state.Settings.Self}
+		for _, pending := range plugin.pending {
+			if pending.from == neighbour.ID || pending.isOutdated(state) {
+				continue
+			}
+			if record := pending.record; len(record.Body) > maxFloodedSize {
+				envelope.Versions = append(envelope.Versions, kernel.KeyVersion{Key: record.Key, Version: record.Version})
+			} else {
+				envelope.Records = append(envelope.Records, record)
+			}
+		}
+		if len(envelope.Versions)+len(envelope.Records) > 0 {
 			effects = append(effects, kernel.CallPeer{Peer: neighbour, Envelope: envelope})
 		}
 	}
+	plugin.pending = nil
 	return effects
 }
 
+// isOutdated reports whether a newer version of the record is stored, which is
+// pending too.
+func (pending pendingRecord) isOutdated(state *kernel.State) bool {
+	stored, _ := state.Table.Get(pending.record.Key)
+	return stored.Version != pending.record.Version
+}
+
 // handleEnvelope merges the records of another daemon's envelope and replies
 // with the next step of the comparison or the keys of offered records that it
 // wants.
