Store calls do not grow with the fleet; links within the data centre

A third of the control bytes of a start left the data centre. Change: - Two watchers a region, in different data centres. After lost history the read is a current one. It watches 3.5 s after its start at the earliest, and not while it has a table and its neighbours. - Beacons: a daemon that finds none waits for up to 1.5 s, with short waits rare, and looks again before it writes. - Neighbours: the two that are monitored by hash over the region as before, the others at distances 1, 4, 16 in the order of the data centres.

--- a/core/beacon/beacon.go
+++ b/core/beacon/beacon.go
@@ -1,7 +1,7 @@
 // Package beacon lets a new daemon discover others through the platform.
 //
-// The watchers of a data centre are the daemons that follow changes on the
-// platform. Each of them maintains a platform object with its peer address, called
+// The watchers of a region are the daemons that follow changes on the platform.
+// Each of them maintains a platform object with its peer address, called
 // a beacon. A daemon that starts lists the beacons and adds their addresses to the
 // first peers from its settings.
 //
@@ -15,8 +15,8 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math"
 	"slices"
-	"strings"
 	"time"
 
 	"ibislift/core/kernel"
@@ -34,16 +34,20 @@
 // retryDelay is the time before a failed listing of the beacons is retried.
 const retryDelay = 2 * time.Second
 
+// startupPeriod is the time from a successful listing until a watcher first checks
+// its own beacon.
+const startupPeriod = 4 * time.Second
+
+// relistDelay is the time from a write to the next listing.
+const relistDelay = 700 * time.Millisecond
+
+// A daemon that finds no beacon at all waits before it writes one, because the whole
+// fleet may be starting. The wait is at most maxWriteDelay, and writeDelayRoot makes
+// short waits rare: of many daemons few write at nearly the same time, and the
+// others find their beacons.
 const (
-	// relistDelay is the time after which a daemon that has just started and
-	// written the first beacon of its data centre lists the beacons again. A data
-	// centre without a beacon may mean that the whole fleet is starting, and the
-	// beacons of the other data centres then appear after a few round trips.
-	relistDelay = 700 * time.Millisecond
-	// startupPeriod is how long after its start a daemon counts as just started.
-	// It is also the time from a successful listing until a watcher first checks
-	// its own beacon.
-	startupPeriod = 4 * time.Second
+	maxWriteDelay  = 1500 * time.Millisecond
+	writeDelayRoot = 8
 )
 
 // maxFirstPeers is the number of first peers at which no more are added from
@@ -68,9 +72,11 @@
 
 type plugin struct {
 	listed bool
+	// foundNone means that the last listing held no beacon. The daemon then
+	// writes one if the next listing holds none either.
+	foundNone bool
 	// calling means that a call to the platform is in progress.
 	calling    bool
-	startedAt  time.Time
 	nextCallAt time.Time
 }
 
@@ -81,14 +87,13 @@
 func (plugin *plugin) Update(state *kernel.State, event kernel.Event) []kernel.Effect {
 	switch message := event.Message.(type) {
 	case kernel.Started:
-		plugin.startedAt = event.At
-		return plugin.call(listToken, kernel.ListObjects{Prefix: Prefix})
+		return plugin.list()
 	case kernel.Ticked:
 		return plugin.tick(state, event.At)
 	case kernel.PlatformCallEnded:
 		if message.Owner == pluginName {
 			plugin.calling = false
-			return plugin.handleResult(state, event.At, message)
+			return plugin.handleResult(state, event, message)
 		}
 	}
 	return nil
@@ -101,7 +106,7 @@
 	case plugin.calling || at.Before(plugin.nextCallAt):
 		return nil
 	case !plugin.listed:
-		return plugin.call(listToken, kernel.ListObjects{Prefix: Prefix})
+		return plugin.list()
 	case state.Watching:
 		plugin.nextCallAt = at.Add(RefreshInterval)
 		return plugin.call(readToken, kernel.ReadObject{Name: ownName(state)})
@@ -121,6 +126,11 @@
 	return fmt.Sprintf("%s%s/%s/", Prefix, state.Settings.Region, state.Settings.DataCentre)
 }
 
+// list lists the beacons. They are hints, so they may be stale.
+func (plugin *plugin) list() []kernel.Effect {
+	return plugin.call(listToken, kernel.ListObjects{Prefix: Prefix, StaleAllowed: true})
+}
+
 // call starts a call to the platform.
 func (plugin *plugin) call(token uint64, call kernel.PlatformCall) []kernel.Effect {
 	plugin.calling = true
@@ -128,33 +138,38 @@
 }
 
 // handleResult handles the result of a call to the platform.
-func (plugin *plugin) handleResult(state *kernel.State, at time.Time, ended kernel.PlatformCallEnded) []kernel.Effect {
+func (plugin *plugin) handleResult(state *kernel.State, event kernel.Event, ended kernel.PlatformCallEnded) []kernel.Effect {
 	switch ended.Token {
 	case listToken:
-		return plugin.handleList(state, at, ended.Result)
+		return plugin.handleList(state, event, ended.Result)
 	case readToken:
 		return plugin.handleRead(state, ended.Result)
 	case writeToken:
-		return plugin.handleWrite(state, at, ended.Result)
+		return plugin.handleWrite(state, event.At, ended.Result)
 	}
 	return nil
 }
 
-// handleList adds the addresses of the listed beacons to the first peers. If
-// this data centre has no beacon yet, it writes one with this daemon's address.
-func (plugin *plugin) handleList(state *kernel.State, at time.Time, result kernel.PlatformResult) []kernel.Effect {
+// handleList adds the addresses of the listed beacons to the first peers. If there
+// are none twice, it writes one with this daemon's address.
+func (plugin *plugin) handleList(state *kernel.State, event kernel.Event, result kernel.PlatformResult) []kernel.Effect {
 	if result.Status != kernel.PlatformOK {
-		plugin.nextCallAt = at.Add(retryDelay)
+		plugin.nextCallAt = event.At.Add(retryDelay)
 		return nil
 	}
-	plugin.listed = true
-	plugin.nextCallAt = at.Add(startupPeriod)
 	effects := plugin.addFirstPeers(state, result.Objects)
-	for _, object := range result.Objects {
-		if strings.HasPrefix(object.Name, dataCentrePrefix(state)) {
-			return effects
-		}
+	alone := len(result.Objects) == 0 && len(state.Neighbours) == 0
+	switch {
+	case !alone:
+		plugin.listed = true
+		plugin.nextCallAt = event.At.Add(startupPeriod)
+		return effects
+	case !plugin.foundNone:
+		plugin.foundNone = true
+		plugin.nextCallAt = event.At.Add(writeDelay(event.Random))
+		return effects
 	}
+	plugin.foundNone = false
 	body, err := json.Marshal(beacon{PeerAddress: state.Settings.PeerAddress})
 	if err != nil {
 		return effects
@@ -162,6 +177,13 @@
 	return append(effects, plugin.call(writeToken, kernel.WriteObject{Name: dataCentrePrefix(state) + "0", Body: body})...)
 }
 
+// writeDelay returns how long to wait before writing the first beacon, from a random
+// number.
+func writeDelay(random uint64) time.Duration {
+	fraction := math.Pow(float64(random)/math.MaxUint64, 1.0/writeDelayRoot)
+	return time.Duration(fraction * float64(maxWriteDelay))
+}
+
 // addFirstPeers adds the addresses of beacons to the first peers. It reports the
 // added addresses to the other plug-ins with PeersFound.
 func (plugin *plugin) addFirstPeers(state *kernel.State, objects []kernel.Object) []kernel.Effect {
@@ -184,12 +206,11 @@
 	return []kernel.Effect{kernel.Dispatch{Message: kernel.PeersFound{Addresses: added}}}
 }
 
-// handleWrite lists the beacons again if the daemon has just started, because
-// those of other data centres may have appeared in the meantime. If another
-// daemon wrote the same beacon first, the reply may contain its address.
+// handleWrite lists the beacons again some time later, because those of other data
+// centres may have been written at the same time. If another daemon has written the
+// same beacon first, the reply may contain its address.
 func (plugin *plugin) handleWrite(state *kernel.State, at time.Time, result kernel.PlatformResult) []kernel.Effect {
-	if at.Sub(plugin.startedAt) < startupPeriod {
-		plugin.listed = false
+	if !plugin.listed {
 		plugin.nextCallAt = at.Add(relistDelay)
 	}
 	if result.Status != kernel.PlatformConflict {
--- a/core/kernel/kernel.go
+++ b/core/kernel/kernel.go
@@ -47,11 +47,14 @@
 	// DeadPeers are members recorded as dead. They may become reachable again
 	// when a network partition heals.
 	DeadPeers []Neighbour
-	// Watching means that this daemon is one of the watchers of its data
-	// centre, which follow changes on the platform. WatcherRank is its position
-	// among them.
+	// Watching means that this daemon is one of the watchers of its region,
+	// which follow changes on the platform. WatcherRank is its position among
+	// them.
 	Watching    bool
 	WatcherRank int
+	// PlatformDownSince is when the calls of this daemon's watches began to fail,
+	// or zero while they succeed.
+	PlatformDownSince time.Time
 	// ClaimCoordinators has, for each claim partition, the ID of the daemon
 	// that coordinates its claims, followed by those that may take over.
 	ClaimCoordinators [][]string
--- a/core/kernel/platform.go
+++ b/core/kernel/platform.go
@@ -17,8 +17,12 @@
 // ReadObject reads one object.
 type ReadObject struct{ Name string }
 
-// ListObjects reads all objects whose name has the prefix.
-type ListObjects struct{ Prefix string }
+// ListObjects reads all objects whose name has the prefix. With StaleAllowed the
+// result may be some seconds old, which costs a platform less that offers it.
+type ListObjects struct {
+	Prefix       string
+	StaleAllowed bool
+}
 
 // WatchObjects waits, for at most Wait, until an object with the prefix changes
 // after Revision.
--- a/core/kernel/view.go
+++ b/core/kernel/view.go
@@ -51,7 +51,10 @@
 	OperatorAddress string      `json:"operatorAddress,omitempty"`
 	State           MemberState `json:"state"`
 	Leaving         bool        `json:"leaving,omitempty"`
-	Target          Target      `json:"target"`
+	// PlatformLost means that the daemon was to watch the platform and does not
+	// reach it.
+	PlatformLost bool   `json:"platformLost,omitempty"`
+	Target       Target `json:"target"`
 }
 
 // WithState returns a copy of the member with the given state.
@@ -95,7 +98,7 @@
 	// Ready means that this daemon has received its configuration: the profiles
 	// or the route table.
 	Ready bool
-	// Watching means that this daemon is one of the watchers of its data centre.
+	// Watching means that this daemon is one of the watchers of its region.
 	Watching bool
 	// Routes is the operators' route table. It is nil where the request's host
 	// alone selects the service.
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -39,6 +39,11 @@
 	contactTimeout = 2 * time.Second
 	// DeadRetention is how long the record of a dead member is kept.
 	DeadRetention = 10 * time.Minute
+	// platformLossTime is how long the calls of a watcher fail before it reports
+	// that it does not reach the platform, and platformLossRetention how long
+	// that holds before it may watch again.
+	platformLossTime      = time.Second
+	platformLossRetention = 10 * time.Second
 	// cleanupInterval is the time between two searches for expired members.
 	cleanupInterval = 5 * time.Second
 )
@@ -68,6 +73,9 @@
 	coordinators   [][]string
 	neighbours     []kernel.Neighbour
 	watching       bool
+	// platformLostAt is when this daemon last reported that it does not reach the
+	// platform.
+	platformLostAt time.Time
 }
 
 // record is the replicated form of a member. Died is in Unix milliseconds.
@@ -261,6 +269,7 @@
 
 func (plugin *plugin) tick(state *kernel.State, event kernel.Event) []kernel.Effect {
 	effects := plugin.declareDead(state, event.At)
+	effects = append(effects, plugin.reportPlatformLoss(state, event.At)...)
 	plugin.removeExpired(state, event.At)
 	if plugin.membersChanged {
 		plugin.membersChanged = false
@@ -269,6 +278,24 @@
 	return effects
 }
 
+// reportPlatformLoss publishes that this daemon is to watch the platform and does
+// not reach it, so that the next one in rank watches in its place.
+func (plugin *plugin) reportPlatformLoss(state *kernel.State, at time.Time) []kernel.Effect {
+	since := state.PlatformDownSince
+	lost := plugin.self.PlatformLost && at.Sub(plugin.platformLostAt) < platformLossRetention
+	if state.Watching && !since.IsZero() && at.Sub(since) >= platformLossTime {
+		lost = true
+	}
+	if lost == plugin.self.PlatformLost {
+		return nil
+	}
+	if lost {
+		plugin.platformLostAt = at
+	}
+	plugin.self.PlatformLost = lost
+	return plugin.publishSelf()
+}
+
 // declareDead declares the monitored neighbours dead that have been suspect for
 // the suspicion timeout without refuting.
 func (plugin *plugin) declareDead(state *kernel.State, at time.Time) []kernel.Effect {
--- a/core/member/neighbours.go
+++ b/core/member/neighbours.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"slices"
 	"sort"
+	"strings"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -17,27 +19,33 @@
 	// bridgesPerRegion is how many daemons of a region exchange records with
 	// the bridges of the other regions.
 	bridgesPerRegion = 2
-	// watchersPerDataCentre is how many daemons of a data centre watch the
-	// platform.
-	watchersPerDataCentre = 2
+	// watchersPerRegion is how many daemons of a region watch the platform.
+	watchersPerRegion = 2
 	// coordinatorsPerPartition is how many daemons may coordinate the claims
 	// of a partition: the first one, and those that take over in turn when it
 	// cannot be reached.
 	coordinatorsPerPartition = 3
 )
 
-// chooseNeighbours returns the daemons that self exchanges records with: the
-// daemons at distances 1, 2, 4 and so on in the ring of its region, so that
-// their number grows with the logarithm of the region's size, and, if self is
-// a bridge, the bridges of the other regions. The ring of a region has its daemons
-// in the order of rankByHash, with the first one following the last.
+// chooseNeighbours returns the daemons that self exchanges records with. Their
+// number grows with the logarithm of the region's size. The daemons of a region
+// form two rings, in which the first daemon follows the last:
+//
+//   - In the order of rankByHash, the next two daemons are monitored. They are
+//     mostly in other data centres, so that the daemons of a lost data centre are
+//     monitored by others.
+//   - In the order of the data centres, those at distances 1, 4, 16 and so on are
+//     mostly in the own data centre, where messages cost least.
+//
+// If self is a bridge, the bridges of the other regions are neighbours too.
 func chooseNeighbours(self kernel.Member, members []kernel.Member) []kernel.Neighbour {
 	regions := map[string][]kernel.Member{}
 	for _, member := range members {
 		regions[member.Region] = append(regions[member.Region], member)
 	}
 	ring := rankByHash(regions[self.Region], "ring")
-	neighbours := ringNeighbours(self, ring)
+	neighbours := monitoredNeighbours(self, ring)
+	neighbours = addDistant(neighbours, self, byDataCentre(ring))
 	if !containsID(bridges(regions[self.Region]), self.ID) {
 		return neighbours
 	}
@@ -52,42 +60,77 @@
 	return neighbours
 }
 
-// ringNeighbours returns the daemons at distances 1, 2, 4 and so on from self
-// in the ring.
-func ringNeighbours(self kernel.Member, ring []kernel.Member) []kernel.Neighbour {
-	position := 0
-	for index, member := range ring {
-		if member.ID == self.ID {
-			position = index
-		}
-	}
+// monitoredNeighbours returns the next daemons after self in the ring.
+func monitoredNeighbours(self kernel.Member, ring []kernel.Member) []kernel.Neighbour {
+	position := positionOf(self, ring)
 	var neighbours []kernel.Neighbour
-	for distance := 1; distance < len(ring); distance *= 2 {
+	for distance := 1; distance <= monitoredSuccessors && distance < len(ring); distance++ {
 		neighbour := ring[(position+distance)%len(ring)]
-		neighbours = append(neighbours, kernel.Neighbour{
-			ID:        neighbour.ID,
-			Address:   neighbour.PeerAddress,
-			Monitored: distance <= monitoredSuccessors,
-		})
+		neighbours = append(neighbours, kernel.Neighbour{ID: neighbour.ID, Address: neighbour.PeerAddress, Monitored: true})
+	}
+	return neighbours
+}
+
+// distanceFactor is the factor between the distances of neighbours in a ring.
+const distanceFactor = 4
+
+// addDistant adds the daemons at distances 1, 4, 16 and so on from self in the ring
+// that are not neighbours yet.
+func addDistant(neighbours []kernel.Neighbour, self kernel.Member, ring []kernel.Member) []kernel.Neighbour {
+	position := positionOf(self, ring)
+	for distance := 1; distance < len(ring); distance *= distanceFactor {
+		added := ring[(position+distance)%len(ring)]
+		known := slices.ContainsFunc(neighbours, func(neighbour kernel.Neighbour) bool { return neighbour.ID == added.ID })
+		if !known {
+			neighbours = append(neighbours, kernel.Neighbour{ID: added.ID, Address: added.PeerAddress})
+		}
 	}
 	return neighbours
 }
 
+// byDataCentre orders the members by their data centres, and keeps the order within
+// each.
+func byDataCentre(members []kernel.Member) []kernel.Member {
+	ordered := slices.Clone(members)
+	slices.SortStableFunc(ordered, func(one, other kernel.Member) int { return strings.Compare(one.DataCentre, other.DataCentre) })
+	return ordered
+}
+
+func positionOf(self kernel.Member, ring []kernel.Member) int {
+	return max(0, slices.IndexFunc(ring, func(member kernel.Member) bool { return member.ID == self.ID }))
+}
+
 // bridges returns the bridges among the members of one region.
 func bridges(region []kernel.Member) []kernel.Member {
 	return firstN(rankByHash(region, "bridge"), bridgesPerRegion)
 }
 
-// watcherRank returns the position of self among the daemons of its data centre
-// that watch the platform, and whether self is one of them.
+// maxWatcherCandidates is how many daemons of a region may become watchers because
+// those before them do not reach the platform. It bounds the calls while the
+// platform is down for all.
+const maxWatcherCandidates = 6
+
+// watcherRank returns the position of self among the daemons of its region that
+// watch the platform, and whether self is one of them. Daemons that do not reach
+// the platform are passed over, and those in different data centres come first.
 func watcherRank(self kernel.Member, members []kernel.Member) (int, bool) {
-	var dataCentre []kernel.Member
+	var region []kernel.Member
 	for _, member := range members {
-		if member.DataCentre == self.DataCentre && member.Region == self.Region {
-			dataCentre = append(dataCentre, member)
+		if member.Region == self.Region {
+			region = append(region, member)
 		}
 	}
-	for rank, member := range firstN(rankByHash(dataCentre, "watch"), watchersPerDataCentre) {
+	candidates := firstN(spreadOverDataCentres(rankByHash(region, "watch")), maxWatcherCandidates)
+	var reaching []kernel.Member
+	for _, candidate := range candidates {
+		if !candidate.PlatformLost {
+			reaching = append(reaching, candidate)
+		}
+	}
+	if len(reaching) > 0 {
+		candidates = reaching
+	}
+	for rank, member := range firstN(candidates, watchersPerRegion) {
 		if member.ID == self.ID {
 			return rank, true
 		}
@@ -95,6 +138,22 @@
 	return 0, false
 }
 
+// spreadOverDataCentres moves the first daemon of each data centre to the front,
+// and keeps the order otherwise.
+func spreadOverDataCentres(ranked []kernel.Member) []kernel.Member {
+	seen := map[string]bool{}
+	var first, others []kernel.Member
+	for _, member := range ranked {
+		if seen[member.DataCentre] {
+			others = append(others, member)
+			continue
+		}
+		seen[member.DataCentre] = true
+		first = append(first, member)
+	}
+	return append(first, others...)
+}
+
 // chooseCoordinators returns the claim coordinators of each partition in the
 // order in which they take over. They are chosen by rendezvous hashing among
 // the daemons in the region of the platform's store that are not leaving, or
--- a/core/profile/plugin.go
+++ b/core/profile/plugin.go
@@ -211,10 +211,12 @@
 	failed := status == kernel.PlatformNotExecuted || status == kernel.PlatformUnknown
 	if failed && plugin.platformDownSince.IsZero() {
 		plugin.platformDownSince = at
+		state.PlatformDownSince = at
 		state.ViewDirty = true
 	}
 	if !failed && !plugin.platformDownSince.IsZero() {
 		plugin.platformDownSince = time.Time{}
+		state.PlatformDownSince = time.Time{}
 		state.ViewDirty = true
 	}
 }
--- a/core/rollout/rollout.go
+++ b/core/rollout/rollout.go
@@ -30,6 +30,9 @@
 	// because each watch costs a call, and keep-alives detect a dead
 	// connection earlier.
 	watchTimeout = 25 * time.Second
+	// settlingTime is how long a daemon waits after its start before it watches,
+	// since it learns only then who the watchers of its region are.
+	settlingTime = 3500 * time.Millisecond
 	// contactTimeout is how long a daemon considers itself connected after its
 	// last exchange with a neighbour. Exchanges happen once a second.
 	contactTimeout = 2500 * time.Millisecond
@@ -66,7 +69,11 @@
 	callPending bool
 	// watchSkipped is true if this daemon has not watched the route table itself
 	// since its last call to the platform, because its data centre's watchers do.
-	watchSkipped      bool
+	watchSkipped bool
+	// mustBeCurrent is true if the next read must not be stale, because the
+	// history since a stale one may be lost.
+	mustBeCurrent     bool
+	startedAt         time.Time
 	retryAt           time.Time
 	platformDownSince time.Time
 	// lastContact is the time of the last successful exchange with a neighbour,
@@ -109,6 +116,7 @@
 	switch message := event.Message.(type) {
 	case kernel.Started:
 		plugin.lastContact = event.At
+		plugin.startedAt = event.At
 		plugin.failedPeers = map[string]time.Time{}
 		return plugin.read(state)
 	case kernel.PeerReplied:
@@ -147,11 +155,14 @@
 	if plugin.callPending || at.Before(plugin.retryAt) {
 		return nil
 	}
+	if plugin.table != nil && !state.Watching && plugin.isConnected(at) {
+		plugin.watchSkipped = true
+		return nil
+	}
 	if plugin.revision == 0 {
 		return plugin.read(state)
 	}
-	if !state.Watching && plugin.isConnected(at) {
-		plugin.watchSkipped = true
+	if at.Sub(plugin.startedAt) < settlingTime {
 		return nil
 	}
 	if plugin.watchSkipped {
@@ -177,8 +188,10 @@
 	return at.Sub(plugin.lastContact) <= contactTimeout && failedCount < minFailedNeighbours
 }
 
+// read reads the table. A stale one is enough, since a watch from its revision
+// returns what is newer, and neighbours send it.
 func (plugin *plugin) read(state *kernel.State) []kernel.Effect {
-	return plugin.call(readToken, kernel.ListObjects{Prefix: objectPrefix(state)})
+	return plugin.call(readToken, kernel.ListObjects{Prefix: objectPrefix(state), StaleAllowed: !plugin.mustBeCurrent})
 }
 
 func (plugin *plugin) watch(state *kernel.State) []kernel.Effect {
@@ -209,9 +222,11 @@
 		plugin.retryAt = event.At.Add(retryDelay + time.Duration(event.Random%uint64(retryJitter)))
 		if result.Status == kernel.PlatformHistoryLost {
 			plugin.retryAt = event.At
+			plugin.mustBeCurrent = true
 		}
 		return nil
 	}
+	plugin.mustBeCurrent = false
 	plugin.revision = result.Revision
 	var records []kernel.Record
 	for _, object := range result.Objects {
@@ -227,11 +242,7 @@
 		records = append(records, kernel.Record{Key: key, Version: table.Version, Body: body})
 	}
 	effects := []kernel.Effect{kernel.MergeRecords{Records: records}}
-	if !state.Watching && plugin.isConnected(event.At) {
-		plugin.watchSkipped = true
-		return effects
-	}
-	return append(effects, plugin.watch(state)...)
+	return append(effects, plugin.tick(state, event.At)...)
 }
 
 // updatePlatformStatus records the time since which calls to the platform have
@@ -241,9 +252,11 @@
 	switch {
 	case failed && plugin.platformDownSince.IsZero():
 		plugin.platformDownSince = at
+		state.PlatformDownSince = at
 		state.ViewDirty = true
 	case !failed && !plugin.platformDownSince.IsZero():
 		plugin.platformDownSince = time.Time{}
+		state.PlatformDownSince = time.Time{}
 		state.ViewDirty = true
 	}
 }
--- a/core/rollout/rollout_test.go
+++ b/core/rollout/rollout_test.go
@@ -55,9 +55,10 @@
 	daemon.update(kernel.PlatformCallEnded{Owner: call.Owner, Token: call.Token, Result: result})
 }
 
-// failNeighbours reports failed exchanges with two neighbours, so that the
-// daemon watches the platform itself.
+// failNeighbours reports failed exchanges with two neighbours some time after the
+// start, so that the daemon watches the platform itself.
 func (daemon *daemon) failNeighbours() {
+	daemon.advance(4 * time.Second)
 	for _, address := range []string{"b", "c"} {
 		daemon.update(kernel.PeerFailed{Peer: kernel.Neighbour{ID: address, Address: address}})
 	}
--- /dev/null
+++ b/core/rollout/watchers_test.go
@@ -0,0 +1,113 @@
+package rollout_test
+
+import (
+	"cmp"
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"ibislift/core/kernel"
+	"ibislift/standin/fleet"
+)
+
+// init fixes the seed of the property tests so that every run gives the same
+// result. The environment variable IBISLIFT_SEED sets another seed.
+func init() {
+	_ = flag.Set("rapid.seed", cmp.Or(os.Getenv("IBISLIFT_SEED"), "1"))
+	_ = flag.Set("rapid.nofailfile", "true")
+}
+
+// applyLimit is the time within which a change has to be in force everywhere.
+const applyLimit = 4 * time.Second
+
+// newFleet starts daemons in three regions of three data centres each, with a
+// table in the store.
+func newFleet(seed uint64, daemons int) *fleet.Fleet {
+	cluster := fleet.New(seed)
+	cluster.Platform.Set("config/main", routeObject(1).Body)
+	for number := range daemons {
+		cluster.Add(kernel.Settings{
+			Self: fmt.Sprintf("d%d", number), PeerAddress: fmt.Sprintf("d%d", number),
+			Region: fmt.Sprintf("r%d", number%3), DataCentre: fmt.Sprintf("r%d-%d", number%3, number%9/3),
+			PlatformRegion: "r0", RouteObject: "config/main", NoClaims: true, NoProfiles: true,
+		})
+	}
+	return cluster
+}
+
+// lagging returns the running daemons that have not applied a version.
+func lagging(cluster *fleet.Fleet, version uint64) []string {
+	var names []string
+	for name, node := range cluster.Nodes {
+		running := !node.Stopped && !node.FrozenUntil.After(cluster.Now)
+		if running && (node.View.Routes == nil || node.View.Routes.Version < version) {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// disturb draws a fault for a daemon.
+func disturb(t *rapid.T, cluster *fleet.Fleet, node *fleet.Node, refused map[string]bool) {
+	switch rapid.SampledFrom([]string{"kill", "pause", "refuse"}).Draw(t, "fault") {
+	case "kill":
+		node.Stopped = true
+	case "pause":
+		node.FrozenUntil = cluster.Now.Add(time.Duration(rapid.IntRange(1, 20).Draw(t, "seconds")) * time.Second)
+	case "refuse":
+		refused[node.Settings.Self] = true
+	}
+}
+
+// A change is in force everywhere in time although watchers are killed, paused or
+// turned away by the platform, which also turns away other daemons.
+func TestWatchersAreReplaced(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		cluster := newFleet(rapid.Uint64().Draw(t, "seed"), 36)
+		cluster.Run(40 * time.Second)
+		refused := map[string]bool{}
+		cluster.Platform.Refuses = func(caller kernel.Settings) bool { return refused[caller.Self] }
+		for number := range 36 {
+			node := cluster.Nodes[fmt.Sprintf("d%d", number)]
+			if node.View.Watching && rapid.IntRange(0, 1).Draw(t, "watcher") == 0 {
+				disturb(t, cluster, node, refused)
+			} else if rapid.IntRange(0, 9).Draw(t, "other") == 0 {
+				disturb(t, cluster, node, refused)
+			}
+		}
+		cluster.Run(time.Duration(rapid.IntRange(0, 8000).Draw(t, "later")) * time.Millisecond)
+		cluster.Platform.Set("config/main", routeObject(2).Body)
+		cluster.Run(applyLimit)
+		if late := lagging(cluster, 2); len(late) > 0 {
+			t.Fatalf("not in force after %s on %d daemons: %v", applyLimit, len(late), late)
+		}
+	})
+}
+
+func TestPlatformCallsDoNotGrowWithTheFleet(t *testing.T) {
+	for _, daemons := range []int{24, 96, 296} {
+		t.Run(fmt.Sprintf("%d daemons", daemons), func(t *testing.T) {
+			is := is.New(t)
+			cluster := newFleet(1, daemons)
+			platform := cluster.Platform
+			cluster.Run(30 * time.Second)
+			is.Equal(len(lagging(cluster, 1)), 0)
+			t.Logf("start: %d reads, of which %d may be stale, and %d writes", platform.Reads, platform.StaleReads, platform.Writes)
+			is.True(platform.Reads-platform.StaleReads+platform.Writes <= 40)
+			is.True(platform.StaleReads <= 4*daemons)
+			reads := platform.Reads
+			for version := 2; version < 12; version++ {
+				platform.Set("config/main", routeObject(version).Body)
+				cluster.Run(6 * time.Second)
+				is.Equal(len(lagging(cluster, uint64(version))), 0)
+			}
+			t.Logf("ten changes in a minute: %d reads", platform.Reads-reads)
+			is.True(platform.Reads-reads <= 10*6+6*6) // two watchers in each of three regions
+		})
+	}
+}
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -218,7 +218,7 @@
 }
 
 func (fleet *Fleet) callPlatform(node *Node, call kernel.CallPlatform) {
-	fleet.Platform.call(fleet, call.Call, func(result kernel.PlatformResult, delay time.Duration) {
+	fleet.Platform.call(fleet, node.Settings, call.Call, func(result kernel.PlatformResult, delay time.Duration) {
 		fleet.deliverAfter(node, kernel.PlatformCallEnded{Owner: call.Owner, Token: call.Token, Result: result}, delay)
 	})
 }
--- a/standin/fleet/platform.go
+++ b/standin/fleet/platform.go
@@ -23,15 +23,20 @@
 	Random *rand.Rand
 	// Down makes the platform refuse every call.
 	Down bool
+	// Refuses reports whether the platform refuses the calls of a daemon. It
+	// refuses none if it is nil.
+	Refuses func(caller kernel.Settings) bool
 	// DropWriteReply reports whether the reply to a write is lost although the
 	// write takes effect. No reply is lost if it is nil.
 	DropWriteReply func() bool
 	// WriteDelay returns the delay after which a write takes effect, which may
 	// be later than the timeout of the call. Writes are not delayed if it is nil.
 	WriteDelay func() time.Duration
-	// Reads and Writes count the calls.
-	Reads  int
-	Writes int
+	// Reads and Writes count the calls, and StaleReads those of the reads that
+	// may be stale.
+	Reads      int
+	StaleReads int
+	Writes     int
 
 	objects     map[string]kernel.Object
 	revision    uint64
@@ -64,8 +69,8 @@
 
 // call performs a call and passes the result to reply with the delay after which
 // it arrives. The call to reply itself may be made later.
-func (platform *Platform) call(fleet *Fleet, call kernel.PlatformCall, reply func(kernel.PlatformResult, time.Duration)) {
-	if platform.Down {
+func (platform *Platform) call(fleet *Fleet, caller kernel.Settings, call kernel.PlatformCall, reply func(kernel.PlatformResult, time.Duration)) {
+	if platform.Down || platform.Refuses != nil && platform.Refuses(caller) {
 		reply(kernel.PlatformResult{Status: kernel.PlatformNotExecuted}, platformLatency)
 		return
 	}
@@ -82,6 +87,9 @@
 		reply(platform.read(call.Name), platformLatency)
 	case kernel.ListObjects:
 		platform.Reads++
+		if call.StaleAllowed {
+			platform.StaleReads++
+		}
 		reply(platform.list(call.Prefix, 0), platformLatency)
 	case kernel.WatchObjects:
 		platform.Reads++
