The store comes back from an older copy; messages and waits of a start

Versions were compared by the operators' number alone, and a watch went on from any revision: a daemon held a lost table against the operators' next one for as long as it lived, and a watch from a revision that had been given out again waited in vain. Ruled out: the era of the first read for all tables (a copy replaces the lost table); the era before (two quick drills, then a restart, bring the copy); a stale first read as evidence of a change.

Change: messages over 600 bytes are compressed (gzip of the RPC library, best speed); a daemon that starts waits with its watch while records arrive, 8 s at most.

--- a/core/kernel/platform.go
+++ b/core/kernel/platform.go
@@ -100,8 +100,11 @@
 }
 
 // PlatformResult is the result of a call to the platform. Invalid is the number of
-// objects in the reply that were left out because they could not be decoded.
+// objects in the reply that were left out because they could not be decoded. Era
+// rises each time that the platform comes back from an older copy of its objects,
+// after which revisions are given out again; it is 0 if the platform has no eras.
 type PlatformResult struct {
+	Era      uint64
 	Status   PlatformStatus
 	Object   Object
 	Objects  []Object
--- a/core/rollout/rollout.go
+++ b/core/rollout/rollout.go
@@ -31,8 +31,19 @@
 	// connection earlier.
 	watchTimeout = 25 * time.Second
 	// settlingTime is how long a daemon waits after its start before it watches,
-	// since it learns only then who the watchers of its region are.
-	settlingTime = 3500 * time.Millisecond
+	// since it learns only then who the watchers of its region are. While new
+	// records still arrive it waits for longer: until none has arrived for
+	// recordsQuietTime, but no longer than maxSettlingTime.
+	settlingTime     = 3500 * time.Millisecond
+	recordsQuietTime = time.Second
+	maxSettlingTime  = 8 * time.Second
+	// maxRevisionAge is how old a revision may be from which a watch starts. The
+	// platform may meanwhile have lost the history since then, or have come back
+	// from an older copy and given out the revision again.
+	maxRevisionAge = 500 * time.Millisecond
+	// confirmTime is how long a watcher has been connected before it confirms a
+	// table in a new era. Neighbours compare their tables once a second.
+	confirmTime = 3 * time.Second
 	// contactTimeout is how long a daemon considers itself connected after its
 	// last exchange with a neighbour. Exchanges happen once a second.
 	contactTimeout = 2500 * time.Millisecond
@@ -65,15 +76,22 @@
 	lastParsed  *routes.Table
 	lastBody    []byte
 	source      string
+	eraTracker  eraTracker
 	revision    uint64
 	callPending bool
-	// watchSkipped is true if this daemon has not watched the route table itself
-	// since its last call to the platform, because its data centre's watchers do.
-	watchSkipped bool
-	// mustBeCurrent is true if the next read must not be stale, because the
-	// history since a stale one may be lost.
-	mustBeCurrent     bool
-	startedAt         time.Time
+	// revisionAt is when the platform returned the revision.
+	revisionAt time.Time
+	// hasRead is true after the first read. That one may be stale, since
+	// neighbours bring what is newer. The others must be current.
+	hasRead   bool
+	startedAt time.Time
+	// recordCount is the number of replicated records, and recordsChangedAt when it
+	// last changed.
+	recordCount      int
+	recordsChangedAt time.Time
+	// connectedSince is when this daemon was last not connected to its
+	// neighbours.
+	connectedSince    time.Time
 	retryAt           time.Time
 	platformDownSince time.Time
 	// lastContact is the time of the last successful exchange with a neighbour,
@@ -89,7 +107,7 @@
 		return true
 	}
 	table, err := plugin.parse(record.Body)
-	return err == nil && table.Version == record.Version
+	return err == nil && table.Version == decodeVersion(record.Version).number
 }
 
 // parse decodes the body of a record. It keeps the last result, since a table is
@@ -117,6 +135,7 @@
 	case kernel.Started:
 		plugin.lastContact = event.At
 		plugin.startedAt = event.At
+		plugin.connectedSince = event.At
 		plugin.failedPeers = map[string]time.Time{}
 		return plugin.read(state)
 	case kernel.PeerReplied:
@@ -125,7 +144,7 @@
 	case kernel.PeerFailed:
 		plugin.failedPeers[message.Peer.Address] = event.At
 	case kernel.Ticked:
-		return plugin.tick(state, event.At)
+		return append(plugin.confirmEra(state, event.At), plugin.tick(state, event.At)...)
 	case kernel.RecordsMerged:
 		plugin.applyRecords(state, message)
 	case kernel.PlatformCallEnded:
@@ -139,7 +158,7 @@
 // applyRecords applies a merged route table.
 func (plugin *plugin) applyRecords(state *kernel.State, merged kernel.RecordsMerged) {
 	for _, record := range merged.Records {
-		if record.Kind != kernel.KindRoutes || record.Name != state.Settings.RouteObject {
+		if record.Key != routeKey(state) {
 			continue
 		}
 		if table, err := plugin.parse(record.Body); err == nil {
@@ -156,24 +175,35 @@
 		return nil
 	}
 	if plugin.table != nil && !state.Watching && plugin.isConnected(at) {
-		plugin.watchSkipped = true
 		return nil
 	}
 	if plugin.revision == 0 {
 		return plugin.read(state)
 	}
-	if at.Sub(plugin.startedAt) < settlingTime {
+	if plugin.isSettling(state, at) {
 		return nil
 	}
-	if plugin.watchSkipped {
-		// The revision is from before the skipped watches, and the platform
-		// may no longer have the history since then.
-		plugin.watchSkipped = false
+	if at.Sub(plugin.revisionAt) > maxRevisionAge {
 		return plugin.read(state)
 	}
 	return plugin.watch(state)
 }
 
+// isSettling reports whether this daemon has started too recently to watch.
+func (plugin *plugin) isSettling(state *kernel.State, at time.Time) bool {
+	if count := state.Table.Len(); count != plugin.recordCount {
+		plugin.recordCount, plugin.recordsChangedAt = count, at
+	}
+	switch age := at.Sub(plugin.startedAt); {
+	case age < settlingTime:
+		return true
+	case age < maxSettlingTime:
+		return at.Sub(plugin.recordsChangedAt) < recordsQuietTime
+	default:
+		return false
+	}
+}
+
 // isConnected reports whether this daemon has enough contact with its neighbours
 // to receive the tables that the watchers read.
 func (plugin *plugin) isConnected(at time.Time) bool {
@@ -188,10 +218,9 @@
 	return at.Sub(plugin.lastContact) <= contactTimeout && failedCount < minFailedNeighbours
 }
 
-// read reads the table. A stale one is enough, since a watch from its revision
-// returns what is newer, and neighbours send it.
+// read reads the table.
 func (plugin *plugin) read(state *kernel.State) []kernel.Effect {
-	return plugin.call(readToken, kernel.ListObjects{Prefix: objectPrefix(state), StaleAllowed: !plugin.mustBeCurrent})
+	return plugin.call(readToken, kernel.ListObjects{Prefix: objectPrefix(state), StaleAllowed: !plugin.hasRead})
 }
 
 func (plugin *plugin) watch(state *kernel.State) []kernel.Effect {
@@ -217,18 +246,27 @@
 	plugin.callPending = false
 	result := ended.Result
 	plugin.updatePlatformStatus(state, event.At, result.Status)
+	if !plugin.enterEra(ended) {
+		plugin.revision = 0
+		plugin.retryAt = event.At
+		return plugin.tick(state, event.At)
+	}
 	if result.Status != kernel.PlatformOK {
 		plugin.revision = 0
 		plugin.retryAt = event.At.Add(retryDelay + time.Duration(event.Random%uint64(retryJitter)))
 		if result.Status == kernel.PlatformHistoryLost {
 			plugin.retryAt = event.At
-			plugin.mustBeCurrent = true
 		}
 		return nil
 	}
-	plugin.mustBeCurrent = false
+	isCurrent := plugin.hasRead
+	plugin.hasRead = true
 	plugin.revision = result.Revision
+	plugin.revisionAt = event.At
 	var records []kernel.Record
+	if isCurrent && ended.Token == readToken && len(result.Objects)+result.Invalid == 0 {
+		plugin.eraTracker.record(0, 0)
+	}
 	for _, object := range result.Objects {
 		if object.Name != state.Settings.RouteObject {
 			continue
@@ -238,13 +276,57 @@
 		if err != nil {
 			continue
 		}
-		key := kernel.Key{Kind: kernel.KindRoutes, Name: object.Name}
-		records = append(records, kernel.Record{Key: key, Version: table.Version, Body: body})
+		known, _ := state.Table.Get(routeKey(state))
+		version, mayReplace := plugin.eraTracker.read(table.Version, object.Version, decodeVersion(known.Version), isCurrent)
+		if mayReplace {
+			records = append(records, kernel.Record{Key: routeKey(state), Version: version.encode(), Body: body})
+		}
 	}
 	effects := []kernel.Effect{kernel.MergeRecords{Records: records}}
 	return append(effects, plugin.tick(state, event.At)...)
 }
 
+// routeKey is the key of the record with the route table.
+func routeKey(state *kernel.State) kernel.Key {
+	return kernel.Key{Kind: kernel.KindRoutes, Name: state.Settings.RouteObject}
+}
+
+// enterEra records the era of a reply. It reports false if the reply is of no use
+// because of its era: it is from before the current one, or it continues, from a
+// revision of an earlier era, in a history that may lack or repeat that revision.
+func (plugin *plugin) enterEra(ended kernel.PlatformCallEnded) (usable bool) {
+	era, before := ended.Result.Era, plugin.eraTracker.era
+	switch {
+	case era == 0 || era == before:
+		return true
+	case era < before:
+		return false
+	}
+	plugin.eraTracker.enter(era)
+	return before == 0 || ended.Token != watchToken
+}
+
+// confirmEra gives the known table the version of the current era, so that a daemon
+// which comes back with a table of an earlier one does not replace it. Only a watcher
+// does so that has been connected to its neighbours for long enough to know what they
+// know.
+func (plugin *plugin) confirmEra(state *kernel.State, at time.Time) []kernel.Effect {
+	if !plugin.isConnected(at) {
+		plugin.connectedSince = at
+		return nil
+	}
+	if !state.Watching || at.Sub(plugin.connectedSince) < confirmTime {
+		return nil
+	}
+	record, found := state.Table.Get(routeKey(state))
+	version, needed := plugin.eraTracker.confirm(decodeVersion(record.Version))
+	if !found || !needed {
+		return nil
+	}
+	record.Version = version.encode()
+	return []kernel.Effect{kernel.MergeRecords{Records: []kernel.Record{record}}}
+}
+
 // updatePlatformStatus records the time since which calls to the platform have
 // failed, or clears it after a call that did not fail.
 func (plugin *plugin) updatePlatformStatus(state *kernel.State, at time.Time, status kernel.PlatformStatus) {
--- a/core/rollout/rollout_test.go
+++ b/core/rollout/rollout_test.go
@@ -212,3 +212,55 @@
 	}
 	return nil
 }
+
+func TestEras(t *testing.T) {
+	inEra := func(era uint64, result kernel.PlatformResult) kernel.PlatformResult {
+		result.Era = era
+		return result
+	}
+	// watching returns a daemon that watches in era 1 and has table 5.
+	watching := func() *daemon {
+		daemon := newDaemon()
+		daemon.reply(inEra(1, listResult(5, 10)))
+		daemon.failNeighbours()
+		daemon.reply(inEra(1, listResult(5, 10)))
+		return daemon
+	}
+	lastCall := func(daemon *daemon) kernel.PlatformCall { return daemon.calls[len(daemon.calls)-1].Call }
+	t.Run("the first read may be stale, later ones not", func(t *testing.T) {
+		is := is.New(t)
+		daemon := newDaemon()
+		is.Equal(lastCall(daemon), kernel.ListObjects{Prefix: "config/", StaleAllowed: true})
+		daemon.reply(inEra(1, listResult(5, 10)))
+		daemon.failNeighbours()
+		is.Equal(lastCall(daemon), kernel.ListObjects{Prefix: "config/"})
+	})
+	t.Run("a watch does not go on in a new era", func(t *testing.T) {
+		daemon := watching()
+		_, isWatch := lastCall(daemon).(kernel.WatchObjects)
+		is := is.New(t)
+		is.True(isWatch)
+		daemon.reply(inEra(2, listResult(9, 11)))
+		requireRouteVersion(t, daemon, 5)
+		is.Equal(lastCall(daemon), kernel.ListObjects{Prefix: "config/"})
+	})
+	t.Run("the copy does not replace a table that the platform has lost", func(t *testing.T) {
+		daemon := watching()
+		daemon.reply(inEra(2, listResult(9, 11)))
+		daemon.reply(inEra(2, listResult(3, 7)))
+		requireRouteVersion(t, daemon, 5)
+	})
+	t.Run("a table that is written in the new era replaces it, also with a lower number", func(t *testing.T) {
+		daemon := watching()
+		daemon.reply(inEra(2, listResult(9, 11)))
+		daemon.reply(inEra(2, listResult(3, 7)))
+		daemon.reply(inEra(2, listResult(4, 8)))
+		requireRouteVersion(t, daemon, 4)
+	})
+	t.Run("a reply of an earlier era is dropped", func(t *testing.T) {
+		daemon := watching()
+		daemon.reply(inEra(2, listResult(9, 11)))
+		daemon.reply(inEra(1, listResult(12, 20)))
+		requireRouteVersion(t, daemon, 5)
+	})
+}
--- a/core/spread/spread_test.go
+++ b/core/spread/spread_test.go
@@ -30,7 +30,7 @@
 		}
 		return time.Millisecond
 	}
-	cluster.Platform.Set(routeObject, tableOf(1, 10))
+	cluster.Platform.Set(cluster, routeObject, tableOf(1, 10))
 	for number := range daemons {
 		cluster.Add(kernel.Settings{
 			Self: fmt.Sprintf("d%d", number), PeerAddress: fmt.Sprintf("d%d", number),
@@ -84,7 +84,7 @@
 			cluster := newFleet(daemons)
 			is.Equal(inForce(cluster, 1), daemons)
 			before := bytesSent(cluster)
-			cluster.Platform.Set(routeObject, tableOf(2, 2000))
+			cluster.Platform.Set(cluster, routeObject, tableOf(2, 2000))
 			inTime := cluster.RunUntil(2500*time.Millisecond, func() bool { return inForce(cluster, 2) == daemons })
 			perDaemon := (bytesSent(cluster) - before) / daemons
 			t.Logf("in force on %d of %d daemons, %d bytes sent by each", inForce(cluster, 2), daemons, perDaemon)
--- a/daemon/control.go
+++ b/daemon/control.go
@@ -129,7 +129,8 @@
 		control.send(kernel.PeerFailed{Peer: call.Peer})
 		return
 	}
-	reply, err := client.Exchange(ctx, peer.EncodeEnvelope(call.Envelope))
+	message := peer.EncodeEnvelope(call.Envelope)
+	reply, err := client.Exchange(ctx, message, peer.CallOptions(message)...)
 	if err != nil {
 		control.log.Debug("peer did not reply", "peer", call.Peer.ID, "address", call.Peer.Address, "error", err)
 		if ctx.Err() != nil {
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -74,7 +74,9 @@
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
-	return EncodeEnvelope(reply), nil
+	encoded := EncodeEnvelope(reply)
+	compressReply(ctx, encoded)
+	return encoded, nil
 }
 
 // Claim handles a request for an idempotency key.
--- a/io/platform/codec.go
+++ b/io/platform/codec.go
@@ -48,6 +48,9 @@
 	return request
 }
 
+// Era returns 0, since ibislift's own form has no eras.
+func (defaultCodec) Era(*http.Response) uint64 { return 0 }
+
 func (defaultCodec) Result(call kernel.PlatformCall, response *http.Response) (kernel.PlatformResult, string, error) {
 	if response.StatusCode == http.StatusConflict || response.StatusCode == http.StatusPreconditionFailed {
 		return kernel.PlatformResult{Status: kernel.PlatformConflict}, "", nil
--- a/io/platform/platform.go
+++ b/io/platform/platform.go
@@ -65,6 +65,9 @@
 	// or empty if the list is complete. An InvalidObjectError comes with a
 	// result that lacks the invalid objects.
 	Result(call kernel.PlatformCall, response *http.Response) (result kernel.PlatformResult, after string, err error)
+	// Era returns the era that a reply states, whatever its status, or 0 if the
+	// platform has no eras.
+	Era(response *http.Response) uint64
 }
 
 // Client calls the object API. Set its fields before the first use. A Client is
@@ -116,6 +119,10 @@
 	after := ""
 	for page := 0; page < maxPages; page++ {
 		result, next := client.doPage(ctx, call, after)
+		if page > 0 && result.Era != combined.Era {
+			// The pages are of different copies.
+			return kernel.PlatformResult{Status: kernel.PlatformUnknown, Era: result.Era}
+		}
 		result.Objects = append(combined.Objects, result.Objects...)
 		combined = result
 		if combined.Status != kernel.PlatformOK || next == "" {
@@ -163,18 +170,20 @@
 		return kernel.PlatformResult{Status: statusOfError(err)}, ""
 	}
 	defer func() { _ = response.Body.Close() }()
+	era := client.codec().Era(response)
 	if status, ended := statusOfReply(response); ended {
 		_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxDiscardBytes))
-		return kernel.PlatformResult{Status: status}, ""
+		return kernel.PlatformResult{Status: status, Era: era}, ""
 	}
 	result, next, err := client.codec().Result(call, response)
+	result.Era = era
 	if InvalidObjectError.Has(err) {
 		client.logInvalid(err)
 		return result, next
 	}
 	if err != nil {
 		client.log().Warn("cannot decode platform reply", "status", response.StatusCode, "error", err)
-		return kernel.PlatformResult{Status: kernel.PlatformUnknown}, ""
+		return kernel.PlatformResult{Status: kernel.PlatformUnknown, Era: era}, ""
 	}
 	return result, next
 }
--- a/io/platform/platform_test.go
+++ b/io/platform/platform_test.go
@@ -27,6 +27,8 @@
 	return kernel.PlatformResult{Revision: 7, Invalid: 1}, "", platform.InvalidObjectError.New("route-type: \"other\" is unknown")
 }
 
+func (invalidCodec) Era(*http.Response) uint64 { return 0 }
+
 func TestInvalidObject(t *testing.T) {
 	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
 	defer server.Close()
--- a/standin/fleet/platform.go
+++ b/standin/fleet/platform.go
@@ -38,12 +38,49 @@
 	StaleReads int
 	Writes     int
 
+	// Era is returned with each reply. Restore raises it.
+	Era uint64
+
 	objects     map[string]kernel.Object
 	revision    uint64
-	watches     map[int]func()
+	copies      []copyOfObjects
+	watches     map[int]func(cut bool)
 	nextWatchID int
 }
 
+// copyOfObjects is the state of the platform after a change.
+type copyOfObjects struct {
+	at       time.Time
+	objects  map[string]kernel.Object
+	revision uint64
+}
+
+// Restore replaces all objects with a copy of the given age and begins a new era.
+// Watches that wait are cut off.
+func (platform *Platform) Restore(fleet *Fleet, age time.Duration) {
+	restored := copyOfObjects{}
+	for _, earlier := range platform.copies {
+		if !earlier.at.After(fleet.Now.Add(-age)) {
+			restored = earlier
+		}
+	}
+	platform.objects = maps.Clone(restored.objects)
+	platform.revision = restored.revision
+	platform.copies = []copyOfObjects{restored}
+	platform.Era++
+	for _, id := range slices.Sorted(maps.Keys(platform.watches)) {
+		platform.watches[id](true)
+	}
+	platform.watches = nil
+}
+
+// keepCopy keeps a copy of all objects, if the platform has eras.
+func (platform *Platform) keepCopy(at time.Time) {
+	if platform.Era > 0 {
+		platform.copies = append(platform.copies, copyOfObjects{at: at, objects: maps.Clone(platform.objects), revision: platform.revision})
+	}
+}
+
 // Object returns the current version of an object.
 func (platform *Platform) Object(name string) (kernel.Object, bool) {
 	object, known := platform.objects[name]
@@ -51,8 +88,8 @@
 }
 
 // Set writes an object, as an operator who does not go through a daemon does.
-func (platform *Platform) Set(name string, body []byte) {
-	platform.commit(kernel.WriteObject{Name: name, BaseVersion: platform.objects[name].Version, Body: body})
+func (platform *Platform) Set(fleet *Fleet, name string, body []byte) {
+	platform.commit(fleet, kernel.WriteObject{Name: name, BaseVersion: platform.objects[name].Version, Body: body})
 }
 
 // Names returns the sorted names of the objects with a prefix.
@@ -70,6 +107,7 @@
 // call performs a call and passes the result to reply with the delay after which
 // it arrives. The call to reply itself may be made later.
 func (platform *Platform) call(fleet *Fleet, caller kernel.Settings, call kernel.PlatformCall, reply func(kernel.PlatformResult, time.Duration)) {
+	reply = platform.withEra(reply)
 	if platform.Down || platform.Refuses != nil && platform.Refuses(caller) {
 		reply(kernel.PlatformResult{Status: kernel.PlatformNotExecuted}, platformLatency)
 		return
@@ -97,6 +135,17 @@
 	}
 }
 
+// withEra adds the era at the time of the reply to the replies that come from the
+// platform.
+func (platform *Platform) withEra(reply func(kernel.PlatformResult, time.Duration)) func(kernel.PlatformResult, time.Duration) {
+	return func(result kernel.PlatformResult, delay time.Duration) {
+		if result.Status != kernel.PlatformUnknown && result.Status != kernel.PlatformNotExecuted {
+			result.Era = platform.Era
+		}
+		reply(result, delay)
+	}
+}
+
 func (platform *Platform) read(name string) kernel.PlatformResult {
 	object, known := platform.objects[name]
 	if !known {
@@ -123,7 +172,7 @@
 	lost := platform.DropWriteReply != nil && platform.DropWriteReply()
 	replied := !lost && delay < platformTimeout
 	fleet.schedule(delay+platformLatency/2, func() {
-		if result := platform.commit(call); replied {
+		if result := platform.commit(fleet, call); replied {
 			reply(result, platformLatency/2)
 		}
 	})
@@ -132,7 +181,7 @@
 	}
 }
 
-func (platform *Platform) commit(call kernel.WriteObject) kernel.PlatformResult {
+func (platform *Platform) commit(fleet *Fleet, call kernel.WriteObject) kernel.PlatformResult {
 	if platform.objects[call.Name].Version != call.BaseVersion {
 		return kernel.PlatformResult{Status: kernel.PlatformConflict}
 	}
@@ -142,8 +191,9 @@
 	platform.revision++
 	object := kernel.Object{Name: call.Name, Version: platform.revision, Body: call.Body}
 	platform.objects[call.Name] = object
+	platform.keepCopy(fleet.Now)
 	for _, id := range slices.Sorted(maps.Keys(platform.watches)) {
-		platform.watches[id]()
+		platform.watches[id](false)
 	}
 	return kernel.PlatformResult{Object: object}
 }
@@ -151,6 +201,10 @@
 // watch replies when an object with the prefix has changed, or when the wait is
 // over.
 func (platform *Platform) watch(fleet *Fleet, call kernel.WatchObjects, reply func(kernel.PlatformResult, time.Duration)) {
+	if call.Revision > platform.revision {
+		reply(kernel.PlatformResult{Status: kernel.PlatformHistoryLost}, platformLatency)
+		return
+	}
 	replied := false
 	tryReply := func(final bool) {
 		result := platform.list(call.Prefix, call.Revision)
@@ -168,9 +222,16 @@
 		id := platform.nextWatchID
 		platform.nextWatchID++
 		if platform.watches == nil {
-			platform.watches = map[int]func(){}
+			platform.watches = map[int]func(bool){}
+		}
+		platform.watches[id] = func(cut bool) {
+			if cut && !replied {
+				replied = true
+				reply(kernel.PlatformResult{Status: kernel.PlatformUnknown}, platformLatency)
+				return
+			}
+			tryReply(false)
 		}
-		platform.watches[id] = func() { tryReply(false) }
 		fleet.schedule(call.Wait, func() {
 			delete(platform.watches, id)
 			tryReply(true)
--- a/core/rollout/watchers_test.go
+++ b/standin/fleet/watchers_test.go
@@ -1,4 +1,4 @@
-package rollout_test
+package fleet_test
 
 import (
 	"cmp"
@@ -12,6 +12,7 @@
 	"pgregory.net/rapid"
 
 	"ibislift/core/kernel"
+	_ "ibislift/core/rollout"
 	"ibislift/standin/fleet"
 )
 
@@ -29,7 +30,13 @@
 // table in the store.
 func newFleet(seed uint64, daemons int) *fleet.Fleet {
 	cluster := fleet.New(seed)
-	cluster.Platform.Set("config/main", routeObject(1).Body)
+	cluster.Platform.Set(cluster, "config/main", tableBody(1))
+	addDaemons(cluster, daemons)
+	return cluster
+}
+
+// addDaemons starts daemons in three regions of three data centres each.
+func addDaemons(cluster *fleet.Fleet, daemons int) {
 	for number := range daemons {
 		cluster.Add(kernel.Settings{
 			Self: fmt.Sprintf("d%d", number), PeerAddress: fmt.Sprintf("d%d", number),
@@ -37,7 +44,6 @@
 			PlatformRegion: "r0", RouteObject: "config/main", NoClaims: true, NoProfiles: true,
 		})
 	}
-	return cluster
 }
 
 // lagging returns the running daemons that have not applied a version.
@@ -81,7 +87,7 @@
 			}
 		}
 		cluster.Run(time.Duration(rapid.IntRange(0, 8000).Draw(t, "later")) * time.Millisecond)
-		cluster.Platform.Set("config/main", routeObject(2).Body)
+		cluster.Platform.Set(cluster, "config/main", tableBody(2))
 		cluster.Run(applyLimit)
 		if late := lagging(cluster, 2); len(late) > 0 {
 			t.Fatalf("not in force after %s on %d daemons: %v", applyLimit, len(late), late)
@@ -102,7 +108,7 @@
 			is.True(platform.StaleReads <= 4*daemons)
 			reads := platform.Reads
 			for version := 2; version < 12; version++ {
-				platform.Set("config/main", routeObject(version).Body)
+				platform.Set(cluster, "config/main", tableBody(version))
 				cluster.Run(6 * time.Second)
 				is.Equal(len(lagging(cluster, uint64(version))), 0)
 			}
@@ -111,3 +117,8 @@
 		})
 	}
 }
+
+// tableBody returns a route table with one route, in the encoding of the store.
+func tableBody(version int) []byte {
+	return fmt.Appendf(nil, `{"version":%d,"routes":[{"host":"h","prefix":"/","parts":[{"service":"s","weight":1}]}]}`, version)
+}
--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -99,4 +99,20 @@
   'if tcp.IsQuiet(idle.Conn) {' 'if tcp.IsQuiet(idle.Conn) || true {' ./io/upstream
 mutant "the response to another request is relayed" io/upstream/client.go \
   'return response, client.checkRequestID(request, response)' 'return response, nil' ./io/upstream
+mutant "an era of the platform is ignored" core/rollout/rollout.go \
+  'era, before := ended.Result.Era' 'era, before := uint64(0)' ./core/rollout
+mutant "the era is compared after the number" core/rollout/version.go \
+  'return version.era<<numberBits | version.number' 'return version.number<<numberBits>>20 | version.era' ./core/rollout
+mutant "a watch goes on over an era" core/rollout/rollout.go \
+  'return before == 0 || ended.Token != watchToken' 'return true' ./core/rollout
+mutant "a table of the copy counts as written" core/rollout/version.go \
+  'return version{era: known.era, number: number}, number > known.number' 'return version{era: eraTracker.era, number: number}, true' ./core/rollout
+mutant "a watch starts from an old revision" core/rollout/rollout.go \
+  'if at.Sub(plugin.revisionAt) > maxRevisionAge {' 'if false {' ./core/rollout ./standin/fleet
+mutant "a watcher without the platform is not replaced" core/member/neighbours.go \
+  'if !candidate.PlatformLost {' 'if true {' ./standin/fleet
+mutant "a target's refusals do not count against it" core/route/tracker.go \
+  'tracker.statsFor(id).raiseFailureRate(at)' '_ = id' ./core/route
+mutant "a lost answer ends a request although a target is left" core/pick/pick.go \
+  'picker.lost[target] = true' 'picker.lost[target] = false' ./core/pick
 exit $living
