--- a/core/beacon/beacon.go
+++ b/core/beacon/beacon.go
@@ -47,7 +47,7 @@
 // others find their beacons.
 const (
 	maxWriteDelay  = 1500 * time.Millisecond
-	writeDelayRoot = 8
+	writeDelayRoot = 4
 )
 
 // maxFirstPeers is the number of first peers at which no more are added from
--- a/core/kernel/kernel.go
+++ b/core/kernel/kernel.go
@@ -79,7 +79,8 @@
 	effects := kernel.process(event)
 	if kernel.state.ViewDirty {
 		kernel.state.ViewDirty = false
-		effects = append(effects, Publish{View: kernel.View()})
+		// The view comes first: who gets a reply may rely on what it reports.
+		effects = append([]Effect{Publish{View: kernel.View()}}, effects...)
 	}
 	return effects
 }
--- a/core/pick/pick_test.go
+++ b/core/pick/pick_test.go
@@ -29,6 +29,9 @@
 	t.Run("a request that cannot meet its objective gets the longest delay", func(t *testing.T) {
 		checkRange(t, pick.Refusal{DeadlineIn: 2400 * ms, CapacityIn: 80 * ms}, 500*ms, 800*ms)
 	})
+	t.Run("the delay never exceeds a third of the time to the deadline", func(t *testing.T) {
+		checkRange(t, pick.Refusal{DeadlineIn: 90 * ms, CapacityIn: 10 * ms}, 30*ms, 30*ms)
+	})
 	t.Run("the delay has a minimum", func(t *testing.T) {
 		checkRange(t, pick.Refusal{CapacityIn: ms}, 50*ms, 50*ms)
 	})
--- a/core/pick/retryafter.go
+++ b/core/pick/retryafter.go
@@ -35,7 +35,7 @@
 
 // RetryAfter returns how long the caller should wait before it retries: until a
 // gate expects free capacity, but at most a third of the time until the
-// deadline, and never less than minRetryAfter. The delay is varied by random, a
+// deadline, and never less than minRetryAfter unless the deadline is nearer. The delay is varied by random, a
 // number from 0 to 1. A request that would miss its objective gets the longest
 // delay, so that those that can still meet theirs are served first.
 func (refusal Refusal) RetryAfter(random float64) time.Duration {
@@ -47,7 +47,10 @@
 	if delay+refusal.ServiceTime > refusal.ObjectiveIn {
 		delay = longest
 	}
-	delay = max(minRetryAfter, delay)
 	factor := 1 - retryJitter + 2*retryJitter*random
-	return max(minRetryAfter, min(longest, time.Duration(float64(delay)*factor)))
+	delay = max(minRetryAfter, time.Duration(float64(max(minRetryAfter, delay))*factor))
+	if longest > 0 {
+		return min(longest, delay)
+	}
+	return minRetryAfter
 }
--- a/core/profile/change_test.go
+++ b/core/profile/change_test.go
@@ -272,3 +272,39 @@
 		acceptedSpecs[change.spec] = true
 	}
 }
+
+// The daemon that accepts a change applies it before it replies, so that a request
+// which the operator sends next is handled accordingly.
+func TestChangeIsAppliedBeforeTheReply(t *testing.T) {
+	is := is.New(t)
+	daemon := kernel.Kernel{Settings: settings(0)}
+	now := time.Unix(1_800_000_000, 0)
+	update := func(message kernel.Message) []kernel.Effect {
+		return daemon.Update(kernel.Event{At: now, Random: 1, Message: message})
+	}
+	update(kernel.Started{})
+	var write kernel.CallPlatform
+	for _, effect := range update(kernel.ChangeRequested{Token: 1, Nonce: "n", Key: fastKey, Spec: []byte(`{}`), Author: "a"}) {
+		if call, is := effect.(kernel.CallPlatform); is {
+			write = call
+		}
+	}
+	object := write.Call.(kernel.WriteObject)
+	effects := update(kernel.PlatformCallEnded{Owner: write.Owner, Token: write.Token, Result: kernel.PlatformResult{
+		Object: kernel.Object{Name: object.Name, Version: 1, Body: object.Body},
+	}})
+	published := -1
+	for index, effect := range effects {
+		switch effect := effect.(type) {
+		case kernel.Publish:
+			_, known := effect.View.Config(fastKey)
+			is.True(known)
+			published = index
+		case kernel.ReplyToChange:
+			is.Equal(effect.Result.Status, kernel.ChangeAccepted)
+			is.True(published >= 0 && published < index)
+			return
+		}
+	}
+	is.Fail() // there is no reply
+}
--- a/core/rollout/rollout.go
+++ b/core/rollout/rollout.go
@@ -133,7 +133,6 @@
 	}
 	switch message := event.Message.(type) {
 	case kernel.Started:
-		plugin.lastContact = event.At
 		plugin.startedAt = event.At
 		plugin.connectedSince = event.At
 		plugin.failedPeers = map[string]time.Time{}
@@ -174,7 +173,7 @@
 	if plugin.callPending || at.Before(plugin.retryAt) {
 		return nil
 	}
-	if plugin.table != nil && !state.Watching && plugin.isConnected(at) {
+	if !state.Watching && plugin.isConnected(at) {
 		return nil
 	}
 	if plugin.revision == 0 {
--- a/core/spread/spread.go
+++ b/core/spread/spread.go
@@ -30,7 +30,7 @@
 // daemon recorded as dead, so that the fleet reunites after a network partition.
 const ReconnectInterval = 5 * time.Second
 
-// startupPeriod is how long after its start a daemon contacts all first peers
+// startupPeriod is how long after its start a daemon contacts some first peers
 // at every interval. After an outage of the whole fleet, the first peers start
 // at the same time and may not be reachable at first.
 const startupPeriod = 5 * time.Second
@@ -44,7 +44,7 @@
 const maxFloodedSize = 100
 
 // floodInterval is the minimum time between two floods of a daemon.
-const floodInterval = 25 * time.Millisecond
+const floodInterval = 100 * time.Millisecond
 
 // requestTimeout is how long a daemon waits for a record that it has requested
 // before it requests it from another daemon. It allows for a large record on a slow
@@ -85,7 +85,7 @@
 	case kernel.Started:
 		return plugin.join(state, event)
 	case kernel.PeersFound:
-		return compareWithAddresses(state, message.Addresses)
+		return compareWithSome(state, message.Addresses, event.Random)
 	case kernel.Ticked:
 		return plugin.tick(state, event)
 	case kernel.RecordsMerged:
@@ -102,18 +102,24 @@
 	}
 }
 
-// join starts a comparison with all first peers.
+// join starts a comparison with some first peers.
 func (plugin *plugin) join(state *kernel.State, event kernel.Event) []kernel.Effect {
 	plugin.lastReconnect = event.At
 	plugin.startedAt = event.At
-	return compareWithAddresses(state, state.Settings.FirstPeers)
+	return compareWithSome(state, state.Settings.FirstPeers, event.Random)
 }
 
-// compareWithAddresses starts a comparison with the daemon at each address.
-func compareWithAddresses(state *kernel.State, addresses []string) []kernel.Effect {
+// maxContacts is how many addresses of first peers a daemon contacts at a time. All
+// daemons of a starting fleet know the same few addresses.
+const maxContacts = 2
+
+// compareWithSome starts a comparison with the daemons at maxContacts of the
+// addresses, starting at a random one.
+func compareWithSome(state *kernel.State, addresses []string, random uint64) []kernel.Effect {
 	var effects []kernel.Effect
-	for _, address := range addresses {
-		if address != state.Settings.PeerAddress {
+	for offset := range addresses {
+		address := addresses[(random+uint64(offset))%uint64(len(addresses))]
+		if address != state.Settings.PeerAddress && len(effects) < maxContacts {
 			effects = append(effects, startComparison(state, kernel.Neighbour{Address: address}))
 		}
 	}
@@ -134,7 +140,7 @@
 	if event.At.Sub(plugin.lastReconnect) >= interval {
 		plugin.lastReconnect = event.At
 		if event.At.Sub(plugin.startedAt) < startupPeriod {
-			return append(effects, compareWithAddresses(state, state.Settings.FirstPeers)...)
+			return append(effects, compareWithSome(state, state.Settings.FirstPeers, event.Random)...)
 		}
 		effects = append(effects, plugin.reconnect(state, event)...)
 	}
@@ -224,14 +230,18 @@
 // wants.
 func (plugin *plugin) handleEnvelope(state *kernel.State, at time.Time, received kernel.EnvelopeReceived) []kernel.Effect {
 	envelope := received.Envelope
-	reply := kernel.Envelope{From: state.Settings.Self, TableDigest: state.Table.Digest()}
+	reply := kernel.Envelope{From: state.Settings.Self}
 	switch {
 	case envelope.ComparedBuckets != nil:
+		reply.TableDigest = state.Table.Digest()
 		reply.Records, reply.Wanted = difference(state, envelope)
 	case len(envelope.Versions) > 0:
 		reply.Wanted = plugin.request(state, at, envelope.Versions)
-	case envelope.TableDigest != 0 && envelope.TableDigest != reply.TableDigest:
-		reply.BucketDigests = state.Table.BucketDigests()
+	case envelope.TableDigest != 0:
+		reply.TableDigest = state.Table.Digest()
+		if envelope.TableDigest != reply.TableDigest {
+			reply.BucketDigests = state.Table.BucketDigests()
+		}
 	}
 	return []kernel.Effect{
 		kernel.MergeRecords{From: envelope.From, Records: envelope.Records},
@@ -282,8 +292,8 @@
 
 // handleReply merges the records of a peer's reply, sends the records that the peer
 // wants, and compares the buckets whose digests differ. If no bucket differs, it
-// reports PeerSynced. This includes the replies to records that were sent without a
-// comparison, but not a reply without the digest of the peer's table.
+// reports PeerSynced. A reply to records that were sent without a comparison has no
+// digest and tells nothing about the peer's other records.
 func (plugin *plugin) handleReply(state *kernel.State, replied kernel.PeerReplied) []kernel.Effect {
 	envelope := replied.Envelope
 	effects := []kernel.Effect{kernel.MergeRecords{From: envelope.From, Records: envelope.Records}}
--- a/io/http1/response.go
+++ b/io/http1/response.go
@@ -1,6 +1,7 @@
 package http1
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"io"
@@ -16,9 +17,9 @@
 // written. A handler that writes more is blocked until then.
 const maxBuffered = 64 << 10
 
-// writeTimeout is how long the writing of a response may take, counted from its
-// turn, so that a caller that doesn't read can't hold the connection.
-const writeTimeout = 30 * time.Second
+// defaultWriteTimeout is how long a caller may take to accept a part of a response,
+// so that one that doesn't read can't hold the connection.
+const defaultWriteTimeout = 30 * time.Second
 
 // response is the http.ResponseWriter of one request. It writes to the connection
 // only after the responses to all earlier requests are done.
@@ -105,7 +106,14 @@
 // the write deadline.
 func (response *response) awaitTurn() {
 	<-response.turn
-	_ = response.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
+	response.renewWriteDeadline()
+}
+
+// renewWriteDeadline gives the caller the whole write timeout again. It is called
+// before each part of a response, so that a long response may take longer.
+func (response *response) renewWriteDeadline() {
+	timeout := cmp.Or(response.conn.server.WriteTimeout, defaultWriteTimeout)
+	_ = response.conn.SetWriteDeadline(time.Now().Add(timeout))
 }
 
 func (response *response) sendInterim(status int) {
@@ -183,6 +191,7 @@
 var errTooLong = errors.New("the body is longer than its Content-Length")
 
 func (response *response) send(part []byte) (int, error) {
+	response.renewWriteDeadline()
 	switch {
 	case response.err != nil:
 		return 0, Error.Wrap(response.err)
@@ -213,6 +222,7 @@
 		response.status = http.StatusOK
 	}
 	response.sendHead(true)
+	response.renewWriteDeadline()
 	if response.chunks != nil && response.err == nil {
 		response.recordError(response.chunks.Close())
 		response.recordError(response.trailers().Write(response.conn.writer))
--- a/io/http1/server.go
+++ b/io/http1/server.go
@@ -64,6 +64,9 @@
 	// AllowConcurrent reports whether a request may run while earlier requests
 	// of its connection are still in progress; nil means never.
 	AllowConcurrent func(*http.Request) bool
+	// WriteTimeout is how long a caller may take to accept a part of a response. 0
+	// means 30 s.
+	WriteTimeout time.Duration
 	// Log receives errors of connections and panics of handlers; nil disables
 	// logging.
 	Log *slog.Logger
--- a/io/http1/server_test.go
+++ b/io/http1/server_test.go
@@ -169,6 +169,37 @@
 	})
 }
 
+func TestSlowCallers(t *testing.T) {
+	const timeout = 300 * time.Millisecond
+	part := strings.Repeat("x", 100_000) // more than is buffered
+	stream := func(parts int, pause time.Duration) http.Handler {
+		return http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+			for range parts {
+				_, _ = io.WriteString(writer, part)
+				time.Sleep(pause)
+			}
+		})
+	}
+	t.Run("a response may take longer than the write timeout", func(t *testing.T) {
+		conn, reader := serve(t, &http1.Server{Handler: stream(8, timeout/4), WriteTimeout: timeout})
+		send(t, conn, get("/"))
+		expectResponse(t, reader, http.StatusOK, strings.Repeat(part, 8))
+	})
+	t.Run("a caller that does not read is cut off", func(t *testing.T) {
+		ended := make(chan struct{})
+		conn, reader := serve(t, &http1.Server{WriteTimeout: timeout, Handler: http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+			defer close(ended)
+			for request.Context().Err() == nil {
+				_, _ = io.WriteString(writer, part)
+			}
+		})})
+		send(t, conn, get("/"))
+		<-ended
+		_, err := io.Copy(io.Discard, reader)
+		is.New(t).True(err != nil)
+	})
+}
+
 func TestLeaving(t *testing.T) {
 	t.Run("closing the connection cancels its requests", func(t *testing.T) {
 		ended := make(chan struct{})
--- a/io/upstream/client.go
+++ b/io/upstream/client.go
@@ -133,10 +133,9 @@
 	return client.do(ctx, request, interim, maxIdleTime)
 }
 
-// DoNonRepeatable is like Do, for a request that may not be repeated. If the
-// upstream echoes request IDs, it reuses a connection only if it was in use very
-// recently, because the upstream may have closed one that was idle for longer. For
-// other upstreams it reuses the same connections as Do.
+// DoNonRepeatable is like Do, for a request that may not be repeated. It reuses a
+// connection only if it was in use very
+// recently, because the upstream may have closed one that was idle for longer.
 func (client *Client) DoNonRepeatable(ctx context.Context, request *http.Request, interim func(*http.Response)) (*Response, error) {
 	return client.do(ctx, request, interim, maxIdleTimeNonRepeatable)
 }
@@ -185,8 +184,12 @@
 // receive reads responses until the final response to the request. It skips
 // stray responses and passes interim responses on.
 func (client *Client) receive(connection *connection, request *http.Request, interim func(*http.Response)) (*http.Response, error) {
-	for {
-		response, err := http.ReadResponse(connection.reader, request)
+	connection.head.remaining = maxHeadBytes
+	for extra := 0; ; extra++ {
+		if extra > maxExtraResponses {
+			return nil, errTooManyResponses
+		}
+		response, err := connection.readHead(request)
 		if err != nil {
 			return nil, err
 		}
--- a/io/upstream/connection.go
+++ b/io/upstream/connection.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -44,6 +45,7 @@
 type connection struct {
 	net.Conn
 	address string
+	head    *headReader
 	reader  *bufio.Reader
 	writer  *bufio.Writer
 	// idleSince is when the last response was read whole.
@@ -51,8 +53,6 @@
 	// keepAliveTimeout is how long the upstream keeps an idle connection, as
 	// stated in its Keep-Alive header, or 0 if it has stated nothing.
 	keepAliveTimeout time.Duration
-	// reused reports whether the connection has carried a request before.
-	reused bool
 }
 
 // recordKeepAlive records the idle timeout that the response's Keep-Alive header
@@ -92,7 +92,6 @@
 			return pool.dial(ctx)
 		}
 		if tcp.IsQuiet(idle.Conn) {
-			idle.reused = true
 			return idle, nil
 		}
 		_ = idle.Close()
@@ -101,9 +100,8 @@
 
 // pop removes an idle connection from the pool and returns it, or returns nil
 // if none is suitable. It picks the most recently used connection if minIdle is
-// 0, and the one that has been idle longest otherwise. maxIdle applies only to the
-// former; the latter may have been idle for up to maxIdleTime. Connections that have
-// been idle for longer than that are closed.
+// 0, and otherwise the one that has been idle longest, of those within maxIdle.
+// Connections that have been idle for longer than maxIdleTime are closed.
 func (pool *pool) pop(minIdle, maxIdle time.Duration) *connection {
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
@@ -123,11 +121,12 @@
 		pool.idle = pool.idle[:last]
 		return idle
 	}
-	if time.Since(pool.idle[0].idleSince) < minIdle {
+	oldest := slices.IndexFunc(pool.idle, func(idle *connection) bool { return idle.isReusable(maxIdle) })
+	if oldest < 0 || time.Since(pool.idle[oldest].idleSince) < minIdle {
 		return nil
 	}
-	idle := pool.idle[0]
-	pool.idle = pool.idle[1:]
+	idle := pool.idle[oldest]
+	pool.idle = slices.Delete(pool.idle, oldest, oldest+1)
 	return idle
 }
 
@@ -140,10 +139,12 @@
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
+	head := &headReader{Reader: conn}
 	return &connection{
 		Conn:    conn,
 		address: address,
-		reader:  bufio.NewReaderSize(conn, bufferSize),
+		head:    head,
+		reader:  bufio.NewReaderSize(head, bufferSize),
 		writer:  bufio.NewWriterSize(conn, bufferSize),
 	}, nil
 }
