A gate asks its upstream before it decides; unknown far targets count as the mean

One that had never reported counted as not slowed down, so that it preferred far ones; four of them refused in turn as "slower", 133 ms each; - the first request of a class had no service time: its target was chosen without the price of bytes, and it was hedged after 2 ms; - a gate that had not heard of its upstream for 100 ms granted at once what then ran four times as long (a quarter of the time another program slows it). Change: a target that never reported counts as not slowed down only if a trip to it is a tenth of the service time, else as the mean; the first request of a class takes a quarter of the objective for the service time; a gate whose knowledge of the slowness is too old asks first (6 ms, 30 ms at most) and then refuses, if another target is better by more, or grants. Ruled out: queues (no late request had waited in one).

A reply of an earlier era is not answered by another read at once.

--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -178,6 +178,8 @@
 
 const (
 	stageQueued stage = iota
+	// stageMeasuring means that the request waits for the upstream's slowness.
+	stageMeasuring
 	stageReserved
 	stageRunning
 )
@@ -211,10 +213,12 @@
 	// measurementCredit is how many more times the gate may emit
 	// MeasureSlowness. Each arriving request adds to it.
 	measurementCredit int
-	requests          map[uint64]*request
-	queue             []uint64
-	slotsInUse        int
-	serviceTime       time.Duration
+	// measuring holds the requests that wait for the upstream's slowness.
+	measuring   []uint64
+	requests    map[uint64]*request
+	queue       []uint64
+	slotsInUse  int
+	serviceTime time.Duration
 	// busyRefusedAt is when the gate last refused, with ReasonBusy, a request
 	// that could still have met its objective. busyRefusedRank is its rank.
 	busyRefusedAt   time.Time
@@ -241,6 +245,7 @@
 		return gate.finish(event)
 	case Ticked:
 		effects := append(gate.expire(event.At), gate.fillSlots(event.At)...)
+		effects = append(effects, gate.decideMeasured(event.At, false)...)
 		return append(effects, gate.measureSlowness(event.At)...)
 	case DrainRequested:
 		return gate.drain()
@@ -250,7 +255,7 @@
 		return nil
 	case SlownessReported:
 		gate.recordSlowness(event)
-		return nil
+		return gate.decideMeasured(event.At, true)
 	case Resized:
 		gate.Slots = event.Slots
 		gate.QueueBound = event.QueueBound
@@ -299,6 +304,16 @@
 	if _, known := gate.requests[arrived.ID]; known {
 		return nil
 	}
+	if gate.shouldMeasureFirst(arrived) {
+		gate.requests[arrived.ID] = &request{arrived: arrived, stage: stageMeasuring, started: arrived.At}
+		gate.measuring = append(gate.measuring, arrived.ID)
+		return gate.measureSlowness(arrived.At)
+	}
+	return gate.decide(arrived)
+}
+
+// decide refuses a request, queues it or gives it a slot.
+func (gate *Gate) decide(arrived Arrived) []Effect {
 	if len(gate.queue) == 0 {
 		gate.lastEmptyAt = arrived.At
 	}
--- a/core/admit/measure.go
+++ b/core/admit/measure.go
@@ -19,6 +19,49 @@
 
 func (MeasureSlowness) effect() {}
 
+// measurementTimeout is how long a request waits for the upstream's slowness before
+// the gate decides without it.
+const measurementTimeout = 30 * time.Millisecond
+
+// shouldMeasureFirst reports whether the gate decides on a request only when it knows
+// the upstream's current slowness: the last report is too old, a measurement is under
+// way or possible, and the request could go to another target instead. Where requests
+// are rare, no response shows that the upstream has become slow, and a run takes
+// much longer than a measurement.
+func (gate *Gate) shouldMeasureFirst(arrived Arrived) bool {
+	if gate.MaxSlownessAge <= 0 || gate.slowness <= 0 || arrived.MaxDelay <= 0 {
+		return false
+	}
+	if arrived.At.Sub(gate.slownessReportedAt) < gate.MaxSlownessAge {
+		return false
+	}
+	sinceRequest := arrived.At.Sub(gate.measureRequestedAt)
+	return sinceRequest < measurementTimeout || sinceRequest >= gate.MaxSlownessAge && gate.measurementCredit >= 1
+}
+
+// decideMeasured decides on the requests that wait for the upstream's slowness: on all
+// of them if it has been reported, and otherwise on those that have waited for
+// measurementTimeout.
+func (gate *Gate) decideMeasured(at time.Time, reported bool) []Effect {
+	waiting := gate.measuring
+	gate.measuring = nil
+	var effects []Effect
+	for _, id := range waiting {
+		request, waits := gate.requests[id]
+		switch {
+		case !waits:
+			// It was cancelled.
+		case !reported && at.Sub(request.started) < measurementTimeout:
+			gate.measuring = append(gate.measuring, id)
+		default:
+			delete(gate.requests, id)
+			request.arrived.At = at
+			effects = append(effects, gate.decide(request.arrived)...)
+		}
+	}
+	return effects
+}
+
 // measureSlowness emits MeasureSlowness if requests have arrived recently and the
 // last report of the upstream is too old. It does so only for an upstream that
 // reports its slowness at all. Ingresses choose targets by the reported slowness
--- a/core/admit/measure_test.go
+++ b/core/admit/measure_test.go
@@ -75,3 +75,56 @@
 		is.New(t).Equal(countMeasurements(gate, 200*time.Millisecond), 0)
 	})
 }
+
+// TestMeasureFirst checks what a gate does with a request that could go to another
+// target, when the last report of the upstream's slowness is old.
+func TestMeasureFirst(t *testing.T) {
+	start := time.Unix(1_800_000_000, 0)
+	newGate := func() *admit.Gate {
+		gate := &admit.Gate{Slots: 4, QueueBound: 4, MaxSlownessAge: 100 * time.Millisecond}
+		gate.Update(admit.SlownessReported{At: start.Add(-10 * time.Second), Slowness: 1})
+		gate.Update(admit.Arrived{ID: 1, At: start.Add(-10 * time.Second), Deadline: start})
+		gate.Update(admit.Finished{ID: 1, At: start.Add(-9600 * time.Millisecond)}) // a service time of 400 ms
+		return gate
+	}
+	request := admit.Arrived{ID: 2, At: start, Deadline: start.Add(10 * time.Second), MaxDelay: 300 * time.Millisecond}
+	t.Run("it measures and refuses the request if the upstream has become slow", func(t *testing.T) {
+		is := is.New(t)
+		gate := newGate()
+		is.Equal(gate.Update(request), []admit.Effect{admit.MeasureSlowness{}})
+		effects := gate.Update(admit.SlownessReported{At: start.Add(7 * time.Millisecond), Slowness: 4})
+		is.Equal(len(effects), 1)
+		is.Equal(effects[0].(admit.Refuse).Reason, admit.ReasonSlower)
+	})
+	t.Run("it runs the request if the upstream is not slow", func(t *testing.T) {
+		is := is.New(t)
+		gate := newGate()
+		gate.Update(request)
+		is.Equal(gate.Update(admit.SlownessReported{At: start.Add(7 * time.Millisecond), Slowness: 1}), []admit.Effect{admit.HandOver{ID: 2}})
+	})
+	t.Run("it does not wait for long", func(t *testing.T) {
+		is := is.New(t)
+		gate := newGate()
+		gate.Update(request)
+		is.Equal(len(gate.Update(admit.Ticked{At: start.Add(20 * time.Millisecond)})), 0)
+		is.Equal(gate.Update(admit.Ticked{At: start.Add(40 * time.Millisecond)}), []admit.Effect{admit.HandOver{ID: 2}})
+	})
+	t.Run("it does not wait if no other target is better", func(t *testing.T) {
+		lone := request
+		lone.MaxDelay = 0
+		is.New(t).Equal(newGate().Update(lone), []admit.Effect{admit.HandOver{ID: 2}})
+	})
+	t.Run("a request that is cancelled or meets a drain meanwhile does not run", func(t *testing.T) {
+		is := is.New(t)
+		for event, reason := range map[admit.Event]admit.Reason{
+			admit.Cancelled{ID: 2, At: start}:                 admit.ReasonCancelled,
+			admit.DrainRequested{At: start}:                   admit.ReasonDraining,
+			admit.Resized{At: start, Slots: 0, QueueBound: 4}: admit.ReasonNoUpstream,
+		} {
+			gate := newGate()
+			gate.Update(request)
+			is.Equal(gate.Update(event)[0].(admit.Refuse).Reason, reason)
+			is.Equal(len(gate.Update(admit.SlownessReported{At: start.Add(7 * time.Millisecond), Slowness: 1})), 0)
+		}
+	})
+}
--- a/core/admit/queue.go
+++ b/core/admit/queue.go
@@ -232,14 +232,17 @@
 	delete(gate.requests, id)
 }
 
-// refuseQueued refuses all queued requests.
+// refuseQueued refuses all queued requests and those that wait for the upstream's
+// slowness.
 func (gate *Gate) refuseQueued(reason Reason) []Effect {
 	var effects []Effect
-	for _, id := range gate.queue {
-		delete(gate.requests, id)
-		effects = append(effects, refuse(id, reason, 0)...)
+	for _, id := range append(gate.queue, gate.measuring...) {
+		if _, waits := gate.requests[id]; waits {
+			delete(gate.requests, id)
+			effects = append(effects, refuse(id, reason, 0)...)
+		}
 	}
-	gate.queue = nil
+	gate.queue, gate.measuring = nil, nil
 	return effects
 }
 
--- a/core/pick/pick.go
+++ b/core/pick/pick.go
@@ -34,8 +34,8 @@
 	// BodyBytes is the size of the request's body or, if it is not known, of the
 	// part that has arrived.
 	BodyBytes float64
-	// HasObjective says that Objective is set. Without an objective, or as long
-	// as the service time is not known, Policy chooses the target.
+	// HasObjective says that Objective is set. Without an objective, Policy chooses
+	// the target.
 	HasObjective bool
 	// Objective is the time until which a response meets the latency objective.
 	// A later response is still sent but is less important. ObjectiveLength is
@@ -57,6 +57,10 @@
 	refusals int
 }
 
+// unknownServiceTimeDivisor divides the objective; the result is taken for the service
+// time of a class of which no response is known yet.
+const unknownServiceTimeDivisor = 4
+
 // headBytes is the usual size of the heads of a forwarded request and its response.
 const headBytes = 1000
 
@@ -91,6 +95,9 @@
 	if picker.HasObjective {
 		request.Objective = picker.ObjectiveLength
 	}
+	if request.ServiceTime == 0 && picker.HasObjective {
+		request.ServiceTime = picker.ObjectiveLength / unknownServiceTimeDivisor
+	}
 	if !picker.HasObjective || request.ServiceTime == 0 {
 		choice.Index = picker.Policy.Choose(request, choice.Candidates)
 		choice.Member = untried[choice.Index]
@@ -175,13 +182,15 @@
 }
 
 // HedgeDelay returns how long to wait for a response before the request is also
-// sent to a second target. If the service time is known, the hedge is sent at
-// the last moment at which another target could still respond within the
-// objective, with half a service time to spare, but not before the request has
-// taken twice its service time.
+// sent to a second target. With an objective, the hedge is sent at the last moment
+// at which another target could still respond within it, with half a service time to
+// spare, but not before the request has taken twice its service time.
 func (picker *Picker) HedgeDelay(arrived time.Time) time.Duration {
 	serviceTime := picker.Tracker.Class(picker.Class).ServiceTime
-	if !picker.HasObjective || serviceTime == 0 {
+	if picker.HasObjective && serviceTime == 0 {
+		serviceTime = picker.ObjectiveLength / unknownServiceTimeDivisor
+	}
+	if serviceTime == 0 {
 		return picker.Tracker.HedgeDelay()
 	}
 	return max(2*serviceTime, picker.Objective.Sub(arrived)-serviceTime*3/2)
--- a/core/rollout/rollout.go
+++ b/core/rollout/rollout.go
@@ -248,6 +248,9 @@
 	if !plugin.enterEra(ended) {
 		plugin.revision = 0
 		plugin.retryAt = event.At
+		if result.Era < plugin.eraTracker.era {
+			plugin.retryAt = event.At.Add(retryDelay)
+		}
 		return plugin.tick(state, event.At)
 	}
 	if result.Status != kernel.PlatformOK {
--- a/core/rollout/rollout_test.go
+++ b/core/rollout/rollout_test.go
@@ -262,5 +262,10 @@
 		daemon.reply(inEra(2, listResult(9, 11)))
 		daemon.reply(inEra(1, listResult(12, 20)))
 		requireRouteVersion(t, daemon, 5)
+		calls := len(daemon.calls)
+		daemon.advance(500 * time.Millisecond)
+		is.New(t).Equal(len(daemon.calls), calls) // the platform is not asked at once again
+		daemon.advance(500 * time.Millisecond)
+		is.New(t).Equal(len(daemon.calls), calls+1)
 	})
 }
--- a/core/route/leasttime.go
+++ b/core/route/leasttime.go
@@ -121,15 +121,22 @@
 	return seconds
 }
 
+// nearTripFraction is the part of the service time that a trip to a target and back
+// may take so that a target that has never reported is tried.
+const nearTripFraction = 0.1
+
 // estimatedSlowness returns the slowness that the target last reported, and
-// moves to the mean of all targets as the report ages. A target that has never
-// reported counts as not slowed down, so that new targets are tried.
+// moves to the mean of all targets as the report ages. A near target that has never
+// reported counts as not slowed down, so that new targets are tried. A far one counts
+// as the mean: a daemon with few requests knows hardly any targets, and would
+// otherwise prefer those that are farthest.
 func estimatedSlowness(request Request, candidate Candidate) float64 {
-	if !candidate.HasReport {
-		return 1
-	}
 	mean := max(1, request.MeanSlowness)
-	if candidate.Load.Slowness == 0 {
+	isNear := 2*candidate.LinkLatency.Seconds() <= nearTripFraction*request.ServiceTime.Seconds()
+	switch {
+	case !candidate.HasReport && isNear:
+		return 1
+	case !candidate.HasReport || candidate.Load.Slowness == 0:
 		return mean
 	}
 	weight := math.Exp2(-float64(candidate.ReportAge) / float64(slownessHalfLife))
--- a/core/spread/spread.go
+++ b/core/spread/spread.go
@@ -30,6 +30,11 @@
 // daemon recorded as dead, so that the fleet reunites after a network partition.
 const ReconnectInterval = 5 * time.Second
 
+// startRetryDelay is the time after which a daemon that has reached nobody yet tries
+// again if a first peer cannot be reached. Peers that start at the same time may not
+// listen yet.
+const startRetryDelay = 200 * time.Millisecond
+
 // startupPeriod is how long after its start a daemon contacts some first peers
 // at every interval. After an outage of the whole fleet, the first peers start
 // at the same time and may not be reachable at first.
@@ -68,12 +73,12 @@
 	pending     []pendingRecord
 	lastFloodAt time.Time
 	// requested holds the last request for each large record.
-	requested     map[kernel.Key]requestedRecord
-	lastCompare   time.Time
-	lastReconnect time.Time
-	startedAt     time.Time
-	nextOther     int
-	synced        bool
+	requested   map[kernel.Key]requestedRecord
+	lastCompare time.Time
+	reconnectAt time.Time
+	startedAt   time.Time
+	nextOther   int
+	synced      bool
 }
 
 func (plugin *plugin) Accepts(time.Time, kernel.Record) bool { return true }
@@ -97,6 +102,11 @@
 		return plugin.handleEnvelope(state, event.At, message)
 	case kernel.PeerReplied:
 		return plugin.handleReply(state, message)
+	case kernel.PeerFailed:
+		if !plugin.synced {
+			plugin.reconnectAt = event.At.Add(startRetryDelay)
+		}
+		return nil
 	default:
 		return nil
 	}
@@ -104,7 +114,7 @@
 
 // join starts a comparison with some first peers.
 func (plugin *plugin) join(state *kernel.State, event kernel.Event) []kernel.Effect {
-	plugin.lastReconnect = event.At
+	plugin.reconnectAt = event.At.Add(CompareInterval)
 	plugin.startedAt = event.At
 	return compareWithSome(state, state.Settings.FirstPeers, event.Random)
 }
@@ -133,12 +143,12 @@
 		plugin.lastCompare = event.At
 		effects = append(effects, plugin.compareWithNeighbours(state)...)
 	}
-	interval := ReconnectInterval
-	if !plugin.synced || event.At.Sub(plugin.startedAt) < startupPeriod {
-		interval = CompareInterval
-	}
-	if event.At.Sub(plugin.lastReconnect) >= interval {
-		plugin.lastReconnect = event.At
+	if !event.At.Before(plugin.reconnectAt) {
+		interval := ReconnectInterval
+		if !plugin.synced || event.At.Sub(plugin.startedAt) < startupPeriod {
+			interval = CompareInterval
+		}
+		plugin.reconnectAt = event.At.Add(interval)
 		if event.At.Sub(plugin.startedAt) < startupPeriod {
 			return append(effects, compareWithSome(state, state.Settings.FirstPeers, event.Random)...)
 		}
