A connected daemon asks the platform again after a failed read

Cause, found by reading the diff: a daemon that is connected and does not watch no longer reads after a failed call, so that its metric of the platform's silence grew for as long as it lived. Change: one read each 20 s until one succeeds. A mutant showed that no test needed the replacement of watchers that lose the platform, since one of another region sufficed: TestAllWatchersLoseThePlatform.

--- a/core/rollout/rollout.go
+++ b/core/rollout/rollout.go
@@ -37,6 +37,9 @@
 	settlingTime     = 3500 * time.Millisecond
 	recordsQuietTime = time.Second
 	maxSettlingTime  = 8 * time.Second
+	// recheckInterval is the time between two reads of a daemon that does not
+	// watch and whose last call has failed.
+	recheckInterval = 20 * time.Second
 	// maxRevisionAge is how old a revision may be from which a watch starts. The
 	// platform may meanwhile have lost the history since then, or have come back
 	// from an older copy and given out the revision again.
@@ -79,6 +82,8 @@
 	eraTracker  eraTracker
 	revision    uint64
 	callPending bool
+	// calledAt is when the last call ended.
+	calledAt time.Time
 	// revisionAt is when the platform returned the revision.
 	revisionAt time.Time
 	// hasRead is true after the first read. That one may be stale, since
@@ -174,7 +179,7 @@
 		return nil
 	}
 	if !state.Watching && plugin.isConnected(at) {
-		return nil
+		return plugin.recheck(state, at)
 	}
 	if plugin.revision == 0 {
 		return plugin.read(state)
@@ -188,6 +193,15 @@
 	return plugin.watch(state)
 }
 
+// recheck reads the table now and then if the last call has failed, although the
+// neighbours send it, so that this daemon learns that the platform is back.
+func (plugin *plugin) recheck(state *kernel.State, at time.Time) []kernel.Effect {
+	if plugin.platformDownSince.IsZero() || at.Sub(plugin.calledAt) < recheckInterval {
+		return nil
+	}
+	return plugin.read(state)
+}
+
 // isSettling reports whether this daemon has started too recently to watch.
 func (plugin *plugin) isSettling(state *kernel.State, at time.Time) bool {
 	if count := state.Table.Len(); count != plugin.recordCount {
@@ -243,6 +257,7 @@
 // because the platform may have dropped the history in the meantime.
 func (plugin *plugin) handleCallEnd(state *kernel.State, event kernel.Event, ended kernel.PlatformCallEnded) []kernel.Effect {
 	plugin.callPending = false
+	plugin.calledAt = event.At
 	result := ended.Result
 	plugin.updatePlatformStatus(state, event.At, result.Status)
 	if !plugin.enterEra(ended) {
--- a/core/rollout/rollout_test.go
+++ b/core/rollout/rollout_test.go
@@ -115,6 +115,21 @@
 		}
 		is.New(t).Equal(len(daemon.calls), callsBefore)
 	})
+	t.Run("a connected daemon learns that the platform is back", func(t *testing.T) {
+		daemon := newDaemon()
+		daemon.reply(kernel.PlatformResult{Status: kernel.PlatformNotExecuted})
+		daemon.advance(kernel.TickInterval)
+		is := is.New(t)
+		is.True(!daemon.view.PlatformDownSince.IsZero())
+		calls := len(daemon.calls)
+		for range 25 {
+			daemon.update(kernel.PeerReplied{Peer: kernel.Neighbour{ID: "b", Address: "b"}})
+			daemon.advance(time.Second)
+		}
+		is.Equal(len(daemon.calls), calls+1)
+		daemon.reply(listResult(3, 10))
+		is.True(daemon.view.PlatformDownSince.IsZero())
+	})
 	t.Run("a daemon without contact to its neighbours reads and then watches", func(t *testing.T) {
 		daemon := newDaemon()
 		daemon.reply(listResult(3, 10))
--- a/core/spread/spread.go
+++ b/core/spread/spread.go
@@ -4,10 +4,11 @@
 // it came from. Each neighbour hears of the record from several daemons and requests
 // it once, from the first; only a very short record is sent without being requested.
 // Records that arrive shortly after each other, as during a start of the whole
-// fleet, are offered together. Records missed because of lost messages are repaired by anti-entropy: every second a daemon sends the digest of its table
-// to its monitored neighbours and one other. Where the digests differ, the two
-// daemons compare the digests of buckets, then the versions of records, and
-// exchange only the records that one of them lacks.
+// fleet, are offered together. Records missed because of lost messages are repaired
+// by anti-entropy: every second a daemon sends the digest of its table to its
+// monitored neighbours and one other. Where the digests differ, the two daemons
+// compare the digests of buckets, then the versions of records, and exchange only the
+// records that one of them lacks.
 //
 // # Usage
 //
@@ -40,10 +41,6 @@
 // at the same time and may not be reachable at first.
 const startupPeriod = 5 * time.Second
 
-func init() {
-	kernel.Register("spread", func() kernel.Plugin { return &plugin{} })
-}
-
 // maxFloodedSize is the size in bytes up to which a record is sent without being
 // requested, because its key and version are hardly shorter.
 const maxFloodedSize = 100
@@ -56,6 +53,10 @@
 // link.
 const requestTimeout = 400 * time.Millisecond
 
+func init() {
+	kernel.Register("spread", func() kernel.Plugin { return &plugin{} })
+}
+
 // requestedRecord is a record that a neighbour has been asked for.
 type requestedRecord struct {
 	version uint64
--- a/standin/fleet/watchers_test.go
+++ b/standin/fleet/watchers_test.go
@@ -125,3 +125,23 @@
 func tableBody(version int) []byte {
 	return fmt.Appendf(nil, `{"version":%d,"routes":[{"host":"h","prefix":"/","parts":[{"service":"s","weight":1}]}]}`, version)
 }
+
+// If the platform turns away all watchers, others watch in their place.
+func TestAllWatchersLoseThePlatform(t *testing.T) {
+	for seed := range uint64(4) {
+		cluster := newFleet(seed, 27)
+		cluster.Run(40 * time.Second)
+		refused := map[string]bool{}
+		for name, node := range cluster.Nodes {
+			refused[name] = node.View.Watching
+		}
+		cluster.Platform.Refuses = func(caller kernel.Settings) bool { return refused[caller.Self] }
+		cluster.Platform.Set(cluster, "config/main", tableBody(2)) // ends the watches that wait
+		cluster.Run(applyLimit)
+		cluster.Platform.Set(cluster, "config/main", tableBody(3))
+		cluster.Run(applyLimit)
+		if late := lagging(cluster, 3); len(late) > 0 {
+			t.Fatalf("seed %d: not in force after %s on %d daemons: %v", seed, applyLimit, len(late), late)
+		}
+	}
+}
