A test waits until the bytes past a body have arrived

The upstream of the test serves its connections one after another. A connection whose body has ended goes back to the pool before the bytes past it arrive; the next request within 50 ms opens a new connection, which that upstream does not accept while the first is open. Ruled out: a wrong answer, an unbounded read; the bytes are found before the connection is used again. Change: the test waits until a connection may be used again and until bytes have been sent. What it asserts is the same.

--- a/io/upstream/endless_test.go
+++ b/io/upstream/endless_test.go
@@ -77,6 +77,12 @@
 			is.True(time.Since(started) < 4*time.Second) // it did not wait for the deadline
 			is.True(heap() < before+maxBytes)
 			client.SetEchoesRequestID(false)
+			// A connection with bytes past the body is found when it is to be used
+			// again. The upstream stays blocked until then.
+			waitUntilReusable()
+			for sent.Load() == 0 {
+				time.Sleep(time.Millisecond)
+			}
 			body, err := fetch(t, client, newRequest(t, http.MethodGet, "/"))
 			is.NoErr(err)
 			is.Equal(body, "second")
