--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -61,9 +61,9 @@
 		return plugin.readBack(token, pending)' \
   'return plugin.completeChange(token, pending, kernel.Object{Name: pending.base.Name, Version: pending.base.Version + 1000})' ./core/profile ./standin/matrix
 mutant "an older version replaces a newer one" core/kernel/table.go \
-  'known && old.Version >= record.Version' 'known && old.Version == record.Version' ./core/kernel
+  'return !known || old.Version < record.Version' 'return !known || old.Version != record.Version' ./core/kernel
 mutant "losses are not repaired" core/spread/spread.go \
-  'case envelope.TableDigest != 0 && envelope.TableDigest != reply.TableDigest:' 'case false:' ./core/profile ./core/member
+  'if envelope.TableDigest != reply.TableDigest {' 'if false {' ./core/profile ./core/member
 mutant "an isolated daemon suspects others" core/member/member.go \
   'return len(state.Neighbours) > 1 && at.Sub(plugin.lastContact) > contactTimeout' 'return false' ./core/member
 mutant "a daemon does not refute a suspicion against it" core/member/member.go \
@@ -115,4 +115,42 @@
   'tracker.statsFor(id).raiseFailureRate(at)' '_ = id' ./core/route
 mutant "a lost answer ends a request although a target is left" core/pick/pick.go \
   'picker.lost[target] = true' 'picker.lost[target] = false' ./core/pick
+mutant "the head of a response has no limit" io/upstream/head.go \
+  'if headReader.remaining <= 0 {' 'if false {' ./io/upstream
+mutant "interim and stray responses have no limit" io/upstream/client.go \
+  'if extra > maxExtraResponses {' 'if false {' ./io/upstream
+mutant "the write deadline is not renewed" io/http1/response.go \
+  'func (response *response) send(part []byte) (int, error) {
+	response.renewWriteDeadline()' 'func (response *response) send(part []byte) (int, error) {' ./io/http1
+mutant "an idle connection of any age serves a request that may not be repeated" io/upstream/connection.go \
+  'func(idle *connection) bool { return idle.isReusable(maxIdle) }' 'func(*connection) bool { return true }' ./io/upstream
+mutant "the reply to a change comes before the view" core/kernel/kernel.go \
+  'effects = append([]Effect{Publish{View: kernel.View()}}, effects...)' 'effects = append(effects, Publish{View: kernel.View()})' ./core/profile
+mutant "large records are flooded" core/spread/spread.go \
+  'len(record.Body) > maxFloodedSize' 'false' ./core/spread
+mutant "an offered record is requested from every neighbour" core/spread/spread.go \
+  'if isPending || !state.Table.IsNewer' 'if !state.Table.IsNewer' ./core/spread
+mutant "route tables are not compressed" core/rollout/compress.go \
+  'if len(table) < minCompressedSize {' 'if true {' ./core/rollout
+mutant "long messages are not compressed" io/peer/compress.go \
+  'if proto.Size(message) < minCompressedSize {' 'if true {' ./io/peer
+mutant "bytes have no price" core/route/leasttime.go \
+  'return min(1, request.Bytes*candidate.BytePrice) * worthSeconds(request)' 'return 0' ./core/route ./core/pick
+mutant "the price of bytes has no limit" core/route/leasttime.go \
+  'min(1, request.Bytes*candidate.BytePrice)' '(request.Bytes * candidate.BytePrice)' ./core/route
+mutant "a far target that never reported is preferred" core/route/leasttime.go \
+  'case !candidate.HasReport && isNear:' 'case !candidate.HasReport:' ./core/route
+mutant "the own data centre is not preferred" core/pick/subset.go \
+  'case member.DataCentre != self.DataCentre:' 'case true:' ./core/pick
+mutant "a gate decides without the current slowness" core/admit/measure.go \
+  'if gate.MaxSlownessAge <= 0 || gate.slowness <= 0 || arrived.MaxDelay <= 0 {' 'if true {' ./core/admit
+mutant "a request waits for the slowness without end" core/admit/measure.go \
+  'case !reported && at.Sub(request.started) < measurementTimeout:' 'case !reported:' ./core/admit
+mutant "an invalid object hides the others" platform/store.go \
+  'invalid = platform.InvalidObjectError.Wrap(err)' 'return kernel.PlatformResult{}, "", err' ./platform
+mutant "an invalid object is logged at each read" io/platform/platform.go \
+  'if last := client.lastInvalid.Swap(&text); last == nil || *last != text {' 'client.lastInvalid.Store(&text)
+	{' ./io/platform
+mutant "a daemon that is not a watcher never asks again after a failure" core/rollout/rollout.go \
+  'return plugin.recheck(state, at)' 'return nil' ./core/rollout
 exit $living
