A version that does not fit beside the era is refused with a clear error

Cause, found by reading the diff: a record's version had 44 bits for the operators' number. A higher one, such as a time in microseconds, would have been dropped without a word on every daemon, and no configuration would have come into force.

--- a/core/pick/retryafter.go
+++ b/core/pick/retryafter.go
@@ -35,9 +35,10 @@
 
 // RetryAfter returns how long the caller should wait before it retries: until a
 // gate expects free capacity, but at most a third of the time until the
-// deadline, and never less than minRetryAfter unless the deadline is nearer. The delay is varied by random, a
-// number from 0 to 1. A request that would miss its objective gets the longest
-// delay, so that those that can still meet theirs are served first.
+// deadline, and never less than minRetryAfter unless that is longer than a third. The
+// delay is varied by random, a number from 0 to 1. A request that would miss its
+// objective gets the longest delay, so that those that can still meet theirs are
+// served first.
 func (refusal Refusal) RetryAfter(random float64) time.Duration {
 	longest := refusal.DeadlineIn / deadlineDivisor
 	delay := refusal.CapacityIn
--- a/core/rollout/version.go
+++ b/core/rollout/version.go
@@ -1,23 +1,22 @@
 package rollout
 
+import "ibislift/core/routes"
+
 // version orders route tables: first by the era of the platform in which the table
-// was written, then by the number that the operators gave it. A platform without
+// was written, then by the number that the operators gave it, their version of it. A platform without
 // eras has era 0 throughout.
 type version struct {
 	era    uint64
 	number uint64
 }
 
-// numberBits is the size of the number in an encoded version. The era has the rest.
-const numberBits = 44
-
 // encode returns the version of the table's record. Encoded versions compare as the
 // versions do.
-func (version version) encode() uint64 { return version.era<<numberBits | version.number }
+func (version version) encode() uint64 { return version.era<<routes.VersionBits | version.number }
 
 // decodeVersion is the inverse of encode.
 func decodeVersion(encoded uint64) version {
-	return version{era: encoded >> numberBits, number: encoded & (1<<numberBits - 1)}
+	return version{era: encoded >> routes.VersionBits, number: encoded & routes.MaxVersion}
 }
 
 // eraTracker finds out in which era a table was written. The platform begins an era
--- a/core/routes/routes.go
+++ b/core/routes/routes.go
@@ -94,10 +94,21 @@
 	return table, nil
 }
 
+// MaxVersion is the highest version of a table. Versions that count microseconds
+// since 1970 stay below it. The replicated record has the other bits for the era of
+// the platform.
+const MaxVersion = 1<<VersionBits - 1
+
+// VersionBits is the size of a version.
+const VersionBits = 52
+
 func (table *Table) validate() error {
 	if table.Version == 0 {
 		return Error.New("version is missing")
 	}
+	if table.Version > MaxVersion {
+		return Error.New("version %d is above %d", table.Version, uint64(MaxVersion))
+	}
 	for _, route := range table.Routes {
 		switch {
 		case route.Host == "":
--- a/core/routes/routes_test.go
+++ b/core/routes/routes_test.go
@@ -13,12 +13,13 @@
 
 func TestParse(t *testing.T) {
 	for name, body := range map[string]string{
-		"not JSON":    `{`,
-		"no version":  `{"routes":[]}`,
-		"no host":     `{"version":1,"routes":[{"prefix":"/","parts":[{"service":"a","weight":1}]}]}`,
-		"no prefix":   `{"version":1,"routes":[{"host":"h","parts":[{"service":"a","weight":1}]}]}`,
-		"no parts":    `{"version":1,"routes":[{"host":"h","prefix":"/"}]}`,
-		"zero weight": `{"version":1,"routes":[{"host":"h","prefix":"/","parts":[{"service":"a","weight":0}]}]}`,
+		"not JSON":     `{`,
+		"no version":   `{"routes":[]}`,
+		"high version": `{"version":4503599627370496,"routes":[]}`,
+		"no host":      `{"version":1,"routes":[{"prefix":"/","parts":[{"service":"a","weight":1}]}]}`,
+		"no prefix":    `{"version":1,"routes":[{"host":"h","parts":[{"service":"a","weight":1}]}]}`,
+		"no parts":     `{"version":1,"routes":[{"host":"h","prefix":"/"}]}`,
+		"zero weight":  `{"version":1,"routes":[{"host":"h","prefix":"/","parts":[{"service":"a","weight":0}]}]}`,
 	} {
 		t.Run(name, func(t *testing.T) {
 			_, err := routes.Parse([]byte(body))
--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -102,7 +102,7 @@
 mutant "an era of the platform is ignored" core/rollout/rollout.go \
   'era, before := ended.Result.Era' 'era, before := uint64(0)' ./core/rollout
 mutant "the era is compared after the number" core/rollout/version.go \
-  'return version.era<<numberBits | version.number' 'return version.number<<numberBits>>20 | version.era' ./core/rollout
+  'return version.era<<routes.VersionBits | version.number' 'return version.number<<12 | version.era' ./core/rollout
 mutant "a watch goes on over an era" core/rollout/rollout.go \
   'return before == 0 || ended.Token != watchToken' 'return true' ./core/rollout
 mutant "a table of the copy counts as written" core/rollout/version.go \
