--- a/daemon/changes.go
+++ b/daemon/changes.go
@@ -9,7 +9,7 @@
 
 // logChanges logs what differs between two views: members and their targets,
 // the route table, the state of the platform, the number of crash suspects, and
-// whether this daemon watches the platform for its data centre.
+// whether this daemon watches the platform for its region.
 func logChanges(log *slog.Logger, before, now *kernel.View) {
 	for _, member := range now.Members {
 		old, known := before.Member(member.ID)
--- a/io/logs/fields.go
+++ b/io/logs/fields.go
@@ -48,7 +48,7 @@
 	"leaving":  "whether the daemon is stopping",
 	"since":    "when the current state began",
 	"lostAt":   "when the connection to the platform was lost",
-	"watching": "whether this daemon watches the platform for its data centre",
+	"watching": "whether this daemon watches the platform for its region",
 	"slow":     "whether the target is twice as slow as usual for its service",
 	"failing":  "whether the target responds with failures",
 	"ejected":  "whether the target temporarily receives no requests",
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -51,7 +51,6 @@
 	// EnvelopesSent counts the envelopes sent, and BytesSent is their total size.
 	EnvelopesSent int
 	BytesSent     int
-	Updates       int
 	// UpdateTime is the real time spent in Kernel.Update, if MeasureTime is set.
 	UpdateTime time.Duration
 }
@@ -178,7 +177,6 @@
 }
 
 func (fleet *Fleet) update(node *Node, message kernel.Message) {
-	node.Updates++
 	started := time.Time{}
 	if fleet.MeasureTime {
 		started = time.Now()
--- a/standin/matrix/exchange.go
+++ b/standin/matrix/exchange.go
@@ -34,7 +34,6 @@
 	relayed        bool
 	respondedAt    time.Time
 	underTest      bool
-	claiming       bool
 }
 
 // startRequest sends a request to an ingress, which tries the targets in order.
@@ -82,7 +81,6 @@
 	case call.Send:
 		exchange.send(effect)
 	case call.ClaimKey:
-		exchange.claiming = true
 		exchange.claim(0)
 	case call.ReleaseClaim:
 		exchange.closeClaim(true)
@@ -243,7 +241,6 @@
 }
 
 func (exchange *exchange) handleClaimResult(event call.Event) {
-	exchange.claiming = false
 	if _, granted := event.(call.ClaimGranted); granted {
 		exchange.reachStep(StepClaimWritten)
 	}
--- a/standin/play/caller.go
+++ b/standin/play/caller.go
@@ -16,7 +16,6 @@
 	maxRetries  int
 	impatient   bool
 	leavesEarly bool
-	abandoned   bool
 	finished    bool
 	// previous is the request that was sent before this one on the same
 	// connection. Its response must arrive first. onFinish holds the functions
--- a/standin/play/daemon.go
+++ b/standin/play/daemon.go
@@ -46,7 +46,6 @@
 type arrival struct {
 	attempt *attempt
 	run     *run
-	decided bool
 }
 
 func newDaemon(simulation *simulation, name string, zone *Zone, service *Service, random *rand.Rand) *daemon {
