A daemon that has just joined decides claims; a failed call of a claim log is repeated once

Cause: the claim coordinators were computed with the tick after a member record, up to 100 ms later. A daemon that takes configuration, members and targets over from a neighbour is ready before that, has no coordinator, and refused every keyed request as claimUnavailable (notRun, nothing ran twice).

Trace: 1 of about 240 runs (16 processes on 3 cores, each decision printed): the daemon asked had 0 coordinators, ready, 3 targets known.

Ruled out: failed platform calls (none in the trace), coordinators that disagree (none was asked), the limit of open files (118 in use), load alone.

Change: coordinators are computed with the merge for as long as a partition has fewer than it could have. A call of a claim log that fails within 250 ms is repeated once before the waiting requests are refused; a write with an unknown result is read back as before. The platform client logs calls that failed, and a coordinator why a claim cannot be decided; the tests of the daemon print the logs when they fail.

--- a/core/kernel/platform.go
+++ b/core/kernel/platform.go
@@ -153,8 +153,10 @@
 )
 
 // ClaimResult is the reply to a ClaimRequested. Holder is the ID of the request
-// that holds the key.
+// that holds the key. Reason says for the coordinator's log why a claim is
+// unavailable.
 type ClaimResult struct {
 	Status ClaimStatus
 	Holder string
+	Reason string
 }
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -17,6 +17,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"sort"
 	"time"
 
@@ -104,7 +105,7 @@
 	case kernel.Ticked:
 		return plugin.tick(state, event)
 	case kernel.RecordsMerged:
-		return plugin.applyRecords(event.At, message)
+		return plugin.applyRecords(state, event.At, message)
 	case kernel.EnvelopeReceived:
 		plugin.lastContact = event.At
 	case kernel.PeerReplied:
@@ -164,7 +165,7 @@
 
 // applyRecords stores the merged member records and refutes any newer record
 // about this daemon.
-func (plugin *plugin) applyRecords(at time.Time, merged kernel.RecordsMerged) []kernel.Effect {
+func (plugin *plugin) applyRecords(state *kernel.State, at time.Time, merged kernel.RecordsMerged) []kernel.Effect {
 	var effects []kernel.Effect
 	for _, replica := range merged.Records {
 		if replica.Kind != kernel.KindMember {
@@ -185,9 +186,19 @@
 			effects = append(effects, plugin.refute(replica.Version)...)
 		}
 	}
+	if plugin.membersChanged && plugin.lacksCoordinators() {
+		plugin.rebuildCoordinators(state, plugin.liveMembers())
+	}
 	return effects
 }
 
+// lacksCoordinators reports whether a partition could have more claim coordinators
+// than it has. Then the next member is added at once and not with the next tick:
+// a daemon that knows members and no coordinators would refuse all claims.
+func (plugin *plugin) lacksCoordinators() bool {
+	return len(plugin.coordinators) == 0 || len(plugin.coordinators[0]) < coordinatorsPerPartition
+}
+
 // refute overrides a record about this daemon that another process has written
 // by publishing one with a higher version.
 func (plugin *plugin) refute(version uint64) []kernel.Effect {
@@ -334,26 +345,32 @@
 // rebuildTopology recomputes the neighbours, the watchers and the claim
 // coordinators from the current members.
 func (plugin *plugin) rebuildTopology(state *kernel.State) {
-	var live []kernel.Member
+	live := plugin.liveMembers()
 	state.DeadPeers = nil
 	for _, member := range plugin.sortedMembers() {
-		if member.State != kernel.MemberDead {
-			live = append(live, member)
-			continue
-		}
-		if member.ID != plugin.self.ID {
+		if member.State == kernel.MemberDead && member.ID != plugin.self.ID {
 			state.DeadPeers = append(state.DeadPeers, kernel.Neighbour{ID: member.ID, Address: member.PeerAddress})
 		}
 	}
 	state.Neighbours = chooseNeighbours(plugin.self, live)
 	plugin.neighbours = state.Neighbours
 	state.WatcherRank, state.Watching = watcherRank(plugin.self, live)
+	plugin.rebuildCoordinators(state, live)
+	plugin.watching = state.Watching
+	state.ViewDirty = true
+}
+
+func (plugin *plugin) rebuildCoordinators(state *kernel.State, live []kernel.Member) {
 	state.ClaimCoordinators = chooseCoordinators(state.Settings, live)
 	plugin.coordinators = state.ClaimCoordinators
-	plugin.watching = state.Watching
 	state.ViewDirty = true
 }
 
+// liveMembers returns the members that are not dead, in the order of their IDs.
+func (plugin *plugin) liveMembers() []kernel.Member {
+	return slices.DeleteFunc(plugin.sortedMembers(), func(member kernel.Member) bool { return member.State == kernel.MemberDead })
+}
+
 // sortedMembers returns all members in the order of their IDs.
 func (plugin *plugin) sortedMembers() []kernel.Member {
 	members := make([]kernel.Member, 0, len(plugin.members))
--- a/core/member/member_test.go
+++ b/core/member/member_test.go
@@ -49,6 +49,43 @@
 	return true
 }
 
+// settingsWithClaims are settings with claims, for one region.
+func settingsWithClaims(number int) kernel.Settings {
+	settings := settings(number, 1)
+	settings.ClaimPartitions = 2
+	return settings
+}
+
+// checkCoordinators checks that a view with members names claim coordinators, as
+// many as there can be.
+func checkCoordinators(t *testing.T, view *kernel.View) {
+	t.Helper()
+	is := is.New(t)
+	is.Equal(len(view.ClaimCoordinators), 2)
+	for _, coordinators := range view.ClaimCoordinators {
+		is.Equal(len(coordinators), min(len(view.Members), 3))
+	}
+}
+
+func TestCoordinatorsAreKnownWithTheMembers(t *testing.T) {
+	for _, count := range []int{1, 2, 3, 5} {
+		t.Run(fmt.Sprintf("%d daemons", count), func(t *testing.T) {
+			cluster := fleet.New(uint64(count))
+			for number := range count {
+				cluster.Add(settingsWithClaims(number))
+			}
+			for range 400 {
+				cluster.Run(5 * time.Millisecond)
+				for _, node := range cluster.Nodes {
+					if len(node.View.Members) > 0 {
+						checkCoordinators(t, node.View)
+					}
+				}
+			}
+		})
+	}
+}
+
 func TestMembership(t *testing.T) {
 	t.Run("every daemon knows all daemons", func(t *testing.T) {
 		cluster := newFleet(1, 12, 3)
--- a/core/once/log.go
+++ b/core/once/log.go
@@ -63,6 +63,11 @@
 	lastRequestAt time.Time
 	lastWriteAt   time.Time
 	retryAt       time.Time
+	// lastCall is the platform call in progress, lastCallAt when it was made, and
+	// lastCallRepeated whether it is the repetition of one that failed.
+	lastCall         kernel.PlatformCall
+	lastCallAt       time.Time
+	lastCallRepeated bool
 	// releasedEarly are requests whose release arrived before their request for
 	// a claim.
 	releasedEarly map[string]time.Time
--- a/core/once/once.go
+++ b/core/once/once.go
@@ -33,7 +33,8 @@
 const pluginName = "once"
 
 // retryDelay is the delay before the log is opened again after a failed listing,
-// and before a write with an unknown result is checked again.
+// and before a write with an unknown result is checked again. A call that fails
+// sooner than this is repeated once before the waiting requests are refused.
 const retryDelay = 250 * time.Millisecond
 
 // takeoverIdleTime is how long a coordinator that has taken over a partition
@@ -93,7 +94,7 @@
 	}
 	var effects []kernel.Effect
 	for _, log := range plugin.logs {
-		effects = append(effects, refuse(log.giveUp(), kernel.ClaimNotCoordinator)...)
+		effects = append(effects, refuse(log.giveUp(), notCoordinator)...)
 	}
 	return effects
 }
@@ -136,22 +137,22 @@
 // claimRequested handles a request for a claim. It opens the log if it is closed.
 func (plugin *plugin) claimRequested(state *kernel.State, at time.Time, requested kernel.ClaimRequested) []kernel.Effect {
 	if requested.Partition < 0 || requested.Partition >= len(plugin.logs) || !isCoordinator(state, requested.Partition, requested.TakeOver) {
-		return replyToClaim(requested.Token, kernel.ClaimResult{Status: kernel.ClaimNotCoordinator})
+		return replyToClaim(requested.Token, notCoordinator)
 	}
 	log := plugin.logs[requested.Partition]
 	log.lastRequestAt = at
 	if _, released := log.releasedEarly[requested.RequestID]; released {
-		return replyToClaim(requested.Token, kernel.ClaimResult{Status: kernel.ClaimUnavailable})
+		return replyToClaim(requested.Token, unavailable("the request was released before"))
 	}
 	var effects []kernel.Effect
 	switch log.phase {
 	case phaseClosed:
 		if at.Before(log.retryAt) {
-			return replyToClaim(requested.Token, kernel.ClaimResult{Status: kernel.ClaimUnavailable})
+			return replyToClaim(requested.Token, unavailable("the log was not readable shortly before"))
 		}
-		effects = append(effects, platformCall(log, log.open()))
+		effects = append(effects, log.call(at, log.open()))
 	case phaseUncertain:
-		return replyToClaim(requested.Token, kernel.ClaimResult{Status: kernel.ClaimUnavailable})
+		return replyToClaim(requested.Token, unavailable("it is not known whether the last write took place"))
 	}
 	if held, taken := log.holders[requested.Key]; taken {
 		return append(effects, replyToClaim(requested.Token, heldResult(held, requested.RequestID))...)
@@ -170,11 +171,11 @@
 func heldResult(held holder, request string) kernel.ClaimResult {
 	switch {
 	case held.request == request && held.releasing:
-		return kernel.ClaimResult{Status: kernel.ClaimUnavailable, Holder: request}
+		return kernel.ClaimResult{Status: kernel.ClaimUnavailable, Holder: request, Reason: "the claim is being released"}
 	case held.request == request && held.durable:
 		return kernel.ClaimResult{Status: kernel.ClaimGranted, Holder: request}
 	case held.request == request:
-		return kernel.ClaimResult{Status: kernel.ClaimUnavailable, Holder: request}
+		return kernel.ClaimResult{Status: kernel.ClaimUnavailable, Holder: request, Reason: "the claim is being written"}
 	case held.completed:
 		return kernel.ClaimResult{Status: kernel.ClaimAlreadyRun, Holder: held.request}
 	default:
@@ -212,12 +213,12 @@
 	for _, log := range plugin.logs {
 		log.forgetClosedClaims(at)
 		if log.phase == phaseIdle && len(log.pending) == 0 && at.Sub(log.lastRequestAt) >= takeoverIdleTime && !isCoordinator(state, log.partition, false) {
-			effects = append(effects, refuse(log.giveUp(), kernel.ClaimNotCoordinator)...)
+			effects = append(effects, refuse(log.giveUp(), notCoordinator)...)
 			continue
 		}
 		if log.phase == phaseUncertain && !log.retryAt.IsZero() && !at.Before(log.retryAt) {
 			log.retryAt = time.Time{}
-			effects = append(effects, platformCall(log, log.readSent()))
+			effects = append(effects, log.call(at, log.readSent()))
 		}
 		effects = append(effects, plugin.flush(state, log, at)...)
 		effects = append(effects, plugin.deleteExpired(state, log, at)...)
@@ -259,15 +260,14 @@
 // deleteToken is the token of platform calls whose reply is ignored.
 const deleteToken = 1 << 32
 
-func platformCall(log *partitionLog, call kernel.PlatformCall) kernel.Effect {
-	return kernel.CallPlatform{Owner: pluginName, Token: uint64(log.partition), Call: call}
-}
-
 func (plugin *plugin) platformReplied(state *kernel.State, at time.Time, reply kernel.PlatformCallEnded) []kernel.Effect {
 	if reply.Token >= uint64(len(plugin.logs)) {
 		return nil
 	}
 	log := plugin.logs[reply.Token]
+	if repeated, repeat := log.repeatFailed(at, reply.Result.Status); repeat {
+		return []kernel.Effect{repeated}
+	}
 	switch log.phase {
 	case phaseList:
 		return plugin.segmentsListed(state, log, at, reply.Result)
@@ -286,11 +286,11 @@
 	if result.Status != kernel.PlatformOK {
 		refused := log.giveUp()
 		log.retryAt = at.Add(retryDelay)
-		return refuse(refused, kernel.ClaimUnavailable)
+		return refuse(refused, unavailable("reading the log: "+result.Status.String()))
 	}
 	log.replay(result.Objects)
 	effects := log.replyToHeldKeys(at)
-	return append(effects, platformCall(log, log.createSegment(at, phaseFence)))
+	return append(effects, log.call(at, log.createSegment(at, phaseFence)))
 }
 
 // replyToHeldKeys replies to the waiting requests whose keys are held according
@@ -315,14 +315,22 @@
 	return effects
 }
 
-func refuse(waiters []waiter, status kernel.ClaimStatus) []kernel.Effect {
+func refuse(waiters []waiter, result kernel.ClaimResult) []kernel.Effect {
 	var effects []kernel.Effect
 	for _, refused := range waiters {
-		effects = append(effects, replyToClaim(refused.token, kernel.ClaimResult{Status: status})...)
+		effects = append(effects, replyToClaim(refused.token, result)...)
 	}
 	return effects
 }
 
+func unavailable(reason string) kernel.ClaimResult {
+	return kernel.ClaimResult{Status: kernel.ClaimUnavailable, Reason: reason}
+}
+
+// notCoordinator is the reply to requests whose partition this daemon does not
+// coordinate or has lost.
+var notCoordinator = kernel.ClaimResult{Status: kernel.ClaimNotCoordinator}
+
 func replyToClaim(token uint64, result kernel.ClaimResult) []kernel.Effect {
 	return []kernel.Effect{kernel.ReplyToClaim{Token: token, Result: result}}
 }
--- a/core/once/once_test.go
+++ b/core/once/once_test.go
@@ -341,6 +341,32 @@
 		expectStatus(t, harness, harness.requestClaim("a", "d0", false), kernel.ClaimUnavailable)
 		is.New(t).True(harness.fleet.Now.Sub(start) < time.Second)
 	})
+	for name, warm := range map[string]bool{"read": false, "write": true} {
+		t.Run("one failed "+name+" of the log refuses no claim", func(t *testing.T) {
+			harness := newHarness(13, 3)
+			if warm {
+				expectStatus(t, harness, harness.requestClaim("warm", "d0", false), kernel.ClaimGranted)
+			}
+			failures := 0
+			harness.fleet.Platform.Refuses = func(kernel.Settings) bool {
+				failures++
+				return failures == 1
+			}
+			expectStatus(t, harness, harness.requestClaim("a", "d0", false), kernel.ClaimGranted)
+			is.New(t).True(failures > 1)
+		})
+	}
+	t.Run("a call that fails twice refuses the claim", func(t *testing.T) {
+		harness := newHarness(14, 3)
+		harness.fleet.Platform.Refuses = func(kernel.Settings) bool { return true }
+		calls := harness.fleet.Platform.Reads
+		claimant := harness.requestClaim("a", "d0", false)
+		expectStatus(t, harness, claimant, kernel.ClaimUnavailable)
+		result, _ := claimant.result()
+		is := is.New(t)
+		is.Equal(result.Reason, "reading the log: refused")
+		is.Equal(harness.fleet.Platform.Reads, calls)
+	})
 	t.Run("many claims share a write", func(t *testing.T) {
 		harness := newHarness(6, 3)
 		expectStatus(t, harness, harness.requestClaim("warm", "d0", false), kernel.ClaimGranted)
--- a/core/once/write.go
+++ b/core/once/write.go
@@ -27,7 +27,7 @@
 	if wait := state.Settings.ClaimInterval - at.Sub(log.lastWriteAt); wait > 0 {
 		return []kernel.Effect{kernel.Wake{After: wait}}
 	}
-	return []kernel.Effect{platformCall(log, log.createSegment(at, phaseWrite))}
+	return []kernel.Effect{log.call(at, log.createSegment(at, phaseWrite))}
 }
 
 // segmentCreated handles the reply to the creation of a segment.
@@ -36,9 +36,9 @@
 		return plugin.segmentCommitted(state, log, at)
 	}
 	if result.Status == kernel.PlatformConflict || result.Status == kernel.PlatformUnknown {
-		return []kernel.Effect{platformCall(log, log.readSent())}
+		return []kernel.Effect{log.call(at, log.readSent())}
 	}
-	effects := plugin.refuseUncertain(log)
+	effects := plugin.refuseUncertain(log, result.Status)
 	log.phase = phaseUncertain
 	log.retryAt = at.Add(retryDelay)
 	return effects
@@ -49,8 +49,8 @@
 // have created the segment. Claims that were not sent are dropped. For those in the
 // sent segment it adds releases to the pending entries, in case the segment was
 // created after all: a request that is refused here must never be executed.
-func (plugin *plugin) refuseUncertain(log *partitionLog) []kernel.Effect {
-	effects := refuse(append(log.sentWaiters, log.waiters...), kernel.ClaimUnavailable)
+func (plugin *plugin) refuseUncertain(log *partitionLog, status kernel.PlatformStatus) []kernel.Effect {
+	effects := refuse(append(log.sentWaiters, log.waiters...), unavailable("writing the log: "+status.String()))
 	var kept []entry
 	for _, entry := range log.pending {
 		if entry.Operation == operationClaim {
@@ -95,12 +95,12 @@
 	case result.Status == kernel.PlatformOK && log.isSentSegment(result.Object):
 		return plugin.segmentCommitted(state, log, at)
 	case result.Status == kernel.PlatformOK:
-		return refuse(log.giveUp(), kernel.ClaimNotCoordinator)
+		return refuse(log.giveUp(), notCoordinator)
 	case result.Status == kernel.PlatformNotFound:
 		log.phase = phaseWrite
-		return []kernel.Effect{platformCall(log, log.recreateSegment())}
+		return []kernel.Effect{log.call(at, log.recreateSegment())}
 	default:
-		effects := plugin.refuseUncertain(log)
+		effects := plugin.refuseUncertain(log, result.Status)
 		log.retryAt = at.Add(retryDelay)
 		return effects
 	}
--- a/daemon/cluster_test.go
+++ b/daemon/cluster_test.go
@@ -57,6 +57,28 @@
 	return count
 }
 
+// logs keeps what the daemons of a cluster log.
+type logs struct {
+	mutex sync.Mutex
+	text  bytes.Buffer
+}
+
+func (logs *logs) Write(line []byte) (int, error) {
+	logs.mutex.Lock()
+	defer logs.mutex.Unlock()
+	return logs.text.Write(line)
+}
+
+// printIfFailed prints the logs of a failed test, since a failure that shows once
+// is traced from them.
+func (logs *logs) printIfFailed(t *testing.T) {
+	logs.mutex.Lock()
+	defer logs.mutex.Unlock()
+	if t.Failed() {
+		t.Log(logs.text.String())
+	}
+}
+
 // instance is a daemon with its upstream, both in this process.
 type instance struct {
 	ip             string
@@ -76,6 +98,7 @@
 	store     *platform.Store
 	instances []*instance
 	ledger    ledger
+	logs      logs
 	prefix    string
 	// lastAttemptID is the number in the attempt ID of the last request.
 	lastAttemptID atomic.Int64
@@ -86,6 +109,7 @@
 func newCluster(t *testing.T, daemons int) *cluster {
 	t.Helper()
 	cluster := &cluster{t: t, store: &platform.Store{}}
+	t.Cleanup(func() { cluster.logs.printIfFailed(t) })
 	cluster.prefix = fmt.Sprintf("127.%d.%d", 100+os.Getpid()%100, clusterCount.Add(1))
 	serveUntilEnd(t, cluster.prefix+".1:7000", cluster.store.Handler())
 	for number := range daemons {
@@ -116,7 +140,8 @@
 	cluster.t.Helper()
 	ip := fmt.Sprintf("%s.%d", cluster.prefix, 10+number)
 	instance := &instance{ip: ip, ended: make(chan error, 1)}
-	running := &daemon.Daemon{Settings: cluster.settings(ip, number), Log: slog.New(slog.DiscardHandler)}
+	log := slog.New(slog.NewTextHandler(&cluster.logs, &slog.HandlerOptions{Level: slog.LevelDebug})).With("daemon", number)
+	running := &daemon.Daemon{Settings: cluster.settings(ip, number), Log: log}
 	ctx, stop := context.WithCancel(context.Background())
 	instance.stop = stop
 	go func() { instance.ended <- running.Run(ctx) }()
@@ -156,13 +181,19 @@
 }
 
 func (cluster *cluster) await(what string, condition func() bool) {
+	cluster.t.Helper()
+	cluster.awaitEvery(5*time.Millisecond, what, condition)
+}
+
+// awaitEvery checks a condition at an interval until it holds.
+func (cluster *cluster) awaitEvery(interval time.Duration, what string, condition func() bool) {
 	cluster.t.Helper()
 	end := time.Now().Add(awaitTimeout)
 	for !condition() {
 		if time.Now().After(end) {
 			cluster.t.Fatalf("%s: not met within %s", what, awaitTimeout)
 		}
-		time.Sleep(5 * time.Millisecond)
+		time.Sleep(interval)
 	}
 }
 
--- a/daemon/control.go
+++ b/daemon/control.go
@@ -203,7 +203,11 @@
 	if err != nil {
 		return kernel.ClaimResult{}, err
 	}
-	return effect.(kernel.ReplyToClaim).Result, nil
+	result := effect.(kernel.ReplyToClaim).Result
+	if result.Reason != "" {
+		control.log.Debug("claim cannot be decided", "request", request.RequestID, "reason", result.Reason)
+	}
+	return result, nil
 }
 
 // CloseClaim handles the notice that a claimed request has ended, in this
--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -232,6 +232,21 @@
 	})
 }
 
+func TestKeysAfterJoin(t *testing.T) {
+	cluster := newCluster(t, 2)
+	for number := 2; number < 6; number++ {
+		t.Run(fmt.Sprintf("daemon %d claims keys as soon as it is ready", number), func(t *testing.T) {
+			cluster.start(number)
+			cluster.awaitEvery(0, "the daemon is ready", func() bool { return cluster.ready(cluster.instances[number]) })
+			for attempt := range 3 {
+				checkServed(t, cluster.send(number, request{method: "POST", path: "/enrol", header: map[string]string{
+					"Idempotency-Key": fmt.Sprintf("joined-%d-%d", number, attempt),
+				}}))
+			}
+		})
+	}
+}
+
 func TestDrain(t *testing.T) {
 	cluster := newCluster(t, 2)
 	leaving := cluster.instances[0]
--- a/io/platform/platform.go
+++ b/io/platform/platform.go
@@ -167,11 +167,15 @@
 	request.GetBody = nil
 	response, err := client.http().Do(request.WithContext(ctx))
 	if err != nil {
+		client.log().Debug("platform did not reply", "method", request.Method, "path", request.URL.Path, "error", err)
 		return kernel.PlatformResult{Status: statusOfError(err)}, ""
 	}
 	defer func() { _ = response.Body.Close() }()
 	era := client.codec().Era(response)
 	if status, ended := statusOfReply(response); ended {
+		if status == kernel.PlatformNotExecuted || status == kernel.PlatformUnknown {
+			client.log().Debug("platform refused a call", "method", request.Method, "path", request.URL.Path, "status", response.StatusCode)
+		}
 		_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxDiscardBytes))
 		return kernel.PlatformResult{Status: status, Era: era}, ""
 	}
--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -79,6 +79,12 @@
   'if !at.Before(time.UnixMilli(stored.Expires)) {' 'if stored.Expires < 0 {' ./core/crash
 mutant "a claim coordinator forgets the completions reported to it" core/once/once.go \
   'log.rememberCompletion(closed.RequestID, at)' '' ./core/once
+mutant "a failed call of a claim log is not repeated" core/once/call.go \
+  'if !failed || log.lastCall == nil' 'if true || log.lastCall == nil' ./core/once
+mutant "a failed call of a claim log is repeated for ever" core/once/call.go \
+  'log.lastCallRepeated = true' 'log.lastCallRepeated = false' ./core/once
+mutant "a daemon that joins has no claim coordinators" core/member/member.go \
+  'if plugin.membersChanged && plugin.lacksCoordinators() {' 'if false {' ./core/member
 mutant "completions are written only with the next claim" core/once/once.go \
   'at.Sub(log.completionSince) >= completionWait' 'false' ./core/once
 mutant "coordinators that lost a partition are not asked again" daemon/claims.go \
