A gate's rule that decided nothing is gone; two cases join their tests

Cause: a request that can no longer meet its objective was refused behind a standing queue if it had to wait, or if a more urgent one had been refused shortly before. The second half decided only for requests without any wait, which find a slot at once.

Ruled out: giving it a meaning. Refusing who would run at once serves nobody.

Change: the rule and its two fields are removed. The estimator's test plays an old report of slowness, the test of all policies draws "soonest", and a mutant stands for the first.

Conclusion: nothing that callers see changes.

--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -219,10 +219,6 @@
 	queue       []uint64
 	slotsInUse  int
 	serviceTime time.Duration
-	// busyRefusedAt is when the gate last refused, with ReasonBusy, a request
-	// that could still have met its objective. busyRefusedRank is its rank.
-	busyRefusedAt   time.Time
-	busyRefusedRank int
 	// lastEmptyAt is when the queue was last empty.
 	lastEmptyAt time.Time
 	draining    bool
--- a/core/admit/estimator_test.go
+++ b/core/admit/estimator_test.go
@@ -45,6 +45,21 @@
 		later.MaxDelay = 300 * time.Millisecond
 		is.New(t).Equal(effectOf(4, later), admit.Effect(admit.HandOver{ID: 2}))
 	})
+	t.Run("an old report of slowness gives way to the mean", func(t *testing.T) {
+		for age, refused := range map[time.Duration]bool{0: true, time.Minute: false} {
+			gate := newGateWithServiceTime(4, "read", 80*time.Millisecond)
+			for number := range 100 {
+				gate.Update(admit.SlownessReported{At: at.Add(time.Duration(number) * time.Second), Slowness: 1})
+			}
+			reportedAt := at.Add(100 * time.Second)
+			gate.Update(admit.SlownessReported{At: reportedAt, Slowness: 4})
+			later := arrived
+			later.At = reportedAt.Add(age)
+			later.Deadline = later.At.Add(time.Minute)
+			_, isRefusal := gate.Update(later)[0].(admit.Refuse)
+			is.New(t).Equal(isRefusal, refused)
+		}
+	})
 }
 
 func TestQueueOrder(t *testing.T) {
--- a/core/admit/queue.go
+++ b/core/admit/queue.go
@@ -109,11 +109,6 @@
 // too late.
 const maxWaitDivisor = 3
 
-// busyRefusalWindow is how long after a refusal with ReasonBusy the gate also
-// refuses requests that can no longer meet their objective. It keeps slots for
-// requests that can.
-const busyRefusalWindow = time.Second
-
 // standingQueueTime is how long a queue may last because of a burst or a short
 // slowdown of the upstream. A queue that lasts longer is a standing queue, which
 // only adds latency.
@@ -129,24 +124,16 @@
 // A request without an objective of its own may wait until its deadline. One that
 // can still meet its objective is refused if the wait would use more than the part
 // of its spare time that maxWaitDivisor allows. One that can no longer meet it is
-// refused if it has to wait at all, or if the gate has refused, within
-// busyRefusalWindow, a request that could still have met its objective and was at
-// least as urgent by rank.
+// refused if it has to wait at all.
 func (gate *Gate) isTooBusy(arrived Arrived, wait time.Duration) bool {
 	if arrived.Objective.IsZero() || !arrived.Objective.Before(arrived.Deadline) || !gate.hasStandingQueue(arrived.At) {
 		return false
 	}
 	spare := arrived.Objective.Sub(arrived.At) - gate.optimisticServiceTime(arrived.At, arrived.Class)
 	if spare <= 0 {
-		recentlyRefused := arrived.At.Sub(gate.busyRefusedAt) < busyRefusalWindow && arrived.effectiveRank() >= gate.busyRefusedRank
-		return wait > 0 || recentlyRefused
-	}
-	if wait <= spare/maxWaitDivisor {
-		return false
+		return wait > 0
 	}
-	gate.busyRefusedAt = arrived.At
-	gate.busyRefusedRank = arrived.effectiveRank()
-	return true
+	return wait > spare/maxWaitDivisor
 }
 
 // displace makes room for a request in a full queue by refusing the last queued
--- a/core/route/route_test.go
+++ b/core/route/route_test.go
@@ -109,7 +109,7 @@
 
 func TestListedPoliciesChooseACandidate(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		policy, err := route.New(rapid.SampledFrom([]string{"adaptive", "random", "roundRobin", "leastInFlight", "powerOfTwo"}).Draw(t, "policy"))
+		policy, err := route.New(rapid.SampledFrom([]string{"adaptive", "soonest", "random", "roundRobin", "leastInFlight", "powerOfTwo"}).Draw(t, "policy"))
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -97,6 +97,8 @@
   'picker.tried[target] = true' '' ./core/pick
 mutant "a refused request is retried although no target can meet its objective" core/pick/pick.go \
   'if picker.refusals > 0 &&' 'if false &&' ./core/pick
+mutant "an old report of slowness counts like a new one" core/admit/estimator.go \
+  'freshness := max(0, 1-float64(at.Sub(estimator.slownessReportedAt))/float64(slownessLifetime))' 'freshness := 1.0' ./core/admit
 mutant "the queue ignores ranks" core/admit/queue.go \
   'cmp.Compare(one.arrived.effectiveRank(), other.arrived.effectiveRank()),' '' ./core/admit ./standin/play
 mutant "requests that miss their objective go first in the queue" core/admit/queue.go \
