Tools check and print what they say

`slopes kernels` restarted a daemon that is not there and added a new one instead. demo, bench and faults printed `%!w(<nil>)` for a refused change.

Change: deployment.Apply returns the current object of a conflict, ApplyError says why a change was refused, the restarted daemon is always one of the fleet, explain counts refusals.

Conclusion: the soak checks every change that a daemon without a fault accepts.

--- a/cmd/bench/scenario.go
+++ b/cmd/bench/scenario.go
@@ -188,13 +188,14 @@
 func (bench *bench) applyPolicy(policy string) error {
 	spec := fmt.Sprintf(`{"policy": %q, "defaultDeadline": "2s", "important": [{"method": "POST", "path": "/"}], "slowStart": "2s"}`, policy)
 	status, object, err := bench.running.Apply(bench.running.Instances[0], "/profiles/bench", bench.profileVersion, spec)
-	if err != nil || status >= 300 {
-		return fmt.Errorf("profile: status %d: %w", status, err)
+	if err := deployment.ApplyError(status, err); err != nil {
+		return fmt.Errorf("profile: %w", err)
 	}
 	if bench.profileVersion == 0 {
 		for _, service := range bench.running.Plan.Services {
-			if status, _, err := bench.running.Apply(bench.running.Instances[0], "/services/"+service.Name, 0, `{"profile": "bench"}`); err != nil || status >= 300 {
-				return fmt.Errorf("service: status %d: %w", status, err)
+			status, _, err := bench.running.Apply(bench.running.Instances[0], "/services/"+service.Name, 0, `{"profile": "bench"}`)
+			if err := deployment.ApplyError(status, err); err != nil {
+				return fmt.Errorf("service %s: %w", service.Name, err)
 			}
 		}
 	}
--- a/cmd/demo/main.go
+++ b/cmd/demo/main.go
@@ -90,8 +90,8 @@
 			}
 		}
 		status, _, err := running.Apply(instance, "/services/"+service.Name, 0, fmt.Sprintf(`{"profile": %q}`, service.Profile))
-		if err != nil || status >= 300 {
-			return fmt.Errorf("service %s: status %d: %w", service.Name, status, err)
+		if err := deployment.ApplyError(status, err); err != nil {
+			return fmt.Errorf("service %s: %w", service.Name, err)
 		}
 	}
 	return nil
@@ -107,8 +107,8 @@
 	path := "/profiles/" + profile
 	started := time.Now()
 	status, object, err := running.Apply(instance, path, version, string(spec))
-	if err != nil || status >= 300 {
-		return fmt.Errorf("profile %s: status %d: %w", profile, status, err)
+	if err := deployment.ApplyError(status, err); err != nil {
+		return fmt.Errorf("profile %s: %w", profile, err)
 	}
 	err = deployment.Await(inForceTimeout, "profile in force on all daemons", func() bool {
 		return running.AllHaveVersion(path, object.Version)
--- a/cmd/faults/configuration.go
+++ b/cmd/faults/configuration.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net/http"
 	"syscall"
 	"time"
 
@@ -25,8 +24,8 @@
 	version := uint64(0)
 	changeProfile := func(bound int) error {
 		status, object, err := running.Apply(writer, profilePath, version, fmt.Sprintf(`{"queueBound": %d}`, bound))
-		if err != nil || status != http.StatusOK {
-			return fmt.Errorf("status %d: %w", status, err)
+		if err := deployment.ApplyError(status, err); err != nil {
+			return err
 		}
 		version = object.Version
 		return nil
--- a/cmd/ibislift/explainlog.go
+++ b/cmd/ibislift/explainlog.go
@@ -133,8 +133,7 @@
 }
 
 // describeCause explains how a request ended, from its own "request ended" line
-// and from errors in other lines about it. Its "gates" are refusals: a gate that
-// refused the request twice counts twice.
+// and from errors in other lines about it.
 func describeCause(ended logLine, lines []logLine) string {
 	var parts []string
 	for _, cause := range stepCauses {
@@ -146,7 +145,7 @@
 	if refusals := strings.Count(ended.Steps, " refused ("); refusals > 0 {
 		last := ended.Steps[strings.LastIndex(ended.Steps, " refused ("):]
 		reason := strings.TrimSuffix(strings.SplitN(strings.SplitN(last, ": ", 2)[1], ";", 2)[0], ")")
-		parts = append(parts, fmt.Sprintf("%d gates refused it, the last as %q", refusals, reason))
+		parts = append(parts, fmt.Sprintf("refusals by gates: %d, the last as %q", refusals, reason))
 	}
 	for _, line := range lines {
 		if line.RequestID == ended.RequestID && line.Error != "" {
--- a/cmd/ibislift/explainlog_test.go
+++ b/cmd/ibislift/explainlog_test.go
@@ -40,7 +40,7 @@
 	}{
 		"refused under load": {
 			[]string{endedLine("r", "notRun", "503", "0 arrived; 1 refused (attempt 0: busy); 3 refused (attempt 1: slower); 3 noTargetLeft")},
-			`no further target was worth trying; 2 gates refused it, the last as "slower"`,
+			`no further target was worth trying; refusals by gates: 2, the last as "slower"`,
 		},
 		"crashed": {
 			[]string{
--- a/cmd/slopes/kernels.go
+++ b/cmd/slopes/kernels.go
@@ -153,16 +153,13 @@
 func measureRestarts(cluster *fleet.Fleet, size int, idleBytes, idleBusy float64) (bytes, busy float64) {
 	const restarts = 10
 	earlier, startedAt := readKernelUsage(cluster), cluster.Now
-	for number := range restarts {
-		replaced := daemonName(number*11%size + 3)
-		if cluster.Nodes[replaced] == nil {
-			replaced = daemonName(3)
-		}
-		node := cluster.Nodes[replaced]
-		previous := *node
+	for index := range restarts {
+		number := (index*11 + 3) % size
+		replaced := daemonName(number)
+		previous := *cluster.Nodes[replaced]
 		cluster.Deliver(replaced, kernel.StopRequested{})
 		cluster.Run(time.Second)
-		replacement := cluster.Add(daemonSettings(number*11%size + 3))
+		replacement := cluster.Add(daemonSettings(number))
 		replacement.EnvelopesSent, replacement.BytesSent, replacement.UpdateTime = previous.EnvelopesSent, previous.BytesSent, previous.UpdateTime
 		cluster.Run(2 * time.Second)
 	}
--- a/cmd/soak/checks.go
+++ b/cmd/soak/checks.go
@@ -85,22 +85,23 @@
 	}
 }
 
-// changeProfile writes the profile through a daemon without a fault. It returns
-// the version accepted last, which stays the given one if no write is accepted. A
-// write through any but the first four instances counts as not accepted.
+// changeProfile writes the profile through the first daemon without a fault. It
+// returns the version accepted last, which stays the given one if the write is not
+// accepted. After a conflict it is the current version, so that the next write can
+// be accepted.
 func (trial *trial) changeProfile(version uint64) uint64 {
-	for number, instance := range trial.running.Instances {
+	for _, instance := range trial.running.Instances {
 		if !trial.isFaultFree(instance) {
 			continue
 		}
 		spec := fmt.Sprintf(`{"queueBound": %d}`, 32+version%32)
 		status, object, err := trial.running.Apply(instance, profilePath, version, spec)
 		switch {
-		case err != nil || number > 3:
+		case err != nil:
 			return version
 		case status == http.StatusOK || status == http.StatusCreated:
 			return object.Version
-		case status == http.StatusPreconditionFailed || status == http.StatusConflict:
+		case status == http.StatusConflict:
 			// An earlier write whose outcome was unknown has taken effect.
 			return max(version, object.Version)
 		}
--- a/standin/deployment/control.go
+++ b/standin/deployment/control.go
@@ -88,9 +88,9 @@
 }
 
 // Apply writes a profile, or the configuration that chooses a service's profile,
-// through a daemon's operator API. It returns the status and the body of the
-// response. Version 0 creates the object; any other version must be the current
-// one.
+// through a daemon's operator API. It returns the status and the object in the
+// response, which after a conflict is the current one. Version 0 creates the object;
+// any other version must be the current one.
 func (running *Running) Apply(instance *Instance, path string, version uint64, spec string) (int, operator.Object, error) {
 	request, err := http.NewRequest(http.MethodPut, "http://"+instance.OperatorAddress()+path, strings.NewReader(spec))
 	if err != nil {
@@ -107,9 +107,28 @@
 		return 0, operator.Object{}, Error.Wrap(err)
 	}
 	defer func() { _ = response.Body.Close() }()
-	var object operator.Object
-	err = json.NewDecoder(response.Body).Decode(&object)
-	return response.StatusCode, object, Error.Wrap(err)
+	var reply struct {
+		operator.Object
+		Current *operator.Object `json:"current"`
+	}
+	err = json.NewDecoder(response.Body).Decode(&reply)
+	if reply.Current != nil {
+		reply.Object = *reply.Current
+	}
+	return response.StatusCode, reply.Object, Error.Wrap(err)
+}
+
+// ApplyError returns why a change was not accepted, from the results of Apply, or nil
+// if it was.
+func ApplyError(status int, err error) error {
+	switch {
+	case err != nil:
+		return err
+	case status >= http.StatusMultipleChoices:
+		return Error.New("the change was refused with status %d", status)
+	default:
+		return nil
+	}
 }
 
 // AllHaveVersion reports whether every daemon that is still running has the given
