The news of one target cross the fleet whole and at once

Cause: every member record over 100 bytes was offered before it was sent, and floods waited 100 ms for each other, both for starts of hundreds of machines. The news of a single target that has come, left or begun to drain took a round trip more on each hop.

Change: a flood of at most 600 bytes is sent whole, larger ones are offered as before. Floods wait 25 ms for each other, and 100 ms if 16 records or more are pending.

--- a/core/spread/spread.go
+++ b/core/spread/spread.go
@@ -41,12 +41,24 @@
 // at the same time and may not be reachable at first.
 const startupPeriod = 5 * time.Second
 
-// maxFloodedSize is the size in bytes up to which a record is sent without being
-// requested, because its key and version are hardly shorter.
-const maxFloodedSize = 100
+// maxFloodedSize is the size in bytes up to which all records of a flood are sent
+// without being requested. An offer takes a round trip more on each hop, in which
+// other daemons do not know a target that has come, left or begun to drain.
+const maxFloodedSize = 600
 
-// floodInterval is the minimum time between two floods of a daemon.
-const floodInterval = 100 * time.Millisecond
+// maxUnofferedSize is the size in bytes up to which a record of a larger flood is not
+// offered, because its key and version are hardly shorter.
+const maxUnofferedSize = 100
+
+// The minimum time between two floods of a daemon. Many pending records mean that
+// many daemons start or leave together, and that more records are on their way.
+const (
+	shortFloodInterval = 25 * time.Millisecond
+	longFloodInterval  = 100 * time.Millisecond
+	// manyPending is the number of pending records from which longFloodInterval
+	// applies.
+	manyPending = 16
+)
 
 // requestTimeout is how long a daemon waits for a record that it has requested
 // before it requests it from another daemon. It allows for a large record on a slow
@@ -204,23 +216,13 @@
 	if len(plugin.pending) == 0 {
 		return nil
 	}
-	if wait := floodInterval - at.Sub(plugin.lastFloodAt); wait > 0 {
+	if wait := plugin.floodInterval() - at.Sub(plugin.lastFloodAt); wait > 0 {
 		return []kernel.Effect{kernel.Wake{After: wait}}
 	}
 	plugin.lastFloodAt = at
 	var effects []kernel.Effect
 	for _, neighbour := range state.Neighbours {
-		envelope := kernel.Envelope{From: state.Settings.Self}
-		for _, pending := range plugin.pending {
-			if pending.from == neighbour.ID || pending.isOutdated(state) {
-				continue
-			}
-			if record := pending.record; len(record.Body) > maxFloodedSize {
-				envelope.Versions = append(envelope.Versions, kernel.KeyVersion{Key: record.Key, Version: record.Version})
-			} else {
-				envelope.Records = append(envelope.Records, record)
-			}
-		}
+		envelope := plugin.floodTo(state, neighbour)
 		if len(envelope.Versions)+len(envelope.Records) > 0 {
 			effects = append(effects, kernel.CallPeer{Peer: neighbour, Envelope: envelope})
 		}
@@ -229,6 +231,38 @@
 	return effects
 }
 
+func (plugin *plugin) floodInterval() time.Duration {
+	if len(plugin.pending) < manyPending {
+		return shortFloodInterval
+	}
+	return longFloodInterval
+}
+
+// floodTo returns the message that floods the pending records to a neighbour. A few
+// records are sent at once; more of them, or large ones, are offered.
+func (plugin *plugin) floodTo(state *kernel.State, neighbour kernel.Neighbour) kernel.Envelope {
+	whole := kernel.Envelope{From: state.Settings.Self}
+	offer := whole
+	size := 0
+	for _, pending := range plugin.pending {
+		if pending.from == neighbour.ID || pending.isOutdated(state) {
+			continue
+		}
+		record := pending.record
+		size += len(record.Body)
+		whole.Records = append(whole.Records, record)
+		if len(record.Body) > maxUnofferedSize {
+			offer.Versions = append(offer.Versions, kernel.KeyVersion{Key: record.Key, Version: record.Version})
+		} else {
+			offer.Records = append(offer.Records, record)
+		}
+	}
+	if size <= maxFloodedSize {
+		return whole
+	}
+	return offer
+}
+
 // isOutdated reports whether a newer version of the record is stored, which is
 // pending too.
 func (pending pendingRecord) isOutdated(state *kernel.State) bool {
--- a/core/spread/spread_test.go
+++ b/core/spread/spread_test.go
@@ -16,7 +16,10 @@
 	"ibislift/standin/fleet"
 )
 
-const routeObject = "config/main"
+const (
+	routeObject   = "config/main"
+	regionLatency = 30 * time.Millisecond
+)
 
 // newFleet starts daemons in three regions, with 30 ms between regions, links of 10
 // Mbit/s and a small route table in the store.
@@ -26,7 +29,7 @@
 	cluster.EnvelopeSize = func(envelope kernel.Envelope) int { return proto.Size(peer.EncodeEnvelope(envelope)) }
 	cluster.Latency = func(from, to kernel.Settings) time.Duration {
 		if from.Region != to.Region {
-			return 30 * time.Millisecond
+			return regionLatency
 		}
 		return time.Millisecond
 	}
@@ -95,3 +98,45 @@
 		})
 	}
 }
+
+// targetsKnown returns how many daemons know as many targets as there are daemons.
+func targetsKnown(cluster *fleet.Fleet) int {
+	count := 0
+	for _, node := range cluster.Nodes {
+		if members, _ := node.View.Service("shop"); len(members) == len(cluster.Nodes) {
+			count++
+		}
+	}
+	return count
+}
+
+func TestTargetsSpreadSoon(t *testing.T) {
+	for _, daemons := range []int{15, 80} {
+		t.Run(fmt.Sprintf("one target of %d", daemons), func(t *testing.T) {
+			is := is.New(t)
+			cluster := newFleet(daemons)
+			announce := func(name string) {
+				cluster.Deliver(name, kernel.UpstreamAnnounced{Target: kernel.Target{Service: "shop", Slots: 4, State: kernel.TargetServing}})
+			}
+			for number := 1; number < daemons; number++ {
+				announce(fmt.Sprintf("d%d", number))
+			}
+			cluster.Run(5 * time.Second)
+			before, at := bytesSent(cluster), cluster.Now
+			announce("d0")
+			is.True(cluster.RunUntil(time.Second, func() bool { return targetsKnown(cluster) == daemons }))
+			t.Logf("known to all after %s, %d bytes sent by each", cluster.Now.Sub(at), (bytesSent(cluster)-before)/daemons)
+			is.True(cluster.Now.Sub(at) < 2*regionLatency) // one link between regions, and those within
+		})
+		t.Run(fmt.Sprintf("all targets of %d", daemons), func(t *testing.T) {
+			is := is.New(t)
+			cluster := newFleet(daemons)
+			before, at := bytesSent(cluster), cluster.Now
+			for number := range daemons {
+				cluster.Deliver(fmt.Sprintf("d%d", number), kernel.UpstreamAnnounced{Target: kernel.Target{Service: "shop", Slots: 4, State: kernel.TargetServing}})
+			}
+			is.True(cluster.RunUntil(2*time.Second, func() bool { return targetsKnown(cluster) == daemons }))
+			t.Logf("known to all after %s, %d bytes sent by each", cluster.Now.Sub(at), (bytesSent(cluster)-before)/daemons)
+		})
+	}
+}
--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -99,6 +99,8 @@
   'if picker.refusals > 0 &&' 'if false &&' ./core/pick
 mutant "an old report of slowness counts like a new one" core/admit/estimator.go \
   'freshness := max(0, 1-float64(at.Sub(estimator.slownessReportedAt))/float64(slownessLifetime))' 'freshness := 1.0' ./core/admit
+mutant "the news of one target are offered first" core/spread/spread.go \
+  'if size <= maxFloodedSize {' 'if false {' ./core/spread
 mutant "the queue ignores ranks" core/admit/queue.go \
   'cmp.Compare(one.arrived.effectiveRank(), other.arrived.effectiveRank()),' '' ./core/admit ./standin/play
 mutant "requests that miss their objective go first in the queue" core/admit/queue.go \
