A stopping daemon's upstream serves on while the daemon lingers

The gate refused from the moment of SIGTERM, while the daemon then waited 2.5 s for callers who learn late that it is not ready.

Change: the other daemons are told 300 ms before the end of the linger time, and the gate drains at its end. Without a linger time nothing changes.

Ruled out: a shorter linger time, since callers are sent to a stopping daemon until two readiness checks have failed.

Conclusion: the same requests are drained at the end, 2.2 s later in the grace period.

--- a/daemon/cluster_test.go
+++ b/daemon/cluster_test.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -79,6 +80,15 @@
 	}
 }
 
+// ranOn reports whether the named upstream ran the request with an attempt ID.
+func (ledger *ledger) ranOn(name, attemptID string) bool {
+	ledger.mutex.Lock()
+	defer ledger.mutex.Unlock()
+	return slices.ContainsFunc(ledger.lines, func(line string) bool {
+		return strings.HasPrefix(line, name+" ") && strings.HasSuffix(line, " "+attemptID+"\n")
+	})
+}
+
 // instance is a daemon with its upstream, both in this process.
 type instance struct {
 	ip             string
@@ -99,7 +109,9 @@
 	instances []*instance
 	ledger    ledger
 	logs      logs
-	prefix    string
+	// lingerTime is the setting of all daemons.
+	lingerTime time.Duration
+	prefix     string
 	// lastAttemptID is the number in the attempt ID of the last request.
 	lastAttemptID atomic.Int64
 }
@@ -108,7 +120,14 @@
 // and waits until every daemon knows every target.
 func newCluster(t *testing.T, daemons int) *cluster {
 	t.Helper()
-	cluster := &cluster{t: t, store: &platform.Store{}}
+	return newLingeringCluster(t, daemons, 0)
+}
+
+// newLingeringCluster is like newCluster, with daemons that linger when they are
+// stopped.
+func newLingeringCluster(t *testing.T, daemons int, lingerTime time.Duration) *cluster {
+	t.Helper()
+	cluster := &cluster{t: t, store: &platform.Store{}, lingerTime: lingerTime}
 	t.Cleanup(func() { cluster.logs.printIfFailed(t) })
 	cluster.prefix = fmt.Sprintf("127.%d.%d", 100+os.Getpid()%100, clusterCount.Add(1))
 	serveUntilEnd(t, cluster.prefix+".1:7000", cluster.store.Handler())
@@ -159,7 +178,7 @@
 		CallerAddress: ip + ":8000", PeerAddress: ip + ":8001", ForwardAddress: ip + ":8004", UpstreamAddress: ip + ":8002", OperatorAddress: ip + ":8003",
 		PlatformAddress: cluster.prefix + ".1:7000", PlatformRegion: "east", FirstPeers: []string{cluster.prefix + ".10:8001"},
 		RegionCapacity: 8, ClaimPartitions: 2, ClaimInterval: 5 * time.Millisecond, ClaimRetention: time.Hour,
-		DrainTimeout: 10 * time.Second,
+		DrainTimeout: 10 * time.Second, LingerTime: cluster.lingerTime,
 	}
 }
 
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -58,6 +58,11 @@
 	idleTimeout       = 2 * time.Minute
 )
 
+// departureNotice is how long the gate of a stopping daemon still serves after the
+// other daemons have been told to choose other targets. The news crosses a few
+// daemons and one link between regions.
+const departureNotice = 300 * time.Millisecond
+
 // departureDelay is how long a stopping daemon waits for its last records to
 // reach the neighbours.
 const departureDelay = 200 * time.Millisecond
@@ -274,7 +279,9 @@
 }
 
 // stop drains the daemon and shuts it down. It still accepts callers for the
-// linger time, since they find out late that the daemon is no longer ready.
+// linger time, since they find out late that the daemon is no longer ready. For as
+// long, the upstream serves on: a restart of the daemon takes it away from the
+// others for the end of the drain and the start only.
 func (daemon *Daemon) stop() {
 	daemon.Log.Info("daemon draining")
 	settings := daemon.liveSettings.Load()
@@ -282,14 +289,15 @@
 	defer cancel()
 	daemon.leaving.Store(true)
 	daemon.callerServer.Drain()
-	linger := time.After(settings.LingerTime)
+	notice := min(departureNotice, settings.LingerTime)
+	time.Sleep(settings.LingerTime - notice)
 	daemon.control.send(kernel.DrainRequested{Leaving: true})
+	time.Sleep(notice)
 	select {
 	case <-daemon.gate.Drain():
 	case <-ctx.Done():
 		daemon.Log.Warn("requests were still running when the drain timeout passed")
 	}
-	<-linger
 	if err := daemon.callerServer.Shutdown(ctx); err != nil {
 		daemon.Log.Warn("callers were still waiting when the drain timeout passed", "error", err)
 	}
--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -299,6 +299,25 @@
 	cluster.instances[0].ended <- err // the cleanup of the cluster receives it again
 }
 
+func TestStopServesOn(t *testing.T) {
+	const lingerTime = 1500 * time.Millisecond
+	cluster := newLingeringCluster(t, 2, lingerTime)
+	stopping := cluster.instances[0]
+	served := 0
+	stoppedAt := time.Now()
+	stopping.stop()
+	for time.Since(stoppedAt) < lingerTime+time.Second {
+		response := cluster.send(1, request{method: "GET", path: "/logs/17"})
+		checkServed(t, response)
+		if since := time.Since(stoppedAt); since > lingerTime/3 && since < lingerTime/2 && cluster.ledger.ranOn("intake-0", response.attemptID) {
+			served++
+		}
+	}
+	is := is.New(t)
+	is.True(served > 0)                                // by the upstream beside the stopping daemon
+	is.Equal(cluster.targets(cluster.instances[1]), 1) // the stopped one is gone
+}
+
 func TestPoison(t *testing.T) {
 	cluster := newCluster(t, 4)
 	poison := request{method: "POST", path: "/enrol", header: map[string]string{upstream.CrashHeader: "1"}}
