A starting fleet compares its tables sooner

Those that a starting daemon asks first know only a part of the others by then; their later news go to neighbours, whom a daemon without members does not have yet; the next comparison came after a second.

--- a/core/spread/spread.go
+++ b/core/spread/spread.go
@@ -18,6 +18,7 @@
 package spread
 
 import (
+	"slices"
 	"time"
 
 	"ibislift/core/kernel"
@@ -27,6 +28,14 @@
 // monitored neighbours and with one of the others in turn.
 const CompareInterval = time.Second
 
+// A daemon compares its table every joinCompareInterval for joinPeriod after its start.
+// When a whole fleet starts, those that a daemon asks first know only a part of the
+// others, and have no neighbours yet that they could tell of the rest.
+const (
+	joinCompareInterval = 300 * time.Millisecond
+	joinPeriod          = time.Second
+)
+
 // ReconnectInterval is the time between two attempts to reach a first peer or a
 // daemon recorded as dead, so that the fleet reunites after a network partition.
 const ReconnectInterval = 5 * time.Second
@@ -152,7 +161,7 @@
 // tick starts the comparisons that are due.
 func (plugin *plugin) tick(state *kernel.State, event kernel.Event) []kernel.Effect {
 	effects := plugin.flood(state, event.At)
-	if event.At.Sub(plugin.lastCompare) >= CompareInterval {
+	if len(state.Neighbours) > 0 && event.At.Sub(plugin.lastCompare) >= plugin.compareInterval(event.At) {
 		plugin.lastCompare = event.At
 		effects = append(effects, plugin.compareWithNeighbours(state)...)
 	}
@@ -213,7 +222,10 @@
 // flood offers the pending records to all neighbours except those that they came
 // from, unless the last flood was too recent.
 func (plugin *plugin) flood(state *kernel.State, at time.Time) []kernel.Effect {
-	if len(plugin.pending) == 0 {
+	if len(state.Neighbours) == 0 {
+		plugin.keepOwn()
+	}
+	if len(plugin.pending) == 0 || len(state.Neighbours) == 0 {
 		return nil
 	}
 	if wait := plugin.floodInterval() - at.Sub(plugin.lastFloodAt); wait > 0 {
@@ -231,6 +243,19 @@
 	return effects
 }
 
+// keepOwn drops the pending records that came from others. A daemon that starts has
+// no neighbours yet, and tells the first ones of itself.
+func (plugin *plugin) keepOwn() {
+	plugin.pending = slices.DeleteFunc(plugin.pending, func(pending pendingRecord) bool { return pending.from != "" })
+}
+
+func (plugin *plugin) compareInterval(at time.Time) time.Duration {
+	if at.Sub(plugin.startedAt) < joinPeriod {
+		return joinCompareInterval
+	}
+	return CompareInterval
+}
+
 func (plugin *plugin) floodInterval() time.Duration {
 	if len(plugin.pending) < manyPending {
 		return shortFloodInterval
--- a/core/spread/spread_test.go
+++ b/core/spread/spread_test.go
@@ -12,6 +12,7 @@
 	"ibislift/core/kernel"
 	_ "ibislift/core/rollout"
 	"ibislift/core/routes"
+	"ibislift/core/spread"
 	"ibislift/io/peer"
 	"ibislift/standin/fleet"
 )
@@ -24,6 +25,13 @@
 // newFleet starts daemons in three regions, with 30 ms between regions, links of 10
 // Mbit/s and a small route table in the store.
 func newFleet(daemons int) *fleet.Fleet {
+	cluster := newStartingFleet(daemons)
+	cluster.Run(40 * time.Second) // until the watches of the start have ended
+	return cluster
+}
+
+// newStartingFleet is like newFleet, at the moment when all daemons start.
+func newStartingFleet(daemons int) *fleet.Fleet {
 	cluster := fleet.New(1)
 	cluster.Bandwidth = 10e6 / 8
 	cluster.EnvelopeSize = func(envelope kernel.Envelope) int { return proto.Size(peer.EncodeEnvelope(envelope)) }
@@ -41,7 +49,6 @@
 			FirstPeers: []string{"d0", "d1", "d2"}, PlatformRegion: "r0", RouteObject: routeObject, NoClaims: true, NoProfiles: true,
 		})
 	}
-	cluster.Run(40 * time.Second) // until the watches of the start have ended
 	return cluster
 }
 
@@ -110,20 +117,22 @@
 	return count
 }
 
+// announce tells a daemon that its upstream serves.
+func announce(cluster *fleet.Fleet, name string) {
+	cluster.Deliver(name, kernel.UpstreamAnnounced{Target: kernel.Target{Service: "shop", Slots: 4, State: kernel.TargetServing}})
+}
+
 func TestTargetsSpreadSoon(t *testing.T) {
 	for _, daemons := range []int{15, 80} {
 		t.Run(fmt.Sprintf("one target of %d", daemons), func(t *testing.T) {
 			is := is.New(t)
 			cluster := newFleet(daemons)
-			announce := func(name string) {
-				cluster.Deliver(name, kernel.UpstreamAnnounced{Target: kernel.Target{Service: "shop", Slots: 4, State: kernel.TargetServing}})
-			}
 			for number := 1; number < daemons; number++ {
-				announce(fmt.Sprintf("d%d", number))
+				announce(cluster, fmt.Sprintf("d%d", number))
 			}
 			cluster.Run(5 * time.Second)
 			before, at := bytesSent(cluster), cluster.Now
-			announce("d0")
+			announce(cluster, "d0")
 			is.True(cluster.RunUntil(time.Second, func() bool { return targetsKnown(cluster) == daemons }))
 			t.Logf("known to all after %s, %d bytes sent by each", cluster.Now.Sub(at), (bytesSent(cluster)-before)/daemons)
 			is.True(cluster.Now.Sub(at) < 2*regionLatency) // one link between regions, and those within
@@ -133,10 +142,28 @@
 			cluster := newFleet(daemons)
 			before, at := bytesSent(cluster), cluster.Now
 			for number := range daemons {
-				cluster.Deliver(fmt.Sprintf("d%d", number), kernel.UpstreamAnnounced{Target: kernel.Target{Service: "shop", Slots: 4, State: kernel.TargetServing}})
+				announce(cluster, fmt.Sprintf("d%d", number))
 			}
 			is.True(cluster.RunUntil(2*time.Second, func() bool { return targetsKnown(cluster) == daemons }))
 			t.Logf("known to all after %s, %d bytes sent by each", cluster.Now.Sub(at), (bytesSent(cluster)-before)/daemons)
 		})
 	}
 }
+
+func TestTargetsAreKnownSoonAfterAStart(t *testing.T) {
+	for _, daemons := range []int{15, 80} {
+		t.Run(fmt.Sprintf("%d daemons", daemons), func(t *testing.T) {
+			cluster := newStartingFleet(daemons)
+			startedAt := cluster.Now
+			cluster.Run(100 * time.Millisecond)
+			for number := range daemons {
+				announce(cluster, fmt.Sprintf("d%d", number))
+			}
+			known := cluster.RunUntil(5*time.Second, func() bool { return targetsKnown(cluster) == daemons })
+			t.Logf("known to all after %s, %d bytes sent by each", cluster.Now.Sub(startedAt), bytesSent(cluster)/daemons)
+			is := is.New(t)
+			is.True(known)
+			is.True(cluster.Now.Sub(startedAt) < spread.CompareInterval) // not only with the second comparison
+		})
+	}
+}
--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -101,6 +101,10 @@
   'freshness := max(0, 1-float64(at.Sub(estimator.slownessReportedAt))/float64(slownessLifetime))' 'freshness := 1.0' ./core/admit
 mutant "the news of one target are offered first" core/spread/spread.go \
   'if size <= maxFloodedSize {' 'if false {' ./core/spread
+mutant "a daemon that starts compares its table once a second only" core/spread/spread.go \
+  'if at.Sub(plugin.startedAt) < joinPeriod {' 'if false {' ./core/spread
+mutant "the upstream beside a stopping daemon is away at once" daemon/daemon.go \
+  'time.Sleep(settings.LingerTime - notice)' '' ./daemon
 mutant "the queue ignores ranks" core/admit/queue.go \
   'cmp.Compare(one.arrived.effectiveRank(), other.arrived.effectiveRank()),' '' ./core/admit ./standin/play
 mutant "requests that miss their objective go first in the queue" core/admit/queue.go \
