--- a/standin/upstream/upstream.go
+++ b/standin/upstream/upstream.go
@@ -78,6 +78,7 @@
 	random   *rand.Rand
 	slots    chan struct{}
 	running  atomic.Int64
+	bodies   atomic.Int64
 	released chan struct{}
 }
 
@@ -109,6 +110,9 @@
 // Running returns the number of requests that hold a slot.
 func (server *Server) Running() int { return int(server.running.Load()) }
 
+// Bodies returns the number of request bodies that were received to their end.
+func (server *Server) Bodies() int { return int(server.bodies.Load()) }
+
 func (server *Server) handleSwitches(writer http.ResponseWriter, request *http.Request) {
 	var switches Switches
 	if err := json.NewDecoder(request.Body).Decode(&switches); err != nil {
@@ -224,7 +228,11 @@
 const maxStreamedBytes = 1 << 30
 
 func (server *Server) respond(writer http.ResponseWriter, request *http.Request, switches Switches) {
-	received, _ := io.Copy(io.Discard, request.Body)
+	received, err := io.Copy(io.Discard, request.Body)
+	if err != nil {
+		panic(http.ErrAbortHandler) // the body broke off
+	}
+	server.bodies.Add(1)
 	header := writer.Header()
 	header.Set(AttemptIDHeader, request.Header.Get(AttemptIDHeader))
 	header.Set("Standin-Name", server.Name)
