Pending news of a lone daemon do not pile up

Cause, found by reading the diff: a daemon without neighbours keeps its own records until it has some, each version of them, for as long as it runs alone. Ruled out: sending them all; a flood leaves outdated ones out already. Change: outdated ones are dropped at once. The comments of the package say what is sent and what is offered. Fleets with neighbours are not concerned.

--- a/core/spread/spread.go
+++ b/core/spread/spread.go
@@ -1,11 +1,11 @@
 // Package spread replicates records between all daemons.
 //
-// A daemon that stores a new record offers it to all neighbours except the one that
-// it came from. Each neighbour hears of the record from several daemons and requests
-// it once, from the first; only a very short record is sent without being requested.
-// Records that arrive shortly after each other, as during a start of the whole
-// fleet, are offered together. Records missed because of lost messages are repaired
-// by anti-entropy: every second a daemon sends the digest of its table to its
+// A daemon that stores a new record, such as the news of one target, sends it to all
+// neighbours except the one that it came from. Large records, or many at a time, are
+// offered: each neighbour hears of such a record from several daemons and requests
+// it once, from the first. Records that arrive shortly after each other, as during a
+// start of the whole fleet, are offered together. Records missed because of lost
+// messages are repaired by anti-entropy: every second a daemon sends the digest of its table to its
 // monitored neighbours and one other. Where the digests differ, the two daemons
 // compare the digests of buckets, then the versions of records, and exchange only the
 // records that one of them lacks.
@@ -219,11 +219,11 @@
 	return kernel.CallPeer{Peer: peer, Envelope: kernel.Envelope{From: state.Settings.Self, TableDigest: state.Table.Digest()}}
 }
 
-// flood offers the pending records to all neighbours except those that they came
-// from, unless the last flood was too recent.
+// flood sends or offers the pending records to all neighbours except those that they
+// came from, unless the last flood was too recent.
 func (plugin *plugin) flood(state *kernel.State, at time.Time) []kernel.Effect {
 	if len(state.Neighbours) == 0 {
-		plugin.keepOwn()
+		plugin.keepOwn(state)
 	}
 	if len(plugin.pending) == 0 || len(state.Neighbours) == 0 {
 		return nil
@@ -243,10 +243,12 @@
 	return effects
 }
 
-// keepOwn drops the pending records that came from others. A daemon that starts has
-// no neighbours yet, and tells the first ones of itself.
-func (plugin *plugin) keepOwn() {
-	plugin.pending = slices.DeleteFunc(plugin.pending, func(pending pendingRecord) bool { return pending.from != "" })
+// keepOwn drops the pending records that came from others or are outdated. A daemon
+// that starts has no neighbours yet, and tells the first ones of itself.
+func (plugin *plugin) keepOwn(state *kernel.State) {
+	plugin.pending = slices.DeleteFunc(plugin.pending, func(pending pendingRecord) bool {
+		return pending.from != "" || pending.isOutdated(state)
+	})
 }
 
 func (plugin *plugin) compareInterval(at time.Time) time.Duration {
