Forwarded uploads wait for their upstream, and share no connection with the next request

Cause 1: connections to other daemons fail after 1.5 s of unacknowledged data (TCP_USER_TIMEOUT), and Linux counts data that waits for a full receive window. A streamed body whose upstream read nothing for so long ended with 502, unknown, with most of its deadline left. Cause 2, by the race detector: the last frame of a streamed body may be answered, and its connection given to the next request, before the call that sent it has returned; both then change one write buffer, and the bytes of two requests could mix.

Ruled out: the machine's load (the failing runs chose the remote upstream); the same race towards upstreams (their client waits for the writer's result).

--- a/daemon/uploads_test.go
+++ b/daemon/uploads_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -14,11 +15,16 @@
 
 	"github.com/matryer/is"
 
+	"ibislift/io/tcp"
 	"ibislift/standin/upstream"
 )
 
-// uploadSize is the length of a body that is streamed.
-const uploadSize = 3_000_000
+const (
+	// uploadSize is the length of a body that is streamed.
+	uploadSize = 3_000_000
+	// longUploadSize is more than all buffers on the way hold.
+	longUploadSize = 1 << 28
+)
 
 // connect opens a connection to a daemon as a caller.
 func (cluster *cluster) connect(index int) (net.Conn, *bufio.Reader) {
@@ -124,30 +130,43 @@
 const maxUploadHeap = 16 << 20
 
 func TestUploadWaitsForItsUpstream(t *testing.T) {
-	is := is.New(t)
-	cluster := newCluster(t, 2)
-	for _, instance := range cluster.instances {
-		instance.upstream.SetSwitches(upstream.Switches{Hang: true})
+	for name, draining := range map[string]int{"beside the daemon": 1, "beside another daemon": 0} {
+		t.Run(name, func(t *testing.T) {
+			cluster := newCluster(t, 2)
+			drained := cluster.instances[draining]
+			go func() { _ = drained.upstream.Drain(context.Background(), drained.ip+":8002") }()
+			cluster.await("one target is left", func() bool { return cluster.targets(cluster.instances[0]) == 1 })
+			cluster.instances[1-draining].upstream.SetSwitches(upstream.Switches{Hang: true})
+			sendUploadThatWaits(t, cluster)
+			cluster.instances[1-draining].upstream.SetSwitches(upstream.Switches{})
+		})
 	}
+}
+
+// sendUploadThatWaits sends a long upload to an upstream that does not read it. It
+// checks that the caller has to wait, and how much of the upload is held.
+func sendUploadThatWaits(t *testing.T, cluster *cluster) {
+	t.Helper()
+	is := is.New(t)
 	var before, after runtime.MemStats
 	runtime.GC()
 	runtime.ReadMemStats(&before)
 	conn, _ := cluster.connect(0)
-	sendHead(t, conn, 1<<28, "Ibislift-Deadline: 20s\r\n")
-	_ = conn.SetWriteDeadline(time.Now().Add(2 * time.Second))
+	sendHead(t, conn, longUploadSize, "Ibislift-Deadline: 20s\r\n")
+	_ = conn.SetWriteDeadline(time.Now().Add(2 * tcp.StallTimeout))
 	sent := 0
 	chunk := make([]byte, 64<<10)
-	for sent < 1<<28 {
-		count, err := conn.Write(chunk)
+	var err error
+	for sent < longUploadSize && err == nil {
+		var count int
+		count, err = conn.Write(chunk)
 		sent += count
-		if err != nil {
-			is.True(errors.Is(err, os.ErrDeadlineExceeded)) // the caller has to wait
-			break
-		}
 	}
+	is.True(errors.Is(err, os.ErrDeadlineExceeded)) // the connection is open, and nothing more is taken
 	runtime.GC()
 	runtime.ReadMemStats(&after)
-	t.Logf("%d bytes taken of the upload, %d bytes of heap", sent, int64(after.HeapAlloc)-int64(before.HeapAlloc))
-	is.True(sent < 1<<28)
-	is.True(int64(after.HeapAlloc)-int64(before.HeapAlloc) < maxUploadHeap)
+	held := int64(after.HeapAlloc) - int64(before.HeapAlloc)
+	t.Logf("%d bytes taken of the upload, %d bytes of heap", sent, held)
+	is.True(sent < longUploadSize)
+	is.True(held < maxUploadHeap)
 }
--- a/io/peer/forward_conn.go
+++ b/io/peer/forward_conn.go
@@ -126,11 +126,20 @@
 	conn *forwardConn
 	pool *connPool
 	stop func() bool
+	// sending is held while a frame is sent. The frames of a streamed body are sent
+	// by a goroutine of their own, while another one receives the response.
+	sending sync.Mutex
 	// bodyPending is set while parts of the request's body are yet to be sent.
 	bodyPending bool
-	released    bool
+	// mayStall is set while the connection's limit is bodyStallTimeout.
+	mayStall bool
+	released bool
 }
 
+// bodyStallTimeout is how long a gate may take no part of a streamed body, as when its
+// upstream is slow to read it. The deadline of the request ends it sooner.
+const bodyStallTimeout = 30 * time.Second
+
 // openIdle starts a request on an idle connection to the gate, if there is one.
 func (peers *Peers) openIdle(ctx context.Context, address string) (IngressStream, bool) {
 	for {
@@ -172,9 +181,18 @@
 }
 
 func (ingressConnStream *ingressConnStream) Send(frame *peerpb.CallFrame) error {
+	ingressConnStream.sending.Lock()
+	defer ingressConnStream.sending.Unlock()
 	switch frame := frame.GetFrame().(type) {
 	case *peerpb.CallFrame_Head:
 		ingressConnStream.bodyPending = frame.Head.GetBodyFollows()
+	case *peerpb.CallFrame_Chunk:
+		if !ingressConnStream.mayStall {
+			ingressConnStream.mayStall = true
+			if err := tcp.SetStallTimeout(ingressConnStream.conn.Conn, bodyStallTimeout); err != nil {
+				return Error.Wrap(err)
+			}
+		}
 	case *peerpb.CallFrame_End:
 		ingressConnStream.bodyPending = false
 	}
@@ -206,14 +224,25 @@
 }
 
 // release returns the connection to the pool after the last response frame. It
-// closes the connection instead if the context has ended or parts of the
-// request's body were not sent.
+// closes the connection instead if the context has ended, or if parts of the
+// request's body were not sent or are still being sent: even the end of a body may
+// be answered before the call that sends it has returned.
 func (ingressConnStream *ingressConnStream) release() {
 	if ingressConnStream.released {
 		return
 	}
 	ingressConnStream.released = true
-	if !ingressConnStream.stop() || ingressConnStream.bodyPending {
+	if !ingressConnStream.stop() || !ingressConnStream.sending.TryLock() {
+		_ = ingressConnStream.conn.Close()
+		return
+	}
+	defer ingressConnStream.sending.Unlock()
+	if ingressConnStream.bodyPending {
+		_ = ingressConnStream.conn.Close()
+		return
+	}
+	if ingressConnStream.mayStall && tcp.SetStallTimeout(ingressConnStream.conn.Conn, tcp.StallTimeout) != nil {
+		// The connection has failed meanwhile.
 		_ = ingressConnStream.conn.Close()
 		return
 	}
--- a/io/tcp/tcp.go
+++ b/io/tcp/tcp.go
@@ -17,16 +17,18 @@
 
 // How soon an unreachable peer is detected. A machine that has lost its power or
 // its network sends nothing, not even a reset. A connection with unacknowledged
-// data fails after unacknowledgedTimeout, and an idle one is checked by
-// keep-alive probes.
+// data fails after StallTimeout, and an idle one is checked by keep-alive probes.
 const (
-	dialTimeout           = time.Second
-	unacknowledgedTimeout = 1500 * time.Millisecond
-	keepAliveIdle         = time.Second
-	keepAliveInterval     = 500 * time.Millisecond
-	keepAliveCount        = 2
+	dialTimeout       = time.Second
+	keepAliveIdle     = time.Second
+	keepAliveInterval = 500 * time.Millisecond
+	keepAliveCount    = 2
 )
 
+// StallTimeout is how long sent data may remain unacknowledged, or wait because the
+// peer does not read, before a connection that Dial opened fails.
+const StallTimeout = 1500 * time.Millisecond
+
 var dialer = net.Dialer{
 	Timeout:         dialTimeout,
 	Control:         setUserTimeout,
--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -105,6 +105,10 @@
   'if at.Sub(plugin.startedAt) < joinPeriod {' 'if false {' ./core/spread
 mutant "the upstream beside a stopping daemon is away at once" daemon/daemon.go \
   'time.Sleep(settings.LingerTime - notice)' '' ./daemon
+mutant "a connection is reused while its last frame is being sent" io/peer/forward_conn.go \
+  '|| !ingressConnStream.sending.TryLock() {' '|| ingressConnStream.sending.TryLock() && false {' ./io/peer
+mutant "a forwarded upload may not wait for its upstream" io/peer/forward_conn.go \
+  'ingressConnStream.conn.Conn, bodyStallTimeout)' 'ingressConnStream.conn.Conn, tcp.StallTimeout)' ./daemon
 mutant "the queue ignores ranks" core/admit/queue.go \
   'cmp.Compare(one.arrived.effectiveRank(), other.arrived.effectiveRank()),' '' ./core/admit ./standin/play
 mutant "requests that miss their objective go first in the queue" core/admit/queue.go \
