--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -74,7 +74,8 @@
 	// selects the default of package upstream.
 	SilenceTimeout time.Duration
 	// LingerTime is how long a stopping daemon still accepts callers, since
-	// they find out only after a while that it is stopping.
+	// they find out only after a while that it is stopping. Its upstream serves
+	// on meanwhile.
 	LingerTime time.Duration
 	// Headroom is the fraction of an upstream's slots that stays free, since
 	// upstreams slow down when they are nearly full.
