A planned stop serves the connections that callers have just opened

Cause: at the end of a stop the server closed its listener, which resets connections that are open and not accepted yet, and closed connections without a request as idle, also those opened a moment before, whose request was on its way. The caller got an end without an answer.

Ruled out: the drain itself (each request that was read got its response); requests on idle connections that are used again, which any server may close: none in the test, since each response closes its connection while the server drains.

Change: a shutdown accepts until no connection has waited for 1 ms, 100 ms at most, and gives a new connection 250 ms to send its first request.

A connection opened after the last accept is still reset, and its caller has sent nothing by then that was read.

--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -3,12 +3,15 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -318,6 +321,31 @@
 	is.Equal(cluster.targets(cluster.instances[1]), 1) // the stopped one is gone
 }
 
+func TestStopUnderLoadCutsNothing(t *testing.T) {
+	const callers = 16
+	cluster := newLingeringCluster(t, 2, 500*time.Millisecond)
+	var sending sync.WaitGroup
+	var sent atomic.Int64
+	for caller := range callers {
+		sending.Go(func() {
+			method := []string{"GET", "POST"}[caller%2]
+			for {
+				response := cluster.send(0, request{method: method, path: "/enrol"})
+				if failure := new(net.OpError); errors.As(response.err, &failure) && failure.Op == "dial" {
+					return // the daemon has stopped, and no request was sent
+				}
+				checkServed(t, response)
+				sent.Add(1)
+			}
+		})
+	}
+	time.Sleep(200 * time.Millisecond)
+	cluster.instances[0].stop()
+	sending.Wait()
+	t.Logf("%d requests served until the daemon had stopped", sent.Load())
+	is.New(t).True(sent.Load() > callers)
+}
+
 func TestPoison(t *testing.T) {
 	cluster := newCluster(t, 4)
 	poison := request{method: "POST", path: "/enrol", header: map[string]string{upstream.CrashHeader: "1"}}
--- a/io/http1/conn.go
+++ b/io/http1/conn.go
@@ -50,6 +50,10 @@
 	// reading reports whether the header of a request is being read.
 	pending int
 	reading bool
+	// openedAt is when the connection was accepted, and used reports that a request
+	// has begun to arrive on it.
+	openedAt time.Time
+	used     bool
 	// closing reports that no further request is accepted, because a response
 	// ends the connection or the connection is being closed.
 	closing bool
@@ -93,6 +97,7 @@
 		server:   server,
 		head:     &headReader{Reader: accepted},
 		writer:   bufio.NewWriterSize(accepted, bufferSize),
+		openedAt: time.Now(),
 		lastDone: done,
 		slots:    make(chan struct{}, MaxPipelined),
 	}
@@ -169,6 +174,7 @@
 		return errClosing
 	}
 	conn.reading = true
+	conn.used = true
 	_ = conn.SetReadDeadline(time.Now().Add(conn.server.limits().HeaderTimeout))
 	return nil
 }
@@ -308,12 +314,17 @@
 	_ = conn.SetReadDeadline(time.Now().Add(lingerTimeout))
 }
 
-// closeIfIdle closes the connection if no request is in progress or being read,
-// and reports whether it did so.
+// firstRequestTime is how long a new connection is not considered idle although its
+// first request has not begun to arrive.
+const firstRequestTime = 250 * time.Millisecond
+
+// closeIfIdle closes the connection if no request is in progress, being read or about
+// to arrive on a new connection, and reports whether it did so.
 func (conn *conn) closeIfIdle() bool {
 	conn.mutex.Lock()
 	defer conn.mutex.Unlock()
-	if conn.pending > 0 || conn.reading {
+	isNew := !conn.used && time.Since(conn.openedAt) < firstRequestTime
+	if conn.pending > 0 || conn.reading || isNew {
 		return false
 	}
 	conn.closing = true
--- a/io/http1/server.go
+++ b/io/http1/server.go
@@ -76,6 +76,10 @@
 	listener net.Listener
 	conns    map[*conn]struct{}
 	closed   bool
+	// backlogEnd is when Shutdown stops to accept connections at the latest, and
+	// ended is closed when Serve returns.
+	backlogEnd time.Time
+	ended      chan struct{}
 }
 
 // Serve accepts connections until the listener is closed. It returns
@@ -89,14 +93,18 @@
 	}
 	server.listener = listener
 	server.conns = map[*conn]struct{}{}
+	server.ended = make(chan struct{})
 	server.mutex.Unlock()
+	defer close(server.ended)
 	for {
 		accepted, err := listener.Accept()
 		if err == nil {
 			server.start(accepted)
+			server.limitBacklog()
 			continue
 		}
 		if server.isClosed() {
+			_ = listener.Close()
 			return http.ErrServerClosed
 		}
 		if errors.Is(err, net.ErrClosed) {
@@ -131,11 +139,11 @@
 // connections are still accepted.
 func (server *Server) Drain() { server.draining.Store(true) }
 
-// Shutdown stops accepting connections, closes the idle ones and waits until the
-// others have finished or the context ends.
+// Shutdown accepts the connections that callers have already opened and no others,
+// closes the idle ones and waits until the others have finished or the context ends.
 func (server *Server) Shutdown(ctx context.Context) error {
 	server.Drain()
-	server.stopListening()
+	server.finishAccepting()
 	ticker := time.NewTicker(10 * time.Millisecond)
 	defer ticker.Stop()
 	for server.closeIdle() > 0 {
@@ -148,6 +156,46 @@
 	return nil
 }
 
+// Closing a listener resets the connections that were opened and not accepted yet.
+// Shutdown therefore accepts until none has waited for backlogGap, and for
+// maxBacklogTime at most.
+const (
+	backlogGap     = time.Millisecond
+	maxBacklogTime = 100 * time.Millisecond
+)
+
+// finishAccepting makes Serve accept the waiting connections and end.
+func (server *Server) finishAccepting() {
+	server.mutex.Lock()
+	server.closed = true
+	server.backlogEnd = time.Now().Add(maxBacklogTime)
+	ended := server.ended
+	server.mutex.Unlock()
+	if ended == nil {
+		return
+	}
+	server.limitBacklog()
+	<-ended
+}
+
+// limitBacklog limits the wait for the next connection while the server is shutting
+// down.
+func (server *Server) limitBacklog() {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	if !server.closed {
+		return
+	}
+	next := time.Now().Add(backlogGap)
+	if next.After(server.backlogEnd) {
+		next = server.backlogEnd
+	}
+	listener, limitable := server.listener.(interface{ SetDeadline(time.Time) error })
+	if !limitable || listener.SetDeadline(next) != nil {
+		_ = server.listener.Close()
+	}
+}
+
 // Close closes the listener and all connections immediately.
 func (server *Server) Close() error {
 	server.stopListening()
--- a/io/http1/server_test.go
+++ b/io/http1/server_test.go
@@ -253,4 +253,23 @@
 		is.New(t).True(expectResponse(t, reader, http.StatusOK, "whole").Close)
 		is.New(t).NoErr(<-stopped)
 	})
+	t.Run("a connection opened just before a shutdown gets its response", func(t *testing.T) {
+		server := &http1.Server{Handler: echo}
+		conn, reader := serve(t, server)
+		stopped := make(chan error, 1)
+		go func() { stopped <- server.Shutdown(context.Background()) }()
+		time.Sleep(50 * time.Millisecond)
+		send(t, conn, get("/1"))
+		is := is.New(t)
+		is.True(expectResponse(t, reader, http.StatusOK, "/1").Close)
+		is.NoErr(<-stopped)
+	})
+	t.Run("a connection without a request does not delay a shutdown for long", func(t *testing.T) {
+		server := &http1.Server{Handler: echo}
+		_, _ = serve(t, server)
+		is := is.New(t)
+		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+		defer cancel()
+		is.NoErr(server.Shutdown(ctx))
+	})
 }
