--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -306,18 +306,25 @@
 	const lingerTime = 1500 * time.Millisecond
 	cluster := newLingeringCluster(t, 2, lingerTime)
 	stopping := cluster.instances[0]
-	served := 0
+	var sending sync.WaitGroup
+	var served atomic.Int64 // by the upstream beside the stopping daemon, halfway
 	stoppedAt := time.Now()
 	stopping.stop()
-	for time.Since(stoppedAt) < lingerTime+time.Second {
-		response := cluster.send(1, request{method: "GET", path: "/logs/17"})
-		checkServed(t, response)
-		if since := time.Since(stoppedAt); since > lingerTime/3 && since < lingerTime/2 && cluster.ledger.ranOn("intake-0", response.attemptID) {
-			served++
-		}
+	for caller := range 8 {
+		sending.Go(func() {
+			method := []string{"GET", "POST"}[caller%2]
+			for time.Since(stoppedAt) < lingerTime+time.Second {
+				response := cluster.send(1, request{method: method, path: "/logs/17"})
+				checkServed(t, response)
+				if since := time.Since(stoppedAt); since > lingerTime/3 && since < lingerTime/2 && cluster.ledger.ranOn("intake-0", response.attemptID) {
+					served.Add(1)
+				}
+			}
+		})
 	}
+	sending.Wait()
 	is := is.New(t)
-	is.True(served > 0)                                // by the upstream beside the stopping daemon
+	is.True(served.Load() > 0)                         // by the upstream beside the stopping daemon
 	is.Equal(cluster.targets(cluster.instances[1]), 1) // the stopped one is gone
 }
 
