--- a/core/spread/flood_test.go
+++ b/core/spread/flood_test.go
@@ -1,6 +1,7 @@
 package spread
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -31,3 +32,24 @@
 	is.Equal(len(effects[0].(kernel.CallPeer).Envelope.Records), 1)
 	is.Equal(len(waiting.pending), 0)
 }
+
+func TestOnlyComparisonsCountAsSynced(t *testing.T) {
+	peer := kernel.Neighbour{ID: "other", Address: "other"}
+	for name, test := range map[string]struct {
+		reply  kernel.Envelope
+		synced bool
+	}{
+		"the reply to a comparison of equal tables": {kernel.Envelope{From: "other", TableDigest: 1}, true},
+		"the reply to flooded records":              {kernel.Envelope{From: "other"}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			replied := kernel.PeerReplied{Peer: peer, Envelope: test.reply}
+			effects := (&plugin{}).Update(&kernel.State{}, kernel.Event{Message: replied})
+			synced := slices.ContainsFunc(effects, func(effect kernel.Effect) bool {
+				dispatched, isDispatch := effect.(kernel.Dispatch)
+				return isDispatch && dispatched.Message == kernel.PeerSynced{Peer: peer}
+			})
+			is.New(t).Equal(synced, test.synced)
+		})
+	}
+}
