A gate's connection is read by one goroutine at a time

And the receiver of a streamed body could go on, and start a watch, after its request had ended because the upstream answered early. In both cases bytes of the next request on that connection could be lost.

Ruled out: the new tests themselves (the code is older; they are the first that put 16 callers on one daemon under the race detector, and bodies that are answered early).

Change: a watch begins only if it is the current one; the end of a request takes the connection away from its receiver, or closes it while a frame is being received.

--- a/io/peer/forward_server.go
+++ b/io/peer/forward_server.go
@@ -62,37 +62,59 @@
 	defer cancel()
 	stream := &gateConnStream{conn: forwardConn, ctx: ctx, cancel: cancel}
 	err := server.ServeStream(stream)
-	stream.stopWatch()
-	return err == nil && !stream.broken && !stream.unread
+	return stream.end() && err == nil
 }
 
-// gateConnStream is the GateStream of a request on a connection.
+// gateConnStream is the GateStream of a request on a connection. A streamed body is
+// received by a goroutine of its own, which may go on for a moment after the response
+// has been sent.
 type gateConnStream struct {
 	conn   *forwardConn
 	ctx    context.Context
 	cancel context.CancelFunc
+	// sendFailed is used by the goroutine that serves the request only.
+	sendFailed bool
+
+	// receiving is held while a frame is received. It protects the next fields.
+	receiving     sync.Mutex
+	receiveFailed bool
 	// unread is set while parts of the request have not been read.
 	unread bool
-	broken bool
+	// ended is set when the connection is no longer the request's.
+	ended bool
+
+	mutex sync.Mutex
+	watch *disconnectWatch
+}
 
-	mutex     sync.Mutex
-	timer     *time.Timer
-	watchDone chan struct{}
+// disconnectWatch watches the connection while no frame is received.
+type disconnectWatch struct {
+	timer *time.Timer
+	// done is closed when the watch has ended. It is nil until the watch begins.
+	done chan struct{}
 }
 
 func (gateConnStream *gateConnStream) Context() context.Context { return gateConnStream.ctx }
 
 func (gateConnStream *gateConnStream) Send(frame *peerpb.AnswerFrame) error {
 	err := gateConnStream.conn.send(frame)
-	gateConnStream.broken = gateConnStream.broken || err != nil
+	gateConnStream.sendFailed = gateConnStream.sendFailed || err != nil
 	return err
 }
 
+// errStreamEnded is returned by Recv after the end of the request.
+var errStreamEnded = errors.New("the request has ended")
+
 func (gateConnStream *gateConnStream) Recv() (*peerpb.CallFrame, error) {
+	gateConnStream.receiving.Lock()
+	defer gateConnStream.receiving.Unlock()
+	if gateConnStream.ended {
+		return nil, errStreamEnded
+	}
 	gateConnStream.stopWatch()
 	frame := &peerpb.CallFrame{}
 	if err := gateConnStream.conn.receive(frame); err != nil {
-		gateConnStream.broken = true
+		gateConnStream.receiveFailed = true
 		gateConnStream.cancel()
 		return nil, err
 	}
@@ -110,44 +132,59 @@
 	}
 }
 
-// startWatch schedules watchDisconnect to run after disconnectWatchDelay.
+// end ends the use of the connection by the request, and reports whether another
+// request may use it. It may not while a frame is being received.
+func (gateConnStream *gateConnStream) end() bool {
+	if !gateConnStream.receiving.TryLock() {
+		return false
+	}
+	defer gateConnStream.receiving.Unlock()
+	gateConnStream.ended = true
+	gateConnStream.stopWatch()
+	return !gateConnStream.sendFailed && !gateConnStream.receiveFailed && !gateConnStream.unread
+}
+
+// startWatch schedules a watch to begin after disconnectWatchDelay.
 func (gateConnStream *gateConnStream) startWatch() {
 	gateConnStream.mutex.Lock()
 	defer gateConnStream.mutex.Unlock()
-	gateConnStream.timer = time.AfterFunc(disconnectWatchDelay, gateConnStream.watchDisconnect)
+	watch := &disconnectWatch{}
+	gateConnStream.watch = watch
+	watch.timer = time.AfterFunc(disconnectWatchDelay, func() { gateConnStream.watchDisconnect(watch) })
 }
 
 // watchDisconnect cancels the request when the ingress closes the connection.
-// Data that arrives stays in the buffer for Recv.
-func (gateConnStream *gateConnStream) watchDisconnect() {
+// Data that arrives stays in the buffer for Recv. A watch that was stopped when its
+// timer had fired already does not begin: another one may be under way.
+func (gateConnStream *gateConnStream) watchDisconnect(watch *disconnectWatch) {
 	gateConnStream.mutex.Lock()
-	if gateConnStream.timer == nil {
+	if gateConnStream.watch != watch {
 		gateConnStream.mutex.Unlock()
 		return
 	}
-	done := make(chan struct{})
-	gateConnStream.watchDone = done
+	watch.done = make(chan struct{})
 	gateConnStream.mutex.Unlock()
-	defer close(done)
+	defer close(watch.done)
 	if _, err := gateConnStream.conn.reader.Peek(1); err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 		gateConnStream.cancel()
 	}
 }
 
-// stopWatch stops the timer and watchDisconnect, so that the caller may read the
-// connection. A deadline in the past ends a Peek that is in progress.
+// stopWatch stops the watch, so that the caller may read the connection. A deadline
+// in the past ends a Peek that is in progress.
 func (gateConnStream *gateConnStream) stopWatch() {
 	gateConnStream.mutex.Lock()
-	timer, watchDone := gateConnStream.timer, gateConnStream.watchDone
-	gateConnStream.timer, gateConnStream.watchDone = nil, nil
+	watch := gateConnStream.watch
+	gateConnStream.watch = nil
 	gateConnStream.mutex.Unlock()
-	if timer != nil {
-		timer.Stop()
+	if watch == nil {
+		return
 	}
-	if watchDone == nil {
+	watch.timer.Stop()
+	if watch.done == nil {
 		return
 	}
 	_ = gateConnStream.conn.SetReadDeadline(time.Unix(1, 0))
-	<-watchDone
+	<-watch.done
 	_ = gateConnStream.conn.SetReadDeadline(time.Time{})
 }
--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -113,6 +113,10 @@
   'conn.pending > 0 || conn.reading || isNew {' 'conn.pending > 0 || conn.reading || isNew && false {' ./io/http1
 mutant "the reply to flooded records counts as a comparison" core/spread/spread.go \
   'if envelope.TableDigest == 0 {' 'if false {' ./core/spread
+mutant "a stopped watch of a connection begins" io/peer/forward_server.go \
+  'if gateConnStream.watch != watch {' 'if gateConnStream.watch == nil {' ./io/peer
+mutant "a gate reads the next request while a body is received" io/peer/forward_server.go \
+  'if !gateConnStream.receiving.TryLock() {' 'if gateConnStream.receiving.TryLock() && false {' ./io/peer
 mutant "the queue ignores ranks" core/admit/queue.go \
   'cmp.Compare(one.arrived.effectiveRank(), other.arrived.effectiveRank()),' '' ./core/admit ./standin/play
 mutant "requests that miss their objective go first in the queue" core/admit/queue.go \
