A stopping daemon takes no callers after its linger time

Ruled out: the drain timeout (a request accepted within the linger time has the same time left as before).

Change: callers are refused from the end of the linger time on, while the gate drains.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -293,14 +293,15 @@
 	time.Sleep(settings.LingerTime - notice)
 	daemon.control.send(kernel.DrainRequested{Leaving: true})
 	time.Sleep(notice)
+	drained := daemon.gate.Drain()
+	if err := daemon.callerServer.Shutdown(ctx); err != nil {
+		daemon.Log.Warn("callers were still waiting when the drain timeout passed", "error", err)
+	}
 	select {
-	case <-daemon.gate.Drain():
+	case <-drained:
 	case <-ctx.Done():
 		daemon.Log.Warn("requests were still running when the drain timeout passed")
 	}
-	if err := daemon.callerServer.Shutdown(ctx); err != nil {
-		daemon.Log.Warn("callers were still waiting when the drain timeout passed", "error", err)
-	}
 	for _, server := range daemon.httpServers {
 		_ = server.Shutdown(ctx)
 	}
--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -328,6 +328,35 @@
 	is.Equal(cluster.targets(cluster.instances[1]), 1) // the stopped one is gone
 }
 
+func TestStopAcceptsNoCallersAfterLingering(t *testing.T) {
+	const lingerTime = 500 * time.Millisecond
+	cluster := newLingeringCluster(t, 2, lingerTime)
+	stopping := cluster.instances[0]
+	for _, instance := range cluster.instances {
+		instance.upstream.SetSwitches(upstream.Switches{Hang: true})
+	}
+	var sending sync.WaitGroup
+	sending.Go(func() {
+		for range 8 { // until the stopping daemon's gate has one
+			sending.Go(func() { checkServed(t, cluster.send(1, request{method: "POST", path: "/enrol"})) })
+		}
+	})
+	cluster.await("a request runs beside the stopping daemon", func() bool { return stopping.upstream.Running() > 0 })
+	stopping.stop()
+	time.Sleep(2 * lingerTime)
+	is := is.New(t)
+	is.True(stopping.upstream.Running() > 0) // the gate still drains
+	_, err := net.Dial("tcp", stopping.callerAddress())
+	is.True(err != nil)
+	for _, instance := range cluster.instances {
+		instance.upstream.SetSwitches(upstream.Switches{})
+	}
+	sending.Wait()
+	err = <-stopping.ended
+	is.NoErr(err)
+	stopping.ended <- err // the cleanup of the cluster receives it again
+}
+
 func TestStopUnderLoadCutsNothing(t *testing.T) {
 	const callers = 16
 	cluster := newLingeringCluster(t, 2, 500*time.Millisecond)
