A test of early responses allows a connection whose body was read whole

The daemon had read all of the 3 MB before the early response was finished (its sockets held the rest), and kept the connection, rightly: nothing was left behind. The test took closing for the only way.

Ruled out: bytes left behind; the test now sends another request on such a connection and checks that it gets its own response, which the check before did not.

Change: the test only. Conclusion: as strict as before where the connection closes, stricter where it does not.

--- a/daemon/uploads_test.go
+++ b/daemon/uploads_test.go
@@ -112,11 +112,24 @@
 		for range 4 {
 			conn, reader := cluster.connect(0)
 			sendHead(t, conn, uploadSize, "")
-			go func() { _, _ = conn.Write(make([]byte, uploadSize)) }()
+			written := make(chan error, 1)
+			go func() {
+				_, err := conn.Write(make([]byte, uploadSize))
+				written <- err
+			}()
 			status, closes := readStatus(t, reader)
 			is := is.New(t)
 			is.Equal(status, http.StatusInternalServerError)
-			is.True(closes)
+			if closes {
+				continue
+			}
+			// The daemon has read the whole body, and the next request gets its
+			// own response.
+			is.NoErr(<-written)
+			_, err := fmt.Fprint(conn, "GET /logs/17 HTTP/1.1\r\nHost: nobody\r\n\r\n")
+			is.NoErr(err)
+			status, _ = readStatus(t, reader)
+			is.Equal(status, http.StatusNotFound)
 		}
 		setSwitches(upstream.Switches{})
 		for range 8 {
