A mutant for the callers of a stopping daemon

Cause: each new rule has one. Ruled out: nothing. Change: tools/mutants.sh. Figures: caught by TestStopAcceptsNoCallersAfterLingering. Conclusion: none.

--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -117,6 +117,8 @@
   'if gateConnStream.watch != watch {' 'if gateConnStream.watch == nil {' ./io/peer
 mutant "a gate reads the next request while a body is received" io/peer/forward_server.go \
   'if !gateConnStream.receiving.TryLock() {' 'if gateConnStream.receiving.TryLock() && false {' ./io/peer
+mutant "a stopping daemon takes callers until its gate has drained" daemon/daemon.go \
+  'drained := daemon.gate.Drain()' 'drained := daemon.gate.Drain(); <-drained' ./daemon
 mutant "the queue ignores ranks" core/admit/queue.go \
   'cmp.Compare(one.arrived.effectiveRank(), other.arrived.effectiveRank()),' '' ./core/admit ./standin/play
 mutant "requests that miss their objective go first in the queue" core/admit/queue.go \
