--- a/io/peer/forward_server_test.go
+++ b/io/peer/forward_server_test.go
@@ -60,6 +60,16 @@
 		_ = stream.conn.Close()
 		is.True(<-received != nil)
 	})
+	t.Run("it is not until the call that received the end has returned", func(t *testing.T) {
+		stream, ingress := newGateStream(t)
+		sendFrame(t, stream, ingress, head)
+		sendFrame(t, stream, ingress, end)
+		stream.receiving.Lock() // as Recv until it returns
+		is := is.New(t)
+		is.True(!stream.end())
+		stream.receiving.Unlock()
+		is.True(stream.end())
+	})
 	t.Run("a watch that was stopped after its timer had fired does not begin", func(t *testing.T) {
 		stream, _ := newGateStream(t)
 		stream.startWatch()
