A mutant follows its line

Cause: the limit of records that are not offered has a name of its own since. Ruled out: nothing. Change: tools/mutants.sh. Figures: caught by TestLargeTableSpreads. Conclusion: none.

--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -155,7 +155,7 @@
 mutant "the reply to a change comes before the view" core/kernel/kernel.go \
   'effects = append([]Effect{Publish{View: kernel.View()}}, effects...)' 'effects = append(effects, Publish{View: kernel.View()})' ./core/profile
 mutant "large records are flooded" core/spread/spread.go \
-  'len(record.Body) > maxFloodedSize' 'false' ./core/spread
+  'len(record.Body) > maxUnofferedSize' 'false' ./core/spread
 mutant "an offered record is requested from every neighbour" core/spread/spread.go \
   'if isPending || !state.Table.IsNewer' 'if isPending && false || !state.Table.IsNewer' ./core/spread
 mutant "route tables are not compressed" core/rollout/compress.go \
