--- a/core/spread/spread.go
+++ b/core/spread/spread.go
@@ -5,10 +5,10 @@
 // offered: each neighbour hears of such a record from several daemons and requests
 // it once, from the first. Records that arrive shortly after each other, as during a
 // start of the whole fleet, are offered together. Records missed because of lost
-// messages are repaired by anti-entropy: every second a daemon sends the digest of its table to its
-// monitored neighbours and one other. Where the digests differ, the two daemons
-// compare the digests of buckets, then the versions of records, and exchange only the
-// records that one of them lacks.
+// messages are repaired by anti-entropy: every second a daemon sends the digest of its
+// table to its monitored neighbours and one other. Where the digests differ, the two
+// daemons compare the digests of buckets, then the versions of records, and exchange
+// only the records that one of them lacks.
 //
 // # Usage
 //
@@ -30,7 +30,8 @@
 
 // A daemon compares its table every joinCompareInterval for joinPeriod after its start.
 // When a whole fleet starts, those that a daemon asks first know only a part of the
-// others, and have no neighbours yet that they could tell of the rest.
+// others. What they learn later reaches it only by a comparison until they are
+// neighbours.
 const (
 	joinCompareInterval = 300 * time.Millisecond
 	joinPeriod          = time.Second
@@ -244,7 +245,7 @@
 }
 
 // keepOwn drops the pending records that came from others or are outdated. A daemon
-// that starts has no neighbours yet, and tells the first ones of itself.
+// that starts has no neighbours yet, and floods its own records to the first ones.
 func (plugin *plugin) keepOwn(state *kernel.State) {
 	plugin.pending = slices.DeleteFunc(plugin.pending, func(pending pendingRecord) bool {
 		return pending.from != "" || pending.isOutdated(state)
--- a/io/http1/server.go
+++ b/io/http1/server.go
@@ -76,7 +76,7 @@
 	listener net.Listener
 	conns    map[*conn]struct{}
 	closed   bool
-	// backlogEnd is when Shutdown stops to accept connections at the latest, and
+	// backlogEnd is when Shutdown stops accepting connections at the latest, and
 	// ended is closed when Serve returns.
 	backlogEnd time.Time
 	ended      chan struct{}
--- a/io/peer/forward_conn.go
+++ b/io/peer/forward_conn.go
@@ -136,8 +136,8 @@
 	released bool
 }
 
-// bodyStallTimeout is how long a gate may take no part of a streamed body, as when its
-// upstream is slow to read it. The deadline of the request ends it sooner.
+// bodyStallTimeout is how long a streamed body may make no progress, as when the
+// upstream is slow to read it. The request's deadline usually ends it sooner.
 const bodyStallTimeout = 30 * time.Second
 
 // openIdle starts a request on an idle connection to the gate, if there is one.
--- a/io/tcp/user_timeout_other.go
+++ b/io/tcp/user_timeout_other.go
@@ -12,5 +12,5 @@
 // and the system's own timeouts apply elsewhere.
 func setUserTimeout(_, _ string, _ syscall.RawConn) error { return nil }
 
-// SetStallTimeout does nothing, as setUserTimeout.
+// SetStallTimeout does nothing, for the same reason as setUserTimeout.
 func SetStallTimeout(net.Conn, time.Duration) error { return nil }
