Logs tell how a stop ends the connections of callers

Callers saw a request of a stopping daemon end without an answer; no line told what the daemon had known of its connection.

Change: one line when callers are no longer accepted (open and busy connections), one for an idle connection that is closed although something has arrived on it or its last response has just been written, one for each connection that is cut before its response. The check for unread bytes reads through RawConn.Control, as RawConn.Read would wait for the read that is in progress.

No decision changes. Ran: tests of io/logs, io/http1, io/tcp.

--- a/io/http1/conn.go
+++ b/io/http1/conn.go
@@ -12,6 +12,8 @@
 	"os"
 	"sync"
 	"time"
+
+	"ibislift/io/tcp"
 )
 
 // bufferSize is the size in bytes of the read buffer and of the write buffer of
@@ -327,11 +329,33 @@
 	if conn.pending > 0 || conn.reading || isNew {
 		return false
 	}
+	if server := conn.server; server.Log != nil && !tcp.IsQuiet(conn.Conn) {
+		server.Log.Info("idle connection closed with unread bytes", "address", conn.RemoteAddr(),
+			"age", time.Since(conn.openedAt), "responded", conn.writeClosed)
+	}
 	conn.closing = true
 	_ = conn.Close()
 	return true
 }
 
+// isBusy reports whether a request is in progress or being read.
+func (conn *conn) isBusy() bool {
+	conn.mutex.Lock()
+	defer conn.mutex.Unlock()
+	return conn.pending > 0 || conn.reading
+}
+
+// logCut logs that a connection is closed before the responses to its requests.
+func (conn *conn) logCut() {
+	conn.mutex.Lock()
+	defer conn.mutex.Unlock()
+	if conn.server.Log == nil || conn.pending == 0 && !conn.reading {
+		return
+	}
+	conn.server.Log.Warn("connection cut before its response", "address", conn.RemoteAddr(),
+		"age", time.Since(conn.openedAt), "requests", conn.pending, "reading", conn.reading)
+}
+
 // reject responds to a request whose header can't be read. If the connection has
 // failed, it does nothing.
 func (conn *conn) reject(err error) {
--- a/io/http1/server.go
+++ b/io/http1/server.go
@@ -144,6 +144,7 @@
 func (server *Server) Shutdown(ctx context.Context) error {
 	server.Drain()
 	server.finishAccepting()
+	server.logShutdown()
 	ticker := time.NewTicker(10 * time.Millisecond)
 	defer ticker.Stop()
 	for server.closeIdle() > 0 {
@@ -202,6 +203,7 @@
 	server.mutex.Lock()
 	defer server.mutex.Unlock()
 	for conn := range server.conns {
+		conn.logCut()
 		_ = conn.Close()
 	}
 	return nil
@@ -250,6 +252,22 @@
 	return server.AllowConcurrent != nil && server.AllowConcurrent(request)
 }
 
+// logShutdown logs how many connections are open when callers are no longer accepted.
+func (server *Server) logShutdown() {
+	if server.Log == nil {
+		return
+	}
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	busy := 0
+	for conn := range server.conns {
+		if conn.isBusy() {
+			busy++
+		}
+	}
+	server.Log.Info("callers are no longer accepted", "connections", len(server.conns), "busy", busy)
+}
+
 func (server *Server) logPanic(failure any) {
 	if server.Log != nil {
 		server.Log.Error("a handler panicked", "failure", fmt.Sprint(failure), "stack", string(debug.Stack()))
--- a/io/logs/fields.go
+++ b/io/logs/fields.go
@@ -30,6 +30,14 @@
 	"steps":      "steps of the request, each with the milliseconds since arrival",
 	"callerLeft": "whether the caller left before the end of the response",
 
+	// Connections of callers.
+	"connections": "number of open connections",
+	"busy":        "number of connections with a request in progress or being read",
+	"age":         "time since the connection was accepted",
+	"requests":    "number of requests of the connection that are in progress",
+	"reading":     "whether the header of a request is being read",
+	"responded":   "whether the last response of the connection has been written",
+
 	// At the gate.
 	"reason":     "why the request was refused",
 	"retryAfter": "when the request may be sent again",
--- a/io/tcp/peek_linux.go
+++ b/io/tcp/peek_linux.go
@@ -7,22 +7,23 @@
 )
 
 // isReceiveBufferEmpty reports whether a TCP connection is open and has nothing
-// to read, without blocking. It returns false if it can't find out.
+// to read, without blocking. It returns false if it can't find out. It uses
+// Control, since RawConn.Read waits for a read that is in progress and fails after
+// a read deadline.
 func isReceiveBufferEmpty(conn net.Conn) bool {
-	tcpConn, isTCP := conn.(*net.TCPConn)
-	if !isTCP {
+	socket, isSocket := conn.(syscall.Conn)
+	if !isSocket {
 		return false
 	}
-	raw, err := tcpConn.SyscallConn()
+	raw, err := socket.SyscallConn()
 	if err != nil {
 		return false
 	}
 	empty := false
-	err = raw.Read(func(fd uintptr) bool {
+	err = raw.Control(func(fd uintptr) {
 		var buffer [1]byte
 		_, _, err := syscall.Recvfrom(int(fd), buffer[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		empty = errors.Is(err, syscall.EAGAIN)
-		return true
 	})
 	return err == nil && empty
 }
