A connection that waits to be accepted outlives a planned stop's first moment

What callers saw: a connection that was opened just before the linger time ended could be reset, although the stopping daemon still accepted callers.

Cause: Shutdown limited Accept by deadlines of 1 ms. An Accept whose deadline has passed returns without a look at the queue, so that a goroutine that runs more than 1 ms late closes the listener over the connections that wait.

Ruled out: a longer gap, since any gap can be overslept. Change: at the end, Serve asks the socket whether a connection waits, and accepts until none does, for 100 ms as before.

--- a/io/http1/server.go
+++ b/io/http1/server.go
@@ -23,6 +23,8 @@
 	"time"
 
 	"github.com/zeebo/errs"
+
+	"ibislift/io/tcp"
 )
 
 // Error is the class of all errors of this package.
@@ -100,18 +102,19 @@
 		accepted, err := listener.Accept()
 		if err == nil {
 			server.start(accepted)
-			server.limitBacklog()
-			continue
-		}
-		if server.isClosed() {
-			_ = listener.Close()
-			return http.ErrServerClosed
 		}
-		if errors.Is(err, net.ErrClosed) {
+		switch {
+		case server.isClosed():
+			if !server.limitAccept(listener) {
+				_ = listener.Close()
+				return http.ErrServerClosed
+			}
+		case errors.Is(err, net.ErrClosed):
 			return Error.Wrap(err)
+		case err != nil:
+			server.log("cannot accept a connection", err)
+			time.Sleep(acceptRetryDelay)
 		}
-		server.log("cannot accept a connection", err)
-		time.Sleep(acceptRetryDelay)
 	}
 }
 
@@ -158,11 +161,12 @@
 }
 
 // Closing a listener resets the connections that were opened and not accepted yet.
-// Shutdown therefore accepts until none has waited for backlogGap, and for
-// maxBacklogTime at most.
+// Shutdown therefore accepts those that wait, for maxBacklogTime at most. An Accept for
+// a connection that waits returns at once; maxAcceptTime ends it if the connection is
+// gone.
 const (
-	backlogGap     = time.Millisecond
 	maxBacklogTime = 100 * time.Millisecond
+	maxAcceptTime  = time.Second
 )
 
 // finishAccepting makes Serve accept the waiting connections and end.
@@ -170,31 +174,31 @@
 	server.mutex.Lock()
 	server.closed = true
 	server.backlogEnd = time.Now().Add(maxBacklogTime)
-	ended := server.ended
+	listener, ended := server.listener, server.ended
 	server.mutex.Unlock()
 	if ended == nil {
 		return
 	}
-	server.limitBacklog()
+	if !setDeadline(listener, time.Now()) {
+		_ = listener.Close()
+	}
 	<-ended
 }
 
-// limitBacklog limits the wait for the next connection while the server is shutting
-// down.
-func (server *Server) limitBacklog() {
+// limitAccept reports whether a connection waits to be accepted while the server shuts
+// down, and limits the time to accept it. The deadline that has interrupted Accept does
+// not tell: it may have passed while a connection was waiting.
+func (server *Server) limitAccept(listener net.Listener) bool {
 	server.mutex.Lock()
-	defer server.mutex.Unlock()
-	if !server.closed {
-		return
-	}
-	next := time.Now().Add(backlogGap)
-	if next.After(server.backlogEnd) {
-		next = server.backlogEnd
-	}
-	listener, limitable := server.listener.(interface{ SetDeadline(time.Time) error })
-	if !limitable || listener.SetDeadline(next) != nil {
-		_ = server.listener.Close()
-	}
+	inTime := time.Now().Before(server.backlogEnd)
+	server.mutex.Unlock()
+	return inTime && tcp.HasWaiting(listener) && setDeadline(listener, time.Now().Add(maxAcceptTime))
+}
+
+// setDeadline sets the deadline of Accept and reports whether the listener has one.
+func setDeadline(listener net.Listener, deadline time.Time) bool {
+	limitable, isLimitable := listener.(interface{ SetDeadline(time.Time) error })
+	return isLimitable && limitable.SetDeadline(deadline) == nil
 }
 
 // Close closes the listener and all connections immediately.
--- a/io/tcp/peek_linux.go
+++ b/io/tcp/peek_linux.go
@@ -4,6 +4,8 @@
 	"errors"
 	"net"
 	"syscall"
+
+	"golang.org/x/sys/unix"
 )
 
 // isReceiveBufferEmpty reports whether a TCP connection is open and has nothing
@@ -27,3 +29,20 @@
 	})
 	return err == nil && empty
 }
+
+// hasWaiting reports whether a connection waits to be accepted, without blocking.
+func hasWaiting(listener net.Listener) bool {
+	socket, isSocket := listener.(syscall.Conn)
+	if !isSocket {
+		return false
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return false
+	}
+	waiting := 0
+	err = raw.Control(func(fd uintptr) {
+		waiting, _ = unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, 0)
+	})
+	return err == nil && waiting > 0
+}
--- a/io/tcp/tcp.go
+++ b/io/tcp/tcp.go
@@ -52,3 +52,7 @@
 	}
 	return isReceiveBufferEmpty(conn)
 }
+
+// HasWaiting reports whether a connection waits to be accepted. It returns false if it
+// can't find out.
+func HasWaiting(listener net.Listener) bool { return hasWaiting(listener) }
--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -111,6 +111,8 @@
   'ingressConnStream.conn.Conn, bodyStallTimeout)' 'ingressConnStream.conn.Conn, tcp.StallTimeout)' ./daemon
 mutant "a new connection is closed by a planned stop before its request" io/http1/conn.go \
   'conn.pending > 0 || conn.reading || isNew {' 'conn.pending > 0 || conn.reading || isNew && false {' ./io/http1
+mutant "a connection that waits to be accepted is reset by a planned stop" io/http1/server.go \
+  'return inTime && tcp.HasWaiting(listener)' 'return inTime && false' ./io/http1
 mutant "the reply to flooded records counts as a comparison" core/spread/spread.go \
   'if envelope.TableDigest == 0 {' 'if false {' ./core/spread
 mutant "a stopped watch of a connection begins" io/peer/forward_server.go \
