A stopping server ends a connection only by the goroutine that reads it

What callers saw: a whole request that had reached a daemon on a kept connection, or on one opened 260 ms before, was closed without an answer when the linger time ended; a last response of 100 kB was cut by a reset.

Cause: Shutdown closed connections from outside, by what had been counted: no request read or in progress. What had arrived and was not read counted as nothing, and neither did a last response that was still on its way; closing a connection with unread bytes resets it, and the rest of the response is lost.

Ruled out: a longer grace for kept connections, since any grace can be overslept, and reads within the mutex, which cost a system call a request.

Change: Shutdown shortens the wait for the next request; the goroutine that reads the connection then looks whether something has arrived, serves it, and closes the connection if nothing has. Shutdown waits for these goroutines, which also read what callers send behind their last response. The time for that counts from the response, no longer twice, and holds for rejected requests too. tcp.IsQuiet works on the BSDs and macOS as well.

--- a/io/http1/conn.go
+++ b/io/http1/conn.go
@@ -28,6 +28,10 @@
 	maxLingerBytes = 256 << 10
 )
 
+// firstRequestTime is how long after it was opened a connection without a request is
+// kept while the server shuts down.
+const firstRequestTime = 250 * time.Millisecond
+
 // errHeaderTooLarge is returned for a request whose header exceeds the limit.
 var errHeaderTooLarge = errors.New("the request's header exceeds the limit")
 
@@ -56,13 +60,15 @@
 	// has begun to arrive on it.
 	openedAt time.Time
 	used     bool
+	// waitUntil is the end of the wait for a request.
+	waitUntil time.Time
 	// closing reports that no further request is accepted, because a response
 	// ends the connection or the connection is being closed.
 	closing bool
-	// writeClosed reports that the write side has been closed after the last
-	// response. Input that still arrives is then read and discarded for up to
-	// lingerTimeout before the connection is closed.
-	writeClosed bool
+	// lingerUntil is set when the write side has been closed after the last response.
+	// Input that arrives until then is read and discarded before the connection is
+	// closed.
+	lingerUntil time.Time
 }
 
 // headReader limits how many bytes are read for the header of a request.
@@ -118,8 +124,8 @@
 	}
 	<-conn.lastDone
 	conn.cancel()
-	if errors.Is(err, errClosing) && conn.writeClosed {
-		_ = conn.SetReadDeadline(time.Now().Add(lingerTimeout))
+	if !conn.lingerUntil.IsZero() {
+		_ = conn.SetReadDeadline(conn.lingerUntil)
 		_, _ = io.Copy(io.Discard, io.LimitReader(conn.Conn, maxLingerBytes))
 	}
 	_ = conn.Close()
@@ -144,35 +150,44 @@
 	}
 }
 
-// awaitRequest waits for the first byte of the next request. The idle timeout
-// applies while no request is in progress. While the server is draining, no
-// further request is accepted on a connection with a request in progress, since
-// the response to that one closes the connection.
+// awaitRequest waits for the first byte of the next request. The connection ends when
+// none has arrived by the end of the wait. While the server is draining, no further
+// request is accepted on a connection with a request in progress, since the response
+// to that one closes the connection.
 func (conn *conn) awaitRequest() error {
 	for {
-		conn.mutex.Lock()
-		conn.reading = false
-		closing := conn.closing || conn.pending > 0 && conn.server.draining.Load()
-		conn.setIdleDeadline()
-		conn.mutex.Unlock()
-		if closing {
-			return errClosing
+		if err := conn.beginWait(); err != nil {
+			return err
 		}
 		_, err := conn.reader.Peek(1)
-		if err == nil {
-			break
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			if !conn.isWaitOver() {
+				continue
+			}
+			err = conn.peekArrived()
 		}
-		if !errors.Is(err, os.ErrDeadlineExceeded) {
+		if err != nil {
 			return err
 		}
-		conn.mutex.Lock()
-		idle := conn.pending == 0
-		conn.closing = conn.closing || idle
-		conn.mutex.Unlock()
+		return conn.beginRequest()
 	}
+}
+
+func (conn *conn) beginWait() error {
 	conn.mutex.Lock()
 	defer conn.mutex.Unlock()
-	if conn.closing || conn.pending > 0 && conn.server.draining.Load() {
+	conn.reading = false
+	if conn.refusesRequests() {
+		return errClosing
+	}
+	conn.setWaitDeadline()
+	return nil
+}
+
+func (conn *conn) beginRequest() error {
+	conn.mutex.Lock()
+	defer conn.mutex.Unlock()
+	if conn.refusesRequests() {
 		return errClosing
 	}
 	conn.reading = true
@@ -181,14 +196,62 @@
 	return nil
 }
 
-// setIdleDeadline sets the read deadline for the next request: the idle timeout
-// if no request is in progress, and none otherwise. The caller holds the mutex.
-func (conn *conn) setIdleDeadline() {
+// refusesRequests reports whether no further request is accepted. The caller holds
+// the mutex.
+func (conn *conn) refusesRequests() bool {
+	return conn.closing || conn.pending > 0 && conn.server.draining.Load()
+}
+
+// isWaitOver reports whether the connection has waited long enough for a request, with
+// none in progress.
+func (conn *conn) isWaitOver() bool {
+	conn.mutex.Lock()
+	defer conn.mutex.Unlock()
+	return !conn.closing && conn.pending == 0 && !time.Now().Before(conn.waitUntil)
+}
+
+// peekArrived waits for the first byte of a request at the end of the wait, if one has
+// arrived. A read whose deadline has passed returns no data, even if some has arrived
+// meanwhile.
+func (conn *conn) peekArrived() error {
+	if !tcp.IsQuiet(conn.Conn) {
+		_ = conn.SetReadDeadline(time.Now().Add(conn.server.limits().HeaderTimeout))
+		_, err := conn.reader.Peek(1)
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			return err
+		}
+	}
+	conn.stopReading()
+	return errClosing
+}
+
+// setWaitDeadline sets the read deadline for the next request: none while a request is
+// in progress, and otherwise the idle timeout or, when the server shuts down, what is
+// left of firstRequestTime. The caller holds the mutex.
+func (conn *conn) setWaitDeadline() {
 	if conn.pending > 0 {
 		_ = conn.SetReadDeadline(time.Time{})
 		return
 	}
-	_ = conn.SetReadDeadline(time.Now().Add(conn.server.limits().IdleTimeout + idleSlack))
+	switch {
+	case !conn.server.stopping.Load():
+		conn.waitUntil = time.Now().Add(conn.server.limits().IdleTimeout + idleSlack)
+	case conn.used:
+		conn.waitUntil = time.Now()
+	default:
+		conn.waitUntil = conn.openedAt.Add(firstRequestTime)
+	}
+	_ = conn.SetReadDeadline(conn.waitUntil)
+}
+
+// shortenWait applies the start of a shutdown to a wait for a request. The goroutine
+// that reads the connection ends it: only this one knows what has arrived.
+func (conn *conn) shortenWait() {
+	conn.mutex.Lock()
+	defer conn.mutex.Unlock()
+	if !conn.reading && !conn.closing {
+		conn.setWaitDeadline()
+	}
 }
 
 func (conn *conn) readRequest() (*http.Request, error) {
@@ -249,7 +312,7 @@
 		conn.mutex.Lock()
 		conn.pending--
 		if !conn.reading && !conn.closing {
-			conn.setIdleDeadline()
+			conn.setWaitDeadline()
 		}
 		conn.mutex.Unlock()
 		<-conn.slots
@@ -276,8 +339,8 @@
 	if response.headSent {
 		_ = conn.writer.Flush()
 	}
-	if tcp, isTCP := conn.Conn.(*net.TCPConn); isTCP {
-		_ = tcp.SetLinger(0)
+	if lingerer, canReset := conn.Conn.(interface{ SetLinger(seconds int) error }); canReset {
+		_ = lingerer.SetLinger(0)
 	}
 	_ = conn.Close()
 }
@@ -309,33 +372,11 @@
 // closeWrite closes the write side of the connection after the last response.
 // The read side stays open for lingerTimeout.
 func (conn *conn) closeWrite() {
-	conn.writeClosed = true
-	if tcp, isTCP := conn.Conn.(*net.TCPConn); isTCP {
-		_ = tcp.CloseWrite()
+	conn.lingerUntil = time.Now().Add(lingerTimeout)
+	if halfCloser, canHalfClose := conn.Conn.(interface{ CloseWrite() error }); canHalfClose {
+		_ = halfCloser.CloseWrite()
 	}
-	_ = conn.SetReadDeadline(time.Now().Add(lingerTimeout))
-}
-
-// firstRequestTime is how long a new connection is not considered idle although its
-// first request has not begun to arrive.
-const firstRequestTime = 250 * time.Millisecond
-
-// closeIfIdle closes the connection if no request is in progress, being read or about
-// to arrive on a new connection, and reports whether it did so.
-func (conn *conn) closeIfIdle() bool {
-	conn.mutex.Lock()
-	defer conn.mutex.Unlock()
-	isNew := !conn.used && time.Since(conn.openedAt) < firstRequestTime
-	if conn.pending > 0 || conn.reading || isNew {
-		return false
-	}
-	if server := conn.server; server.Log != nil && !tcp.IsQuiet(conn.Conn) {
-		server.Log.Info("idle connection closed with unread bytes", "address", conn.RemoteAddr(),
-			"age", time.Since(conn.openedAt), "responded", conn.writeClosed)
-	}
-	conn.closing = true
-	_ = conn.Close()
-	return true
+	_ = conn.SetReadDeadline(conn.lingerUntil)
 }
 
 // isBusy reports whether a request is in progress or being read.
@@ -360,10 +401,9 @@
 // failed, it does nothing.
 func (conn *conn) reject(err error) {
 	status := http.StatusBadRequest
-	var tooLarge bool
 	switch {
 	case errors.Is(err, errHeaderTooLarge):
-		status, tooLarge = http.StatusRequestHeaderFieldsTooLarge, true
+		status = http.StatusRequestHeaderFieldsTooLarge
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		status = http.StatusRequestTimeout
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), isNetworkError(err):
@@ -383,9 +423,6 @@
 		status, text, len(text), text)
 	_ = conn.writer.Flush()
 	conn.closeWrite()
-	if tooLarge {
-		_, _ = io.Copy(io.Discard, io.LimitReader(conn.Conn, maxLingerBytes))
-	}
 }
 
 func isNetworkError(err error) bool {
--- a/io/http1/server.go
+++ b/io/http1/server.go
@@ -15,9 +15,11 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"maps"
 	"net"
 	"net/http"
 	"runtime/debug"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -73,7 +75,10 @@
 	// logging.
 	Log *slog.Logger
 
+	// draining closes each connection after its next response, and stopping ends the
+	// connections that wait for a request.
 	draining atomic.Bool
+	stopping atomic.Bool
 	mutex    sync.Mutex
 	listener net.Listener
 	conns    map[*conn]struct{}
@@ -143,14 +148,20 @@
 func (server *Server) Drain() { server.draining.Store(true) }
 
 // Shutdown accepts the connections that callers have already opened and no others,
-// closes the idle ones and waits until the others have finished or the context ends.
+// lets the idle ones end and waits until all have ended or the context ends. A request
+// that has arrived on a connection is served, also if it has not been read yet.
 func (server *Server) Shutdown(ctx context.Context) error {
 	server.Drain()
 	server.finishAccepting()
-	server.logShutdown()
+	server.stopping.Store(true)
+	conns := server.openConns()
+	server.logShutdown(conns)
+	for _, conn := range conns {
+		conn.shortenWait()
+	}
 	ticker := time.NewTicker(10 * time.Millisecond)
 	defer ticker.Stop()
-	for server.closeIdle() > 0 {
+	for len(server.openConns()) > 0 {
 		select {
 		case <-ctx.Done():
 			return Error.Wrap(ctx.Err())
@@ -222,17 +233,11 @@
 	}
 }
 
-// closeIdle closes the idle connections and returns the number of the others.
-func (server *Server) closeIdle() int {
+// openConns returns the connections whose goroutines have not ended.
+func (server *Server) openConns() []*conn {
 	server.mutex.Lock()
 	defer server.mutex.Unlock()
-	busy := 0
-	for conn := range server.conns {
-		if !conn.closeIfIdle() {
-			busy++
-		}
-	}
-	return busy
+	return slices.Collect(maps.Keys(server.conns))
 }
 
 func (server *Server) limits() Limits {
@@ -257,19 +262,17 @@
 }
 
 // logShutdown logs how many connections are open when callers are no longer accepted.
-func (server *Server) logShutdown() {
+func (server *Server) logShutdown(conns []*conn) {
 	if server.Log == nil {
 		return
 	}
-	server.mutex.Lock()
-	defer server.mutex.Unlock()
 	busy := 0
-	for conn := range server.conns {
+	for _, conn := range conns {
 		if conn.isBusy() {
 			busy++
 		}
 	}
-	server.Log.Info("callers are no longer accepted", "connections", len(server.conns), "busy", busy)
+	server.Log.Info("callers are no longer accepted", "connections", len(conns), "busy", busy)
 }
 
 func (server *Server) logPanic(failure any) {
--- a/io/http1/shutdown_test.go
+++ b/io/http1/shutdown_test.go
@@ -4,8 +4,10 @@
 	"bufio"
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -140,4 +142,40 @@
 		stopping.stop()
 		expectResponse(t, bufio.NewReader(waiting), http.StatusOK, "/1")
 	})
+	t.Run("on a kept connection whose goroutine runs late", func(t *testing.T) {
+		stopping := serveLate(t, &lateListener{readLate: lateness}, slowEcho)
+		send(t, stopping.conn, get("/1"))
+		expectResponse(t, stopping.reader, http.StatusOK, "/1")
+		send(t, stopping.conn, get("/2"))
+		stopping.stop()
+		expectResponse(t, stopping.reader, http.StatusOK, "/2")
+	})
+	t.Run("on a connection that was opened some time before its first request", func(t *testing.T) {
+		stopping := serveLate(t, &lateListener{readLate: lateness}, slowEcho)
+		time.Sleep(260 * time.Millisecond)
+		send(t, stopping.conn, get("/1"))
+		stopping.stop()
+		expectResponse(t, stopping.reader, http.StatusOK, "/1")
+	})
+}
+
+// A reset destroys what the caller has not received yet.
+func TestShutdownDoesNotResetLastResponse(t *testing.T) {
+	const size = 100_000
+	stopping := serveLate(t, &lateListener{readLate: lateness}, http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(writer, strings.Repeat("x", size))
+	}))
+	is := is.New(t)
+	is.NoErr(stopping.conn.(*net.TCPConn).SetReadBuffer(16 << 10)) // most of the response stays at the server
+	stopping.server.Drain()
+	send(t, stopping.conn, get("/1"))
+	response, err := http.ReadResponse(stopping.reader, nil)
+	is.NoErr(err)
+	time.Sleep(lateness) // the response has been written
+	send(t, stopping.conn, get("/2"))
+	stopping.stop()
+	time.Sleep(2 * lateness)
+	count, err := io.Copy(io.Discard, response.Body)
+	is.NoErr(err)
+	is.Equal(count, int64(size))
 }
--- a/io/logs/fields.go
+++ b/io/logs/fields.go
@@ -36,7 +36,6 @@
 	"age":         "time since the connection was accepted",
 	"requests":    "number of requests of the connection that are in progress",
 	"reading":     "whether the header of a request is being read",
-	"responded":   "whether the last response of the connection has been written",
 
 	// At the gate.
 	"reason":     "why the request was refused",
--- a/io/tcp/peek_linux.go
+++ b/io/tcp/peek_unix.go
@@ -1,3 +1,5 @@
+//go:build linux || darwin || freebsd || netbsd || openbsd
+
 package tcp
 
 import (
--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -110,7 +110,11 @@
 mutant "a forwarded upload may not wait for its upstream" io/peer/forward_conn.go \
   'ingressConnStream.conn.Conn, bodyStallTimeout)' 'ingressConnStream.conn.Conn, tcp.StallTimeout)' ./daemon
 mutant "a new connection is closed by a planned stop before its request" io/http1/conn.go \
-  'conn.pending > 0 || conn.reading || isNew {' 'conn.pending > 0 || conn.reading || isNew && false {' ./io/http1
+  'conn.waitUntil = conn.openedAt.Add(firstRequestTime)' 'conn.waitUntil = time.Now()' ./io/http1
+mutant "a planned stop closes a connection on which a request has arrived" io/http1/conn.go \
+  'if !tcp.IsQuiet(conn.Conn) {' 'if false {' ./io/http1
+mutant "a planned stop does not wait until the last response has been received" io/http1/server.go \
+  'for len(server.openConns()) > 0 {' 'for false {' ./io/http1
 mutant "a connection that waits to be accepted is reset by a planned stop" io/http1/server.go \
   'return inTime && tcp.HasWaiting(listener)' 'return inTime && false' ./io/http1
 mutant "the reply to flooded records counts as a comparison" core/spread/spread.go \
