Requests in progress at the drain timeout get a final answer

What callers saw: when the drain timeout of a stopping daemon passed, the connections of requests that were still in progress were closed without an answer, also of requests that waited for a slot and had provably not run.

Cause: the stop waited for callers until the drain timeout and then closed everything.

Change: when the drain timeout passes, the requests in progress end as at their deadlines: the caller is told that a request has not run, or that this is unknown. An answer that has arrived is delivered.

The test has upstreams that hang and a drain timeout of 1 s.

--- a/daemon/cluster_test.go
+++ b/daemon/cluster_test.go
@@ -109,8 +109,9 @@
 	instances []*instance
 	ledger    ledger
 	logs      logs
-	// lingerTime is the setting of all daemons.
-	lingerTime time.Duration
+	// lingerTime and drainTimeout are settings of all daemons.
+	lingerTime   time.Duration
+	drainTimeout time.Duration
 	prefix     string
 	// lastAttemptID is the number in the attempt ID of the last request.
 	lastAttemptID atomic.Int64
@@ -127,7 +128,13 @@
 // stopped.
 func newLingeringCluster(t *testing.T, daemons int, lingerTime time.Duration) *cluster {
 	t.Helper()
-	cluster := &cluster{t: t, store: &platform.Store{}, lingerTime: lingerTime}
+	return newStoppingCluster(t, daemons, lingerTime, 10*time.Second)
+}
+
+// newStoppingCluster is like newLingeringCluster, with a drain timeout.
+func newStoppingCluster(t *testing.T, daemons int, lingerTime, drainTimeout time.Duration) *cluster {
+	t.Helper()
+	cluster := &cluster{t: t, store: &platform.Store{}, lingerTime: lingerTime, drainTimeout: drainTimeout}
 	t.Cleanup(func() { cluster.logs.printIfFailed(t) })
 	cluster.prefix = fmt.Sprintf("127.%d.%d", 100+os.Getpid()%100, clusterCount.Add(1))
 	serveUntilEnd(t, cluster.prefix+".1:7000", cluster.store.Handler())
@@ -178,7 +185,7 @@
 		CallerAddress: ip + ":8000", PeerAddress: ip + ":8001", ForwardAddress: ip + ":8004", UpstreamAddress: ip + ":8002", OperatorAddress: ip + ":8003",
 		PlatformAddress: cluster.prefix + ".1:7000", PlatformRegion: "east", FirstPeers: []string{cluster.prefix + ".10:8001"},
 		RegionCapacity: 8, ClaimPartitions: 2, ClaimInterval: 5 * time.Millisecond, ClaimRetention: time.Hour,
-		DrainTimeout: 10 * time.Second, LingerTime: cluster.lingerTime,
+		DrainTimeout: cluster.drainTimeout, LingerTime: cluster.lingerTime,
 	}
 }
 
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -67,6 +67,10 @@
 // reach the neighbours.
 const departureDelay = 200 * time.Millisecond
 
+// finalAnswerTime limits how long the final answers may take that are given when the
+// drain timeout has passed.
+const finalAnswerTime = 300 * time.Millisecond
+
 // housekeepingInterval is the time between two checks for a silent upstream and
 // for a changed view that affects the gate and the connections to peers.
 const housekeepingInterval = 100 * time.Millisecond
@@ -90,14 +94,16 @@
 	// if the log does not count them.
 	DroppedLogLines func() uint64
 
-	startedAt       time.Time
-	control         *control
-	gate            *upstream.Gate
-	client          *upstream.Client
-	monitor         *upstream.Monitor
-	peers           *peer.Peers
-	platform        *platform.Client
-	ingress         *caller.Handler
+	startedAt time.Time
+	control   *control
+	gate      *upstream.Gate
+	client    *upstream.Client
+	monitor   *upstream.Monitor
+	peers     *peer.Peers
+	platform  *platform.Client
+	ingress   *caller.Handler
+	// endRequests ends the requests of callers that are in progress.
+	endRequests     context.CancelFunc
 	meter           *metrics.Meter
 	rpc             *grpc.Server
 	peerServer      *peer.Server
@@ -191,6 +197,8 @@
 }
 
 func (daemon *Daemon) buildIngress() *caller.Handler {
+	var ending context.Context
+	ending, daemon.endRequests = context.WithCancel(context.Background())
 	return &caller.Handler{
 		Daemon:        daemon.Settings.Name,
 		Epoch:         daemon.startedAt.UnixMilli(),
@@ -207,6 +215,7 @@
 		SharedBudget:  func() *call.SharedBudget { return daemon.liveSettings.Load().sharedRetryBudget() },
 		ReportTo:      daemon.Settings.PeerAddress,
 		Splitter:      &routes.Splitter{Daemon: daemon.Settings.Name},
+		Ending:        ending,
 	}
 }
 
@@ -294,9 +303,7 @@
 	daemon.control.send(kernel.DrainRequested{Leaving: true})
 	time.Sleep(notice)
 	drained := daemon.gate.Drain()
-	if err := daemon.callerServer.Shutdown(ctx); err != nil {
-		daemon.Log.Warn("callers were still waiting when the drain timeout passed", "error", err)
-	}
+	daemon.shutDownCallerServer(ctx)
 	select {
 	case <-drained:
 	case <-ctx.Done():
@@ -311,6 +318,22 @@
 	daemon.Log.Info("daemon stopped")
 }
 
+// shutDownCallerServer waits for the requests of callers. Those that are still in
+// progress when the context ends get their final answers.
+func (daemon *Daemon) shutDownCallerServer(ctx context.Context) {
+	err := daemon.callerServer.Shutdown(ctx)
+	if err == nil {
+		return
+	}
+	daemon.Log.Warn("callers were still waiting when the drain timeout passed", "error", err)
+	daemon.endRequests()
+	ctx, cancel := context.WithTimeout(context.Background(), finalAnswerTime)
+	defer cancel()
+	if err := daemon.callerServer.Shutdown(ctx); err != nil {
+		daemon.Log.Warn("connections of callers are cut", "error", err)
+	}
+}
+
 func (daemon *Daemon) close() {
 	if daemon.callerServer != nil {
 		_ = daemon.callerServer.Close()
--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -357,6 +357,29 @@
 	stopping.ended <- err // the cleanup of the cluster receives it again
 }
 
+func TestStopAnswersRequestsAtDrainTimeout(t *testing.T) {
+	cluster := newStoppingCluster(t, 2, 100*time.Millisecond, time.Second)
+	stopping, other := cluster.instances[0], cluster.instances[1]
+	for _, instance := range cluster.instances {
+		instance.upstream.SetSwitches(upstream.Switches{Hang: true})
+	}
+	var sending sync.WaitGroup
+	responses := make(chan response, 4)
+	for range cap(responses) {
+		sending.Go(func() { responses <- cluster.send(0, request{method: "POST", path: "/enrol"}) })
+	}
+	cluster.await("requests run", func() bool { return stopping.upstream.Running()+other.upstream.Running() == cap(responses) })
+	stopping.stop()
+	sending.Wait()
+	close(responses)
+	is := is.New(t)
+	for response := range responses {
+		is.NoErr(response.err)
+		is.Equal(response.status, http.StatusGatewayTimeout)
+		is.Equal(response.outcome, "unknown")
+	}
+}
+
 func TestStopUnderLoadCutsNothing(t *testing.T) {
 	const callers = 16
 	cluster := newLingeringCluster(t, 2, 500*time.Millisecond)
--- a/io/caller/caller.go
+++ b/io/caller/caller.go
@@ -81,6 +81,9 @@
 	ReportTo string
 	// Splitter divides the requests of a route among its destinations.
 	Splitter *routes.Splitter
+	// Ending ends when the daemon waits for responses no longer. The requests in
+	// progress then end as at their deadlines.
+	Ending context.Context
 
 	services services
 	// lastHealth is the last result of AssessHealth, which is called by one
--- a/io/caller/exchange.go
+++ b/io/caller/exchange.go
@@ -94,18 +94,24 @@
 		return exchange.timeoutEvent()
 	case <-exchange.original.Context().Done():
 		return call.CallerLeft{}
+	case <-exchange.handler.Ending.Done():
+		return call.DeadlinePassed{}
 	}
 }
 
 // awaitDirect waits for the next event of the direct attempt, until the time of
-// the hedge or the deadline, or until the caller disconnects.
+// the hedge or the deadline, or until the caller disconnects or the daemon ends.
 func (exchange *exchange) awaitDirect(direct *attempt) call.Event {
-	stop := context.AfterFunc(exchange.original.Context(), direct.stop)
+	stopOnLeave := context.AfterFunc(exchange.original.Context(), direct.stop)
+	stopOnEnding := context.AfterFunc(exchange.handler.Ending, direct.stop)
 	event, timedOut := direct.nextEventUntil(exchange, exchange.nextTimeout())
-	stop()
+	stopOnLeave()
+	stopOnEnding()
 	switch {
 	case exchange.original.Context().Err() != nil:
 		return call.CallerLeft{}
+	case exchange.handler.Ending.Err() != nil && (timedOut || isLost(event)):
+		return call.DeadlinePassed{}
 	case timedOut:
 		return exchange.timeoutEvent()
 	}
@@ -113,6 +119,11 @@
 	return event
 }
 
+func isLost(event call.Event) bool {
+	_, lost := event.(call.AttemptLost)
+	return lost
+}
+
 // nextTimeout returns the time of the hedge or of the deadline, whichever comes
 // next.
 func (exchange *exchange) nextTimeout() time.Time {
--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -125,6 +125,8 @@
   'if !gateConnStream.receiving.TryLock() {' 'if gateConnStream.receiving.TryLock() && false {' ./io/peer
 mutant "a stopping daemon takes callers until its gate has drained" daemon/daemon.go \
   'drained := daemon.gate.Drain()' 'drained := daemon.gate.Drain(); <-drained' ./daemon
+mutant "requests in progress are cut when the drain timeout has passed" daemon/daemon.go \
+  'daemon.endRequests()' '' ./daemon
 mutant "the queue ignores ranks" core/admit/queue.go \
   'cmp.Compare(one.arrived.effectiveRank(), other.arrived.effectiveRank()),' '' ./core/admit ./standin/play
 mutant "requests that miss their objective go first in the queue" core/admit/queue.go \
