A draining server closes no connection whose end it has not announced

What callers saw: the next request on a kept connection met the connection's end, without an answer, after a response that had not announced it.

Cause: while the server drained, the reading goroutine gave up a connection as soon as it saw a request in progress, on the assumption that its response announces the end. A response whose head was sent before the drain began does not.

Change: the goroutine waits for the response and goes on unless that has ended the connection. Idle connections that are closed have a log line at debug.

--- a/io/http1/conn.go
+++ b/io/http1/conn.go
@@ -151,9 +151,7 @@
 }
 
 // awaitRequest waits for the first byte of the next request. The connection ends when
-// none has arrived by the end of the wait. While the server is draining, no further
-// request is accepted on a connection with a request in progress, since the response
-// to that one closes the connection.
+// none has arrived by the end of the wait.
 func (conn *conn) awaitRequest() error {
 	for {
 		if err := conn.beginWait(); err != nil {
@@ -177,17 +175,24 @@
 	conn.mutex.Lock()
 	defer conn.mutex.Unlock()
 	conn.reading = false
-	if conn.refusesRequests() {
+	if conn.closing {
 		return errClosing
 	}
 	conn.setWaitDeadline()
 	return nil
 }
 
+// beginRequest accepts the request whose first byte has arrived. While the server is
+// draining, it first waits for the responses to earlier requests: one that announces
+// the end of the connection leaves this request unread, and one that was begun before
+// the drain does not.
 func (conn *conn) beginRequest() error {
+	if conn.server.draining.Load() {
+		<-conn.lastDone
+	}
 	conn.mutex.Lock()
 	defer conn.mutex.Unlock()
-	if conn.refusesRequests() {
+	if conn.closing {
 		return errClosing
 	}
 	conn.reading = true
@@ -196,12 +201,6 @@
 	return nil
 }
 
-// refusesRequests reports whether no further request is accepted. The caller holds
-// the mutex.
-func (conn *conn) refusesRequests() bool {
-	return conn.closing || conn.pending > 0 && conn.server.draining.Load()
-}
-
 // isWaitOver reports whether the connection has waited long enough for a request, with
 // none in progress.
 func (conn *conn) isWaitOver() bool {
@@ -222,6 +221,7 @@
 		}
 	}
 	conn.stopReading()
+	conn.logIdleEnd()
 	return errClosing
 }
 
@@ -386,6 +386,14 @@
 	return conn.pending > 0 || conn.reading
 }
 
+// logIdleEnd logs that the connection is closed because no request has come.
+func (conn *conn) logIdleEnd() {
+	if conn.server.Log == nil {
+		return
+	}
+	conn.server.Log.Debug("idle connection closed", "address", conn.RemoteAddr(), "age", time.Since(conn.openedAt), "used", conn.used)
+}
+
 // logCut logs that a connection is closed before the responses to its requests.
 func (conn *conn) logCut() {
 	conn.mutex.Lock()
--- a/io/http1/server_test.go
+++ b/io/http1/server_test.go
@@ -236,6 +236,27 @@
 		is.True(err != nil)
 		is.Equal(len(served), 1)
 	})
+	t.Run("a connection goes on after a response that has not announced its end", func(t *testing.T) {
+		started, release := make(chan struct{}), make(chan struct{})
+		server := &http1.Server{Handler: http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+			if request.URL.Path == "/1" {
+				writer.(http.Flusher).Flush()
+				close(started)
+				<-release
+			}
+			_, _ = io.WriteString(writer, request.URL.Path)
+		})}
+		conn, reader := serve(t, server)
+		send(t, conn, get("/1"))
+		<-started
+		server.Drain()
+		send(t, conn, get("/2"))
+		time.Sleep(20 * time.Millisecond)
+		close(release)
+		is := is.New(t)
+		is.True(!expectResponse(t, reader, http.StatusOK, "/1").Close)
+		is.True(expectResponse(t, reader, http.StatusOK, "/2").Close)
+	})
 	t.Run("a draining server finishes the requests in progress and closes", func(t *testing.T) {
 		started, release := make(chan struct{}), make(chan struct{})
 		server := &http1.Server{Handler: http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
--- a/io/logs/fields.go
+++ b/io/logs/fields.go
@@ -34,6 +34,7 @@
 	"connections": "number of open connections",
 	"busy":        "number of connections with a request in progress or being read",
 	"age":         "time since the connection was accepted",
+	"used":        "whether a request has come on the connection",
 	"requests":    "number of requests of the connection that are in progress",
 	"reading":     "whether the header of a request is being read",
 
--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -127,6 +127,10 @@
   'drained := daemon.gate.Drain()' 'drained := daemon.gate.Drain(); <-drained' ./daemon
 mutant "requests in progress are cut when the drain timeout has passed" daemon/daemon.go \
   'daemon.endRequests()' '' ./daemon
+mutant "a draining server reads on while a request is in progress" io/http1/conn.go \
+  'if conn.server.draining.Load() {
+		<-conn.lastDone' 'if conn.server.draining.Load() && false {
+		<-conn.lastDone' ./io/http1
 mutant "the queue ignores ranks" core/admit/queue.go \
   'cmp.Compare(one.arrived.effectiveRank(), other.arrived.effectiveRank()),' '' ./core/admit ./standin/play
 mutant "requests that miss their objective go first in the queue" core/admit/queue.go \
