--- a/daemon/cluster_test.go
+++ b/daemon/cluster_test.go
@@ -112,7 +112,7 @@
 	// lingerTime and drainTimeout are settings of all daemons.
 	lingerTime   time.Duration
 	drainTimeout time.Duration
-	prefix     string
+	prefix       string
 	// lastAttemptID is the number in the attempt ID of the last request.
 	lastAttemptID atomic.Int64
 }
