A stopping gate refuses what has not run instead of cutting it

Callers saw: a request forwarded to a daemon in the last moment of its planned stop lost its target without an answer. One that may be repeated spent from the retry budget, or was answered "unknown" without budget or another target; one whose commit was on its way was answered "unknown" although it had not run. Cause: CloseForwardConns closed every connection at once, from a goroutine that knew nothing of what its reader had read: a head read late, half a head, a request on an idle connection, a commit after its reservation had ended. Ruled out: the gate's count. A request that was handed over or holds a slot is counted until its response is written, so the drain waits for it. Change: the goroutine that reads a connection decides its end. A stop interrupts its reading; it then sends the refusal "draining" for the request that is being read or on its way, and goes on reading for dismissTime, since a close with unread bytes resets the connection. A dismissed connection hands nothing over. An ingress does not use a connection again after that refusal. Accepted connections are registered before the next is accepted, and refused too. CloseForwardConns closes the listener itself, after dismissTime. Left: a connection opened in the moment in which the listener closes is reset. While daemon.close closes the listener first, that is so for dismissTime.

--- a/io/peer/forward_conn.go
+++ b/io/peer/forward_conn.go
@@ -12,6 +12,7 @@
 	"google.golang.org/protobuf/encoding/protodelim"
 	"google.golang.org/protobuf/proto"
 
+	"ibislift/core/admit"
 	"ibislift/io/peer/peerpb"
 	"ibislift/io/tcp"
 )
@@ -206,7 +207,7 @@
 		return nil, err
 	}
 	if isFinalFrame(frame) {
-		ingressConnStream.release()
+		ingressConnStream.release(frame)
 	}
 	return frame, nil
 }
@@ -224,10 +225,11 @@
 }
 
 // release returns the connection to the pool after the last response frame. It
-// closes the connection instead if the context has ended, or if parts of the
-// request's body were not sent or are still being sent: even the end of a body may
-// be answered before the call that sends it has returned.
-func (ingressConnStream *ingressConnStream) release() {
+// closes the connection instead if the context has ended, if the gate drains and may
+// be about to close it, or if parts of the request's body were not sent or are still
+// being sent: even the end of a body may be answered before the call that sends it has
+// returned.
+func (ingressConnStream *ingressConnStream) release(last *peerpb.AnswerFrame) {
 	if ingressConnStream.released {
 		return
 	}
@@ -237,7 +239,7 @@
 		return
 	}
 	defer ingressConnStream.sending.Unlock()
-	if ingressConnStream.bodyPending {
+	if ingressConnStream.bodyPending || last.GetRefused().GetReason() == string(admit.ReasonDraining) {
 		_ = ingressConnStream.conn.Close()
 		return
 	}
--- a/io/peer/forward_conn_test.go
+++ b/io/peer/forward_conn_test.go
@@ -10,6 +10,7 @@
 	"github.com/matryer/is"
 	"google.golang.org/protobuf/encoding/protodelim"
 
+	"ibislift/core/admit"
 	"ibislift/io/peer/peerpb"
 )
 
@@ -64,3 +65,18 @@
 		})
 	}
 }
+
+func TestConnectionToADrainingGateIsNotReused(t *testing.T) {
+	for reason, reused := range map[admit.Reason]bool{admit.ReasonQueueFull: true, admit.ReasonDraining: false} {
+		t.Run(string(reason), func(t *testing.T) {
+			is := is.New(t)
+			stream, release, gate := newLateStream(t)
+			release()
+			refusal := &peerpb.AnswerFrame{Frame: &peerpb.AnswerFrame_Refused{Refused: &peerpb.Refusal{Reason: string(reason)}}}
+			go func() { _, _ = protodelim.MarshalTo(gate, refusal) }()
+			_, err := stream.Recv()
+			is.NoErr(err)
+			is.Equal(stream.pool.pop("gate") != nil, reused)
+		})
+	}
+}
--- a/io/peer/forward_server.go
+++ b/io/peer/forward_server.go
@@ -19,48 +19,57 @@
 // ServeForwardConns accepts connections with forwarded requests from other
 // daemons until the listener is closed.
 func (server *Server) ServeForwardConns(listener net.Listener) error {
+	server.gateConns.start(listener)
 	for {
 		conn, err := listener.Accept()
 		if err != nil {
 			return Error.Wrap(err)
 		}
-		go server.serveConn(newForwardConn(conn, "", server.CountBytes))
+		gateConn := newGateConn(newForwardConn(conn, "", server.CountBytes))
+		server.gateConns.add(gateConn)
+		go server.serveConn(gateConn)
 	}
 }
 
 // serveConn serves the requests of a connection one after another.
-func (server *Server) serveConn(forwardConn *forwardConn) {
-	defer func() { _ = forwardConn.Close() }()
-	stop := context.AfterFunc(server.forwardContext(), func() { _ = forwardConn.Close() })
-	defer stop()
-	for {
-		if _, err := forwardConn.reader.Peek(1); err != nil {
-			return
-		}
-		if !server.serveRequest(forwardConn) {
-			return
-		}
+func (server *Server) serveConn(gateConn *gateConn) {
+	defer server.gateConns.closeAndRemove(gateConn)
+	for server.awaitRequest(gateConn) && server.serveRequest(gateConn) {
+		gateConn.expectNext()
+	}
+	if gateConn.mustRefuse() {
+		gateConn.refuseNext(encodeLoad(server.Gate.Load()))
 	}
 }
 
-// forwardContext returns a context that ends with CloseForwardConns.
-func (server *Server) forwardContext() context.Context {
-	server.forwardOnce.Do(func() { server.forwardClosed, server.cancelForward = context.WithCancel(context.Background()) })
-	return server.forwardClosed
+// awaitRequest waits until a request arrives, and reports whether one has.
+func (server *Server) awaitRequest(gateConn *gateConn) bool {
+	_, err := gateConn.reader.Peek(1)
+	return err == nil
 }
 
-// CloseForwardConns closes all connections with forwarded requests.
+// DismissForwardConns makes the gate refuse all requests, and then end their
+// connections. A request that has not been read whole is refused at once.
+// Connections are still accepted.
+func (server *Server) DismissForwardConns() {
+	server.Gate.Drain()
+	server.gateConns.dismiss()
+}
+
+// CloseForwardConns closes the listener of ServeForwardConns and all connections with
+// forwarded requests. It first waits until they have been dismissed for dismissTime.
 func (server *Server) CloseForwardConns() {
-	server.forwardContext()
-	server.cancelForward()
+	server.DismissForwardConns()
+	time.Sleep(time.Until(server.gateConns.dismiss()))
+	server.gateConns.closeAll()
 }
 
 // serveRequest serves one request and reports whether the connection can be used
 // for another one.
-func (server *Server) serveRequest(forwardConn *forwardConn) bool {
+func (server *Server) serveRequest(gateConn *gateConn) bool {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	stream := &gateConnStream{conn: forwardConn, ctx: ctx, cancel: cancel}
+	stream := &gateConnStream{conn: gateConn, ctx: ctx, cancel: cancel}
 	err := server.ServeStream(stream)
 	return stream.end() && err == nil
 }
@@ -69,7 +78,7 @@
 // received by a goroutine of its own, which may go on for a moment after the response
 // has been sent.
 type gateConnStream struct {
-	conn   *forwardConn
+	conn   *gateConn
 	ctx    context.Context
 	cancel context.CancelFunc
 	// sendFailed is used by the goroutine that serves the request only.
@@ -113,7 +122,11 @@
 	}
 	gateConnStream.stopWatch()
 	frame := &peerpb.CallFrame{}
-	if err := gateConnStream.conn.receive(frame); err != nil {
+	err := gateConnStream.conn.receive(frame)
+	if err == nil && completesRequest(frame) {
+		err = gateConnStream.conn.decide()
+	}
+	if err != nil {
 		gateConnStream.receiveFailed = true
 		gateConnStream.cancel()
 		return nil, err
@@ -123,6 +136,12 @@
 	return frame, nil
 }
 
+// completesRequest reports whether the gate has read enough to decide on a request.
+func completesRequest(frame *peerpb.CallFrame) bool {
+	head := frame.GetHead()
+	return frame.GetCommit() != nil || head != nil && !head.GetReserve()
+}
+
 func (gateConnStream *gateConnStream) updateUnread(frame *peerpb.CallFrame) {
 	switch frame := frame.GetFrame().(type) {
 	case *peerpb.CallFrame_Head:
@@ -184,7 +203,7 @@
 	if watch.done == nil {
 		return
 	}
-	_ = gateConnStream.conn.SetReadDeadline(time.Unix(1, 0))
+	_ = gateConnStream.conn.SetReadDeadline(interrupted)
 	<-watch.done
-	_ = gateConnStream.conn.SetReadDeadline(time.Time{})
+	gateConnStream.conn.allowReading()
 }
--- a/io/peer/forward_server_test.go
+++ b/io/peer/forward_server_test.go
@@ -20,7 +20,7 @@
 	t.Cleanup(func() { _, _ = gateEnd.Close(), ingressEnd.Close() })
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
-	return &gateConnStream{conn: newForwardConn(gateEnd, "", nil), ctx: ctx, cancel: cancel}, ingressEnd
+	return &gateConnStream{conn: newGateConn(newForwardConn(gateEnd, "", nil)), ctx: ctx, cancel: cancel}, ingressEnd
 }
 
 // sendFrame sends a frame from the ingress and waits until it has been received.
--- /dev/null
+++ b/io/peer/gate_conn_test.go
@@ -0,0 +1,254 @@
+package peer
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"google.golang.org/protobuf/encoding/protodelim"
+
+	"ibislift/core/admit"
+	"ibislift/core/kernel"
+	"ibislift/io/peer/peerpb"
+	"ibislift/io/upstream"
+)
+
+// anyControl is a Control for an upstream of any service.
+type anyControl struct{ Control }
+
+func (anyControl) Serves(string) bool { return true }
+
+// lateListener returns each connection only when it is released.
+type lateListener struct {
+	net.Listener
+	accepted chan struct{}
+	release  chan struct{}
+}
+
+func (lateListener lateListener) Accept() (net.Conn, error) {
+	conn, err := lateListener.Listener.Accept()
+	if err == nil {
+		close(lateListener.accepted)
+		<-lateListener.release
+	}
+	return conn, err
+}
+
+// lateReadListener accepts connections whose Read calls return only when they are
+// released, although the data has been read.
+type lateReadListener struct {
+	net.Listener
+	arrived chan struct{}
+	release chan struct{}
+}
+
+func newLateReadListener(t *testing.T) lateReadListener {
+	t.Helper()
+	return lateReadListener{Listener: listen(t), arrived: make(chan struct{}), release: make(chan struct{})}
+}
+
+func (lateReadListener lateReadListener) Accept() (net.Conn, error) {
+	conn, err := lateReadListener.Listener.Accept()
+	return lateReader{Conn: conn, late: lateReadListener}, err
+}
+
+type lateReader struct {
+	net.Conn
+	late lateReadListener
+}
+
+func (lateReader lateReader) Read(buffer []byte) (int, error) {
+	count, err := lateReader.Conn.Read(buffer)
+	if count > 0 {
+		lateReader.late.arrived <- struct{}{}
+		<-lateReader.late.release
+	}
+	return count, err
+}
+
+func listen(t *testing.T) net.Listener {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	return listener
+}
+
+// startGate starts a gate with two slots and no upstream.
+func startGate(t *testing.T, listener net.Listener) *Server {
+	t.Helper()
+	gate := &upstream.Gate{Now: time.Now}
+	gate.Resize(2, 2)
+	server := &Server{Gate: gate, Upstream: &upstream.Client{}, Control: anyControl{}}
+	go func() { _ = server.ServeForwardConns(listener) }()
+	t.Cleanup(server.CloseForwardConns)
+	return server
+}
+
+// openToGate opens a request to a gate on a new connection.
+func openToGate(t *testing.T, listener net.Listener) (*Peers, kernel.Member, IngressStream) {
+	t.Helper()
+	peers := &Peers{}
+	member := kernel.Member{ID: "gate", ForwardAddress: listener.Addr().String()}
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	stream, err := peers.Open(ctx, member)
+	is.New(t).NoErr(err)
+	return peers, member, stream
+}
+
+func callHead(reserve bool) *peerpb.CallFrame {
+	head := &peerpb.CallHead{Method: "GET", Target: "/", RemainingMicroseconds: time.Minute.Microseconds(), Reserve: reserve}
+	return &peerpb.CallFrame{Frame: &peerpb.CallFrame_Head{Head: head}}
+}
+
+func commit() *peerpb.CallFrame {
+	return &peerpb.CallFrame{Frame: &peerpb.CallFrame_Commit{Commit: &peerpb.Nothing{}}}
+}
+
+func checkGranted(t *testing.T, stream IngressStream) {
+	t.Helper()
+	is := is.New(t)
+	frame, err := stream.Recv()
+	is.NoErr(err)
+	is.True(frame.GetGranted() != nil)
+}
+
+// answerTimeout bounds the wait for an answer. It is generous and says nothing about
+// expected speed.
+const answerTimeout = 5 * time.Second
+
+// checkRefused checks that a request gets the refusal of a stopping gate and has not
+// run.
+func checkRefused(t *testing.T, server *Server, stream IngressStream) {
+	t.Helper()
+	is := is.New(t)
+	frame, err := stream.RecvUntil(time.Now().Add(answerTimeout))
+	is.NoErr(err)
+	is.Equal(frame.GetRefused().GetReason(), string(admit.ReasonDraining))
+	is.Equal(server.Gate.HandedOverCount(), uint64(0))
+	<-server.Gate.Drain() // its slot is free again
+}
+
+// TestStoppingGateCutsNothingThatHasNotRun guards against requests that a stopping
+// gate cuts instead of refusing them, so that their ingress does not know whether they ran.
+func TestStoppingGateCutsNothingThatHasNotRun(t *testing.T) {
+	t.Run("its connection is accepted late", func(t *testing.T) {
+		late := lateListener{Listener: listen(t), accepted: make(chan struct{}), release: make(chan struct{})}
+		server := startGate(t, late)
+		_, _, stream := openToGate(t, late)
+		is.New(t).NoErr(stream.Send(callHead(false)))
+		<-late.accepted
+		server.DismissForwardConns()
+		close(late.release)
+		checkRefused(t, server, stream)
+	})
+	t.Run("it is not sent yet when its connection is accepted late", func(t *testing.T) {
+		late := lateListener{Listener: listen(t), accepted: make(chan struct{}), release: make(chan struct{})}
+		server := startGate(t, late)
+		_, _, stream := openToGate(t, late)
+		<-late.accepted
+		server.DismissForwardConns()
+		close(late.release)
+		checkRefused(t, server, stream)
+	})
+	t.Run("its head is read late", func(t *testing.T) {
+		late := newLateReadListener(t)
+		server := startGate(t, late)
+		_, _, stream := openToGate(t, late)
+		is.New(t).NoErr(stream.Send(callHead(false)))
+		<-late.arrived
+		go server.CloseForwardConns()
+		awaitDismissed(server)
+		late.release <- struct{}{}
+		checkRefused(t, server, stream)
+	})
+	t.Run("its commit is read late", func(t *testing.T) {
+		late := newLateReadListener(t)
+		server := startGate(t, late)
+		_, _, stream := openToGate(t, late)
+		is.New(t).NoErr(stream.Send(callHead(true)))
+		<-late.arrived
+		late.release <- struct{}{}
+		checkGranted(t, stream)
+		is.New(t).NoErr(stream.Send(commit()))
+		<-late.arrived
+		server.DismissForwardConns()
+		late.release <- struct{}{}
+		checkRefused(t, server, stream)
+	})
+	t.Run("half of its head has arrived", func(t *testing.T) {
+		listener := listen(t)
+		server := startGate(t, listener)
+		conn, err := net.Dial("tcp", listener.Addr().String())
+		is := is.New(t)
+		is.NoErr(err)
+		defer func() { _ = conn.Close() }()
+		_, err = conn.Write([]byte{100, 10, 3})
+		is.NoErr(err)
+		awaitOpen(server)
+		server.DismissForwardConns()
+		frame := &peerpb.AnswerFrame{}
+		is.NoErr(protodelim.UnmarshalFrom(bufio.NewReader(conn), frame))
+		is.Equal(frame.GetRefused().GetReason(), string(admit.ReasonDraining))
+	})
+	t.Run("it is sent on an idle connection while the gate dismisses it", func(t *testing.T) {
+		listener := listen(t)
+		server := startGate(t, listener)
+		peers, member, first := openToGate(t, listener)
+		is := is.New(t)
+		late := callHead(false)
+		late.GetHead().RemainingMicroseconds = -1
+		is.NoErr(first.Send(late))
+		frame, err := first.Recv()
+		is.NoErr(err)
+		is.Equal(frame.GetRefused().GetReason(), string(admit.ReasonDeadline))
+		second, ready := peers.OpenReady(context.Background(), member)
+		is.True(ready) // the idle connection
+		server.DismissForwardConns()
+		is.NoErr(second.Send(callHead(false)))
+		checkRefused(t, server, second)
+		_, ready = peers.OpenReady(context.Background(), member)
+		is.True(!ready) // the dismissed connection is not used again
+	})
+	for name, stop := range map[string]func(*Server){
+		"its commit arrives after the gate has begun to stop": (*Server).DismissForwardConns,
+		"its commit arrives after the gate has closed":        (*Server).CloseForwardConns,
+	} {
+		t.Run(name, func(t *testing.T) {
+			listener := listen(t)
+			server := startGate(t, listener)
+			_, _, stream := openToGate(t, listener)
+			is.New(t).NoErr(stream.Send(callHead(true)))
+			checkGranted(t, stream)
+			stop(server)
+			_ = stream.Send(commit())
+			checkRefused(t, server, stream)
+		})
+	}
+}
+
+// awaitOpen waits until the gate has registered a connection.
+func awaitOpen(server *Server) {
+	awaitConns(server, func(gateConns *gateConns) bool { return len(gateConns.open) > 0 })
+}
+
+// awaitDismissed waits until the gate has dismissed its connections.
+func awaitDismissed(server *Server) {
+	awaitConns(server, func(gateConns *gateConns) bool { return !gateConns.dismissedAt.IsZero() })
+}
+
+func awaitConns(server *Server, condition func(*gateConns) bool) {
+	gateConns := &server.gateConns
+	for {
+		gateConns.mutex.Lock()
+		holds := condition(gateConns)
+		gateConns.mutex.Unlock()
+		if holds {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -17,7 +17,6 @@
 	"context"
 	"errors"
 	"log/slog"
-	"sync"
 	"time"
 
 	"github.com/zeebo/errs"
@@ -63,9 +62,7 @@
 	// Log receives messages about failed requests. It may be nil.
 	Log *slog.Logger
 
-	forwardOnce   sync.Once
-	forwardClosed context.Context
-	cancelForward context.CancelFunc
+	gateConns gateConns
 }
 
 // Exchange processes another daemon's envelope and returns the reply.
--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -117,6 +117,16 @@
   'if gateConnStream.watch != watch {' 'if gateConnStream.watch == nil {' ./io/peer
 mutant "a gate reads the next request while a body is received" io/peer/forward_server.go \
   'if !gateConnStream.receiving.TryLock() {' 'if gateConnStream.receiving.TryLock() && false {' ./io/peer
+mutant "a stopping gate cuts a request that it has not read" io/peer/forward_server.go \
+  'if gateConn.mustRefuse() {' 'if gateConn.mustRefuse() && false {' ./io/peer
+mutant "a stopping gate runs a request whose commit was read late" io/peer/gate_conn.go \
+  'if gateConn.dismissed {' 'if gateConn.dismissed && false {' ./io/peer
+mutant "a connection accepted late by a stopping gate is not dismissed" io/peer/gate_conn.go \
+  'if !gateConns.dismissedAt.IsZero() {' 'if false {' ./io/peer
+mutant "a stopping gate closes its connections at once" io/peer/forward_server.go \
+  'time.Sleep(time.Until(server.gateConns.dismiss()))' '' ./io/peer
+mutant "a connection to a draining gate is reused" io/peer/forward_conn.go \
+  'last.GetRefused().GetReason() == string(admit.ReasonDraining)' 'last.GetRefused().GetReason() == string(admit.ReasonDraining) && false' ./io/peer
 mutant "a stopping daemon takes callers until its gate has drained" daemon/daemon.go \
   'drained := daemon.gate.Drain()' 'drained := daemon.gate.Drain(); <-drained' ./daemon
 mutant "the queue ignores ranks" core/admit/queue.go \
