A gate does not reset a connection whose response is on its way

Callers saw: an upload whose upstream responded before it had read the body could lose the end of its response, or all of it, and was answered "unknown". Cause: after such a response the gate closed the connection at once, at a stop as at any time. Closing with unread bytes resets the connection, and what the kernel has not delivered of the response is destroyed. Ruled out: a short response on a fast link, which has arrived before the reset. Change: the gate ends its sending and reads what arrives until the ingress closes the connection, which it does after the last frame, or until nothing has arrived for bodyStallTimeout. The end of a request is an atomic value, so that the goroutine which receives the body takes no frame after the one in progress.

--- a/io/peer/forward_server.go
+++ b/io/peer/forward_server.go
@@ -6,6 +6,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"ibislift/io/peer/peerpb"
@@ -71,7 +72,11 @@
 	defer cancel()
 	stream := &gateConnStream{conn: gateConn, ctx: ctx, cancel: cancel}
 	err := server.ServeStream(stream)
-	return stream.end() && err == nil
+	if stream.end() && err == nil {
+		return true
+	}
+	stream.discardBody()
+	return false
 }
 
 // gateConnStream is the GateStream of a request on a connection. A streamed body is
@@ -90,7 +95,7 @@
 	// unread is set while parts of the request have not been read.
 	unread bool
 	// ended is set when the connection is no longer the request's.
-	ended bool
+	ended atomic.Bool
 
 	mutex sync.Mutex
 	watch *disconnectWatch
@@ -117,7 +122,7 @@
 func (gateConnStream *gateConnStream) Recv() (*peerpb.CallFrame, error) {
 	gateConnStream.receiving.Lock()
 	defer gateConnStream.receiving.Unlock()
-	if gateConnStream.ended {
+	if gateConnStream.ended.Load() {
 		return nil, errStreamEnded
 	}
 	gateConnStream.stopWatch()
@@ -158,11 +163,24 @@
 		return false
 	}
 	defer gateConnStream.receiving.Unlock()
-	gateConnStream.ended = true
+	gateConnStream.ended.Store(true)
 	gateConnStream.stopWatch()
 	return !gateConnStream.sendFailed && !gateConnStream.receiveFailed && !gateConnStream.unread
 }
 
+// discardBody reads what remains of the body of a request that has its response, until
+// the ingress closes the connection. A connection that is closed with unread bytes is
+// reset, which destroys the part of the response that is still on its way.
+func (gateConnStream *gateConnStream) discardBody() {
+	gateConnStream.ended.Store(true)
+	gateConnStream.receiving.Lock() // until the frame in progress has been received
+	defer gateConnStream.receiving.Unlock()
+	gateConnStream.stopWatch()
+	if !gateConnStream.sendFailed && !gateConnStream.receiveFailed {
+		gateConnStream.conn.discard(bodyStallTimeout)
+	}
+}
+
 // startWatch schedules a watch to begin after disconnectWatchDelay.
 func (gateConnStream *gateConnStream) startWatch() {
 	gateConnStream.mutex.Lock()
--- a/io/peer/gate_conn.go
+++ b/io/peer/gate_conn.go
@@ -99,21 +99,22 @@
 func (gateConn *gateConn) refuseNext(load *peerpb.Load) {
 	refusal := &peerpb.Refusal{Reason: string(admit.ReasonDraining), Load: load}
 	if gateConn.send(&peerpb.AnswerFrame{Frame: &peerpb.AnswerFrame_Refused{Refused: refusal}}) == nil {
-		gateConn.discard(time.Now().Add(dismissTime))
+		gateConn.discard(dismissTime)
 	}
 }
 
-// discard ends the sending and reads until the ingress closes the connection or the
-// deadline passes.
-func (gateConn *gateConn) discard(deadline time.Time) {
+// discard ends the sending and reads until the ingress closes the connection or
+// nothing has arrived for the timeout.
+func (gateConn *gateConn) discard(timeout time.Duration) {
 	if closer, implements := gateConn.Conn.(interface{ CloseWrite() error }); implements {
 		_ = closer.CloseWrite()
 	}
-	_ = gateConn.SetReadDeadline(deadline)
 	for {
-		if _, err := gateConn.reader.Discard(forwardBufferSize); err != nil {
+		_ = gateConn.SetReadDeadline(time.Now().Add(timeout))
+		if _, err := gateConn.reader.Peek(1); err != nil {
 			return
 		}
+		_, _ = gateConn.reader.Discard(gateConn.reader.Buffered())
 	}
 }
 
--- a/io/peer/gate_conn_test.go
+++ b/io/peer/gate_conn_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"net"
+	"sync"
 	"testing"
 	"time"
 
@@ -13,13 +14,15 @@
 	"ibislift/core/admit"
 	"ibislift/core/kernel"
 	"ibislift/io/peer/peerpb"
+	"ibislift/io/tcp"
 	"ibislift/io/upstream"
 )
 
 // anyControl is a Control for an upstream of any service.
 type anyControl struct{ Control }
 
-func (anyControl) Serves(string) bool { return true }
+func (anyControl) Serves(string) bool     { return true }
+func (anyControl) ReportCompleted(string) {}
 
 // lateListener returns each connection only when it is released.
 type lateListener struct {
@@ -252,3 +255,100 @@
 		time.Sleep(time.Millisecond)
 	}
 }
+
+// Sizes in bytes: of a response, which does not fit in the receive buffer of the
+// ingress, and of the send buffer of the gate, which holds the whole response.
+const (
+	earlyResponseSize   = 512 << 10
+	ingressReceiveSize  = 32 << 10
+	gateSendBuffer      = 2 << 20
+	earlyResponseHeader = "HTTP/1.1 200 OK\r\nContent-Length: 524288\r\n\r\n"
+)
+
+// endListener accepts connections that report when the gate ends them.
+type endListener struct {
+	net.Listener
+	ended chan struct{}
+	once  *sync.Once
+}
+
+func (endListener endListener) Accept() (net.Conn, error) {
+	conn, err := endListener.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	tcpConn := conn.(*net.TCPConn)
+	return endConn{TCPConn: tcpConn, listener: endListener}, tcpConn.SetWriteBuffer(gateSendBuffer)
+}
+
+type endConn struct {
+	*net.TCPConn
+	listener endListener
+}
+
+func (endConn endConn) CloseWrite() error {
+	defer endConn.listener.once.Do(func() { close(endConn.listener.ended) })
+	return endConn.TCPConn.CloseWrite()
+}
+
+func (endConn endConn) Close() error {
+	defer endConn.listener.once.Do(func() { close(endConn.listener.ended) })
+	return endConn.TCPConn.Close()
+}
+
+// serveEarly starts an upstream that responds to the head of a request and does not
+// read its body. It returns the address.
+func serveEarly(t *testing.T) string {
+	t.Helper()
+	listener := listen(t)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		defer func() { _ = conn.Close() }()
+		_, _ = conn.Read(make([]byte, 1))
+		_, _ = conn.Write(append([]byte(earlyResponseHeader), make([]byte, earlyResponseSize)...))
+		<-t.Context().Done()
+	}()
+	return listener.Addr().String()
+}
+
+// TestEarlyResponseArrivesWhole guards against a response that is destroyed because
+// the gate closes a connection on which the body of the request still arrives.
+func TestEarlyResponseArrivesWhole(t *testing.T) {
+	listener := endListener{Listener: listen(t), ended: make(chan struct{}), once: &sync.Once{}}
+	server := startGate(t, listener)
+	server.Upstream.SetAddress(serveEarly(t))
+	peers := &Peers{Dial: func(ctx context.Context, address string) (net.Conn, error) {
+		conn, err := tcp.Dial(ctx, address)
+		if err != nil {
+			return nil, err
+		}
+		return conn, conn.(*net.TCPConn).SetReadBuffer(ingressReceiveSize)
+	}}
+	is := is.New(t)
+	stream, err := peers.Open(t.Context(), kernel.Member{ID: "gate", ForwardAddress: listener.Addr().String()})
+	is.NoErr(err)
+	head := callHead(true)
+	head.GetHead().Method, head.GetHead().BodyFollows, head.GetHead().ContentLength = "POST", true, 1<<40
+	is.NoErr(stream.Send(head))
+	checkGranted(t, stream)
+	is.NoErr(stream.Send(commit()))
+	go func() {
+		chunk := &peerpb.CallFrame{Frame: &peerpb.CallFrame_Chunk{Chunk: make([]byte, MaxChunkSize)}}
+		for err := error(nil); err == nil; { // until the ingress has the response
+			err = stream.Send(chunk)
+		}
+	}()
+	<-listener.ended
+	received := 0
+	for ended := false; !ended; {
+		frame, err := stream.Recv()
+		is.NoErr(err)
+		received += len(frame.GetChunk())
+		ended = frame.GetEnd() != nil
+	}
+	is.Equal(received, earlyResponseSize)
+}
--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -125,6 +125,8 @@
   'if !gateConns.dismissedAt.IsZero() {' 'if false {' ./io/peer
 mutant "a stopping gate closes its connections at once" io/peer/forward_server.go \
   'time.Sleep(time.Until(server.gateConns.dismiss()))' '' ./io/peer
+mutant "a gate closes a connection on which a body still arrives" io/peer/forward_server.go \
+  'stream.discardBody()' '' ./io/peer
 mutant "a connection to a draining gate is reused" io/peer/forward_conn.go \
   'last.GetRefused().GetReason() == string(admit.ReasonDraining)' 'last.GetRefused().GetReason() == string(admit.ReasonDraining) && false' ./io/peer
 mutant "a stopping daemon takes callers until its gate has drained" daemon/daemon.go \
