The end of a claim is counted, and a stop can wait for it

Callers saw (by reading, not measured): a request with an idempotency key that was answered "not run" by a daemon in the last moment of its stop, and was refused when it was sent again, since its key was still claimed. Cause: CloseClaim ran in a goroutine that nobody counts. It tells the coordinators one after another, up to maxCloseAttempts times peerTimeout for one that does not reply, and the process ends departureDelay after its last caller. Ruled out: the claims of this daemon's own partitions: they are messages to its kernel, which come before StopRequested if CloseClaim was called before. Change: CloseClaim counts the notices, sends them at the same time and returns; awaitClosed waits for them until its context ends. Left: stop in daemon.go has to call awaitClosed before StopRequested, and io/caller has to call CloseClaim without a goroutine of its own, which may run late. A claim that is granted after the end of its request (awaitLateClaim) is not counted.

--- a/daemon/claims.go
+++ b/daemon/claims.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"ibislift/core/kernel"
@@ -17,6 +18,8 @@
 	control *control
 	peers   *peer.Peers
 	meter   *metrics.Meter
+	// notices counts the notices that are being sent to coordinators.
+	notices sync.WaitGroup
 }
 
 // coordinatorTimeout bounds a request to one coordinator. After it, the next
@@ -99,12 +102,36 @@
 
 // CloseClaim notifies all coordinators of a partition that a claimed request
 // has ended; only the one that holds the claim records it. If the notice does
-// not arrive after some attempts, the key stays claimed, which is safe.
+// not arrive after some attempts, the key stays claimed, which is safe. CloseClaim
+// returns at once; awaitClosed waits for the notices.
 func (claims *claims) CloseClaim(service, key, requestID string, released bool) {
 	partition, coordinators := claims.coordinatorsOf(service, key)
 	closed := kernel.ClaimClosed{Partition: partition, Key: fullKey(service, key), RequestID: requestID, Released: released}
+	claims.notify(coordinators, closed)
+}
+
+// notify notifies the coordinators at the same time, so that one that does not reply
+// does not delay the notice to the one that holds the claim.
+func (claims *claims) notify(coordinators []kernel.Member, closed kernel.ClaimClosed) {
 	for _, coordinator := range coordinators {
-		claims.notifyClosed(coordinator, closed)
+		claims.notices.Go(func() { claims.notifyClosed(coordinator, closed) })
+	}
+}
+
+// awaitClosed waits until the coordinators have been notified of all claims that were
+// closed before, or the context ends. A stop that does not wait would leave keys
+// claimed whose callers may send their request again.
+func (claims *claims) awaitClosed(ctx context.Context) error {
+	notified := make(chan struct{})
+	go func() {
+		claims.notices.Wait()
+		close(notified)
+	}()
+	select {
+	case <-notified:
+		return nil
+	case <-ctx.Done():
+		return Error.Wrap(ctx.Err())
 	}
 }
 
--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -89,6 +89,10 @@
   'at.Sub(log.completionSince) >= completionWait' 'false' ./core/once
 mutant "coordinators that lost a partition are not asked again" daemon/claims.go \
   'if !lost || ctx.Err() != nil {' 'if true {' ./daemon
+mutant "a stop does not wait for the end of claims" daemon/claims.go \
+  'claims.notices.Wait()' '' ./daemon
+mutant "one coordinator delays the notice to the others" daemon/claims.go \
+  'claims.notices.Go(func() { claims.notifyClosed(coordinator, closed) })' 'claims.notices.Wait(); claims.notices.Go(func() { claims.notifyClosed(coordinator, closed) })' ./daemon
 mutant "gates never request the slowness of their upstream" core/admit/measure.go \
   'if gate.MaxSlownessAge <= 0' 'if true' ./core/admit ./standin/play
 mutant "load reports have no rate limit" io/peer/report.go \
