A stopping claim coordinator can answer the claims in progress

Callers saw (by reading, not measured): a request with an idempotency key waited for a second coordinator to take over the partition, or was refused if there was none, because the coordinator that stopped had cut its claim. Cause: grpc's Stop cuts the calls in progress. The end of a call is known to grpc only, so nothing in the stop waits for it. Ruled out: a key that is granted twice. The claim's log decides, and the request that asks again is recognized by its ID. Change: StopRPC is a graceful stop until its context ends, then Stop. Left: close in daemon.go has to call it instead of Stop.

--- a/io/peer/peers.go
+++ b/io/peer/peers.go
@@ -178,3 +178,11 @@
 	}
 	return grpc.NewServer(options...)
 }
+
+// StopRPC stops a gRPC server. It takes no further calls, and calls in progress, such
+// as claims, get their replies unless the context ends first.
+func StopRPC(ctx context.Context, server *grpc.Server) {
+	stop := context.AfterFunc(ctx, server.Stop)
+	defer stop()
+	server.GracefulStop()
+}
