The gate of a stopping daemon does not open again

Callers saw (by reading, not measured): requests that were cut when the drain timeout of a stopping daemon had passed, although they were admitted after its drain. Cause: handleAnnouncement opens a drained gate for an upstream that has restarted. It knows from its view whether the daemon leaves, and the control goroutine may publish that view late; without linger time the gate drains at once. The gate then admits again, and the channel that the stop waits for is never closed. Ruled out: an upstream that restarts while the daemon lingers: the gate is not drained yet, so Reopen does nothing. Change: Gate.Close drains for good. DismissForwardConns uses it. Left: stop in daemon.go has to call Close instead of Drain.

--- a/io/peer/forward_server.go
+++ b/io/peer/forward_server.go
@@ -53,7 +53,7 @@
 // connections. A request that has not been read whole is refused at once.
 // Connections are still accepted.
 func (server *Server) DismissForwardConns() {
-	server.Gate.Drain()
+	server.Gate.Close()
 	server.gateConns.dismiss()
 }
 
--- a/io/upstream/gate.go
+++ b/io/upstream/gate.go
@@ -49,7 +49,9 @@
 	crashReported map[uint64]bool
 	lastID        atomic.Uint64
 	drained       chan struct{}
-	handedOver    atomic.Uint64
+	// closed is set when a drain can no longer be ended.
+	closed     bool
+	handedOver atomic.Uint64
 }
 
 // pendingRequest is a request that has arrived and is not finished.
@@ -264,10 +266,19 @@
 	return drained
 }
 
+// Close is like Drain, for a daemon that stops: an upstream that is replaced meanwhile
+// does not open the gate again.
+func (gate *Gate) Close() <-chan struct{} {
+	gate.mutex.Lock()
+	gate.closed = true
+	gate.mutex.Unlock()
+	return gate.Drain()
+}
+
 // Reopen ends a drain, after a new upstream has replaced the drained one.
 func (gate *Gate) Reopen() {
 	gate.apply(func() []admit.Effect {
-		if !gate.machine.Load().Draining {
+		if gate.closed || !gate.machine.Load().Draining {
 			return nil
 		}
 		gate.drained = make(chan struct{})
--- a/io/upstream/gate_test.go
+++ b/io/upstream/gate_test.go
@@ -45,3 +45,36 @@
 	third.Finish(false)
 	is.Equal(recorded, []recordedWait{{"enrol", "", 0}, {"search", "", 40 * time.Millisecond}, {"enrol", admit.ReasonDraining, 0}})
 }
+
+// TestClosedGateIsNotReopened guards against a stopping daemon whose gate admits again
+// because its upstream has restarted, and which then cuts what the gate has admitted.
+func TestClosedGateIsNotReopened(t *testing.T) {
+	for name, end := range map[string]struct {
+		drain  func(*upstream.Gate) <-chan struct{}
+		reason admit.Reason
+	}{
+		"a closed gate":  {(*upstream.Gate).Close, admit.ReasonDraining},
+		"a drained gate": {(*upstream.Gate).Drain, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			gate := &upstream.Gate{Now: time.Now}
+			gate.Resize(2, 2)
+			admitOne := func() (*upstream.Admission, upstream.Decision) {
+				admission := gate.Admit(admit.Arrived{Deadline: time.Now().Add(time.Minute)}, "")
+				return admission, admission.Wait(t.Context())
+			}
+			running, decision := admitOne()
+			is.True(decision.HandedOver)
+			drained := end.drain(gate)
+			gate.Reopen()
+			late, decision := admitOne()
+			is.Equal(decision.Reason, end.reason)
+			running.Finish(false)
+			late.Finish(false)
+			if end.reason != "" {
+				<-drained // the stop does not wait for longer
+			}
+		})
+	}
+}
--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -131,6 +131,8 @@
   'time.Sleep(time.Until(server.gateConns.dismiss()))' '' ./io/peer
 mutant "a gate closes a connection on which a body still arrives" io/peer/forward_server.go \
   'stream.discardBody()' '' ./io/peer
+mutant "the gate of a stopping daemon opens again" io/upstream/gate.go \
+  'if gate.closed || ' 'if ' ./io/upstream
 mutant "a stopping claim coordinator cuts the claims in progress" io/peer/peers.go \
   'server.GracefulStop()' 'server.Stop()' ./io/peer
 mutant "a connection to a draining gate is reused" io/peer/forward_conn.go \
