--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -89,6 +89,10 @@
   'at.Sub(log.completionSince) >= completionWait' 'false' ./core/once
 mutant "coordinators that lost a partition are not asked again" daemon/claims.go \
   'if !lost || ctx.Err() != nil {' 'if true {' ./daemon
+mutant "a stop does not wait for the end of claims" daemon/claims.go \
+  'claims.notices.Wait()' '' ./daemon
+mutant "one coordinator delays the notice to the others" daemon/claims.go \
+  'claims.notices.Go(func() { claims.notifyClosed(coordinator, closed) })' 'claims.notices.Wait(); claims.notices.Go(func() { claims.notifyClosed(coordinator, closed) })' ./daemon
 mutant "gates never request the slowness of their upstream" core/admit/measure.go \
   'if gate.MaxSlownessAge <= 0' 'if true' ./core/admit ./standin/play
 mutant "load reports have no rate limit" io/peer/report.go \
@@ -123,6 +127,22 @@
   'if gateConnStream.watch != watch {' 'if gateConnStream.watch == nil {' ./io/peer
 mutant "a gate reads the next request while a body is received" io/peer/forward_server.go \
   'if !gateConnStream.receiving.TryLock() {' 'if gateConnStream.receiving.TryLock() && false {' ./io/peer
+mutant "a stopping gate cuts a request that it has not read" io/peer/forward_server.go \
+  'if gateConn.mustRefuse() {' 'if gateConn.mustRefuse() && false {' ./io/peer
+mutant "a stopping gate runs a request whose commit was read late" io/peer/gate_conn.go \
+  'if gateConn.dismissed {' 'if gateConn.dismissed && false {' ./io/peer
+mutant "a connection accepted late by a stopping gate is not dismissed" io/peer/gate_conn.go \
+  'if !gateConns.dismissedAt.IsZero() {' 'if false {' ./io/peer
+mutant "a stopping gate closes its connections at once" io/peer/forward_server.go \
+  'time.Sleep(time.Until(server.gateConns.dismiss()))' '' ./io/peer
+mutant "a gate closes a connection on which a body still arrives" io/peer/forward_server.go \
+  'stream.discardBody()' '' ./io/peer
+mutant "the gate of a stopping daemon opens again" io/upstream/gate.go \
+  'if gate.closed || ' 'if ' ./io/upstream
+mutant "a stopping claim coordinator cuts the claims in progress" io/peer/peers.go \
+  'server.GracefulStop()' 'server.Stop()' ./io/peer
+mutant "a connection to a draining gate is reused" io/peer/forward_conn.go \
+  'last.GetRefused().GetReason() == string(admit.ReasonDraining)' 'last.GetRefused().GetReason() == string(admit.ReasonDraining) && false' ./io/peer
 mutant "a stopping daemon takes callers until its gate has drained" daemon/daemon.go \
   'drained := daemon.gate.Drain()' 'drained := daemon.gate.Drain(); <-drained' ./daemon
 mutant "requests in progress are cut when the drain timeout has passed" daemon/daemon.go \
