A status that no request asks for ends a request as lost

What callers would see: an upstream that answers 101 made the daemon send 101 to the caller, which takes the connection for one of another protocol, and the upstream's connection went back to the pool. A status below 100 was relayed as the status of the response (099 instead of 200 in the test), since the caller's writer takes only 100 to 199 for interim.

Cause: the client took 101 for a final response and everything else below 200 for an interim one. Requests are sent without Upgrade, so neither is an answer to them.

Ruled out by the same new test, which passed for these before: short bodies, resets, two lengths, cut heads, cut or wrong chunks, responses without a length that are reset.

Evidence: io/upstream TestStatusesThatAreNoResponse (three subtests) and daemon TestBrokenResponsesAreNeverComplete ("a switch of the protocol": 101 != 502, "a status below 100": 99 != 502) failed without the change.

Why it works: such a status is now an error after the request was written: the connection is closed, and the request is lost, with an unknown outcome.

--- a/io/upstream/client.go
+++ b/io/upstream/client.go
@@ -193,7 +193,10 @@
 		if err != nil {
 			return nil, err
 		}
-		if response.StatusCode >= 200 || response.StatusCode == http.StatusSwitchingProtocols {
+		if !isResponseStatus(response.StatusCode) {
+			return nil, errUnexpectedStatus
+		}
+		if response.StatusCode >= http.StatusOK {
 			if client.isStray(request, response) {
 				if err := discard(response); err != nil {
 					return nil, err
@@ -209,6 +212,16 @@
 	}
 }
 
+// errUnexpectedStatus is returned for a status that no request can have asked for.
+var errUnexpectedStatus = errors.New("the status is not one of a response")
+
+// isResponseStatus reports whether a status is one of an interim or final response.
+// Requests are sent without the Upgrade header, so an upstream has no reason to switch
+// protocols.
+func isResponseStatus(status int) bool {
+	return status >= http.StatusContinue && status != http.StatusSwitchingProtocols
+}
+
 // isStray reports whether a response has the ID of another request, as a late
 // or duplicate response to an earlier request of the connection does, and can be
 // skipped because its length is known.
