An upstream's 503, 429 or 408 promises callers nothing without its statement

What callers would see: on the users' platform, a caller takes 408, 421, 429 and 503 as the promise that its request has not run, and sends one that must not run twice again. An upstream's response with such a status was relayed as it came, also when the upstream had run the request: only X-Ibislift-Not-Executed states that it has not.

Cause: the promise was kept for the daemon's own responses (newProblem) and not for those that it relays. 421 was handled at the gate already.

Ruled out: the responses with the statement, which the gate reports as refusals; the daemon's own 408, 429 and 503, which come before the request is sent or after proof; our own dialect, where the outcome header says "run".

Why it works: the ingress treats such a response as a lost answer. A request that may not be repeated ends with 502 and an unknown outcome, a repeatable one is tried again within its budget. Statuses are part of the dialect.

--- a/io/caller/attempt.go
+++ b/io/caller/attempt.go
@@ -198,8 +198,11 @@
 }
 
 func (attempt *attempt) receiveHead(exchange *exchange, head *peerpb.AnswerHead) call.Event {
-	attempt.head = head
 	attempt.recordLoad(exchange, head.GetLoad())
+	if promises := exchange.handler.Dialect.PromisesNotRun; promises != nil && promises(int(head.GetStatus())) {
+		return attempt.loseResponse(exchange, head)
+	}
+	attempt.head = head
 	if head.GetStatus() >= http.StatusInternalServerError {
 		attempt.recordFailure(exchange)
 		if head.GetComplete() {
@@ -219,6 +222,19 @@
 	return call.ResponseStarted{Attempt: attempt.index}
 }
 
+// loseResponse ends an attempt whose response can't be relayed: its status would tell
+// the caller that the request was not executed, which the upstream has not stated. The
+// gate reports those with the statement as refusals.
+func (attempt *attempt) loseResponse(exchange *exchange, head *peerpb.AnswerHead) call.Event {
+	exchange.handler.Log.Warn("answer without a statement that the request was not executed", "request", exchange.request.id,
+		"service", exchange.request.service, "target", attempt.member.ID, "status", head.GetStatus())
+	attempt.recordFailure(exchange)
+	if !head.GetComplete() {
+		attempt.stop()
+	}
+	return call.AttemptLost{Attempt: attempt.index}
+}
+
 func (attempt *attempt) recordLoad(exchange *exchange, load *peerpb.Load) {
 	if load != nil {
 		exchange.service.tracker.RecordReport(attempt.member.ID, exchange.handler.Now(), peer.DecodeLoad(load))
--- a/io/dialect/dialect.go
+++ b/io/dialect/dialect.go
@@ -48,8 +48,8 @@
 	FormatDeadline func(time.Duration) string
 	ParseDeadline  func(string) (time.Duration, error)
 	// Outcome tells the caller whether its request was executed. Without this
-	// header the status alone tells: 503 guarantees that the request was not
-	// executed.
+	// header the status alone tells; see PromisesNotRun. 503 always guarantees that
+	// the request was not executed.
 	Outcome string
 	// IdempotencyKey and Tenant are optional headers of callers.
 	IdempotencyKey string
@@ -66,6 +66,9 @@
 	// NotRun reports whether the upstream states in a response that it has not
 	// executed the request. It may be nil.
 	NotRun func(*http.Response) bool
+	// PromisesNotRun reports whether a status promises a caller that its request was
+	// not executed and never will be. It may be nil, as where Outcome tells that.
+	PromisesNotRun func(status int) bool
 	// Misdirected reports whether a response comes from another instance than
 	// the intended one. It may be nil.
 	Misdirected func(*http.Response) bool
