A probe whose response is longer than it reads closes its connection

What callers would see: the next request on that connection is lost, and its caller gets 502, or for a body that looks like a response, a response that isn't its own.

Cause: a probe reads at most 4 kB of the response and put the connection back in the pool. The pool closes a connection with bytes in its buffer, and one on which something has arrived by the next request; a rest of the body that is sent after that was read as the response to the next request.

Ruled out: the other ways into the pool read the body to its end.

Evidence: io/upstream TestConnectionsThatAreNotReused, "after a probe whose body was not read to its end", failed before with "malformed HTTP response", the rest of the body.

Why it works: a connection whose response reached the limit is closed.

--- a/io/upstream/client.go
+++ b/io/upstream/client.go
@@ -310,12 +310,17 @@
 	if err != nil {
 		return false, nil
 	}
-	_, err = io.Copy(io.Discard, io.LimitReader(response.Body, maxProbeBytes))
+	count, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxProbeBytes))
 	if err != nil {
 		response.Abort()
 		return false, nil
 	}
-	response.Finish()
+	if count < maxProbeBytes {
+		response.Finish()
+	} else {
+		// The rest of the body would be read as the response to the next request.
+		response.Abort()
+	}
 	if parse := client.EffectiveDialect().ParseLoad; parse != nil {
 		if reported, found := parse(response.Header); found {
 			load = &reported
