A 204 reaches its caller without a Content-Length

What callers would see: a response 204 with the Content-Length that the upstream had set. One that relies on it waits for a body that never comes, or takes the beginning of the next response on the connection for it. net/http ignores the length.

Cause: the header was relayed as it came. HTTP allows the field with 304 and with the response to HEAD, and forbids it here.

Evidence: daemon TestBrokenResponsesAreNeverComplete, "204 has no length", failed before with Content-Length 5.

Why it works: the ingress drops the field.

--- a/daemon/rawupstream_test.go
+++ b/daemon/rawupstream_test.go
@@ -156,4 +156,12 @@
 		is.NoErr(response.err)
 		is.Equal(response.body, "whole")
 	})
+	t.Run("204 has no length", func(t *testing.T) {
+		raw.respond.Store(text("HTTP/1.1 204 No Content\r\nContent-Length: 5\r\n\r\n"))
+		response := cluster.send(0, request{method: "POST", path: "/enrol"})
+		is := is.New(t)
+		is.NoErr(response.err)
+		is.Equal(response.status, http.StatusNoContent)
+		is.Equal(response.header.Get("Content-Length"), "") // a caller would wait for the bytes
+	})
 }
--- a/io/caller/response.go
+++ b/io/caller/response.go
@@ -52,6 +52,10 @@
 	for name, values := range endToEndHeader(peer.DecodeHeader(head.GetHeaders())) {
 		header[name] = values
 	}
+	if head.GetStatus() == http.StatusNoContent {
+		// A caller that relies on the length would wait for a body.
+		header.Del("Content-Length")
+	}
 	dialect := exchange.handler.Dialect
 	header.Set(dialect.RequestID, exchange.request.id)
 	if dialect.Outcome != "" {
