The test of a switch of the protocol meets a response behind it

A trial that took 101 for an interim response lived: the test's upstream sent nothing else, and the request ended with an error either way. With a response behind the 101 the trial is noticed.

--- a/io/upstream/status_test.go
+++ b/io/upstream/status_test.go
@@ -42,7 +42,7 @@
 func TestStatusesThatAreNoResponse(t *testing.T) {
 	const response = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\none"
 	t.Run("a switch of the protocol, which no request asks for, is an error", func(t *testing.T) {
-		checkNotRelayed(t, "HTTP/1.1 101 Switching Protocols\r\nUpgrade: other\r\nConnection: Upgrade\r\n\r\n")
+		checkNotRelayed(t, "HTTP/1.1 101 Switching Protocols\r\nUpgrade: other\r\nConnection: Upgrade\r\n\r\n"+response)
 	})
 	t.Run("a status below 100 is an error and no interim response", func(t *testing.T) {
 		checkNotRelayed(t, "HTTP/1.1 099 Odd\r\n\r\n"+response)
