An interim response with the ID of another request is dropped

What callers would see: early hints (103) that belong to an earlier request of the upstream's connection, before their own response.

Cause: only final responses were compared with the request's ID.

Ruled out: interim responses without an ID; they are relayed as before, since few upstreams name them.

Evidence: io/upstream TestInterimResponseOfAnotherRequestIsDropped failed before: both links were relayed.

Why it works: an interim response that names another request is skipped. It counts towards the limit of extra responses as before.

--- a/io/upstream/client.go
+++ b/io/upstream/client.go
@@ -206,7 +206,7 @@
 			connection.recordKeepAlive(response)
 			return response, client.checkRequestID(request, response)
 		}
-		if interim != nil && response.StatusCode != http.StatusContinue {
+		if interim != nil && response.StatusCode != http.StatusContinue && !client.namesAnother(request, response) {
 			interim(response)
 		}
 	}
@@ -226,9 +226,14 @@
 // or duplicate response to an earlier request of the connection does, and can be
 // skipped because its length is known.
 func (client *Client) isStray(request *http.Request, response *http.Response) bool {
-	requestID := response.Header.Get(client.EffectiveDialect().RequestID)
 	hasLength := response.ContentLength >= 0 && !response.Close
-	return client.echoesRequestID.Load() && hasLength && requestID != "" && requestID != request.Header.Get(client.EffectiveDialect().RequestID)
+	return client.echoesRequestID.Load() && hasLength && client.namesAnother(request, response)
+}
+
+// namesAnother reports whether a response has the ID of another request.
+func (client *Client) namesAnother(request *http.Request, response *http.Response) bool {
+	requestID := response.Header.Get(client.EffectiveDialect().RequestID)
+	return requestID != "" && requestID != request.Header.Get(client.EffectiveDialect().RequestID)
 }
 
 // maxStrayBytes is the largest stray response that is read to reach the next
--- a/io/upstream/reuse_test.go
+++ b/io/upstream/reuse_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/matryer/is"
 
+	"ibislift/io/dialect"
 	"ibislift/io/upstream"
 )
 
@@ -110,3 +111,18 @@
 		<-sent
 	})
 }
+
+func TestInterimResponseOfAnotherRequestIsDropped(t *testing.T) {
+	is := is.New(t)
+	name := dialect.Default().RequestID
+	client := newClient(newScriptedServer(t, respond("HTTP/1.1 103 Early Hints\r\n"+name+": earlier\r\nLink: </other>\r\n\r\n"+
+		"HTTP/1.1 103 Early Hints\r\nLink: </own>\r\n\r\n"+okHead+name+": own\r\nContent-Length: 3\r\n\r\none")))
+	client.SetEchoesRequestID(true)
+	var links []string
+	response, err := client.Do(context.Background(), newRequest(t, http.MethodGet, "/1"), func(interim *http.Response) {
+		links = append(links, interim.Header.Get("Link"))
+	})
+	is.NoErr(err)
+	response.Abort()
+	is.Equal(links, []string{"</own>"})
+}
