The ID of probes can't be chosen by a caller

What callers would see: on a platform where callers choose their IDs, a request with the ID "probe" accepts a response without an ID, or a late one to a health probe, as its own.

Cause: probes are known by their ID, which was a word, and need no ID in the response.

Evidence: io/upstream TestCallersDoNotShareTheIDOfProbes failed before: the response without an ID was returned.

Why it works: the ID is random for each process.

--- a/io/upstream/client.go
+++ b/io/upstream/client.go
@@ -21,6 +21,7 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"errors"
 	"io"
 	"net"
@@ -334,8 +335,9 @@
 	return response.StatusCode < http.StatusMultipleChoices, load
 }
 
-// probeRequestID is the request ID of health probes.
-const probeRequestID = "probe"
+// probeRequestID is the request ID of health probes. It is random, since callers may
+// choose the IDs of their requests.
+var probeRequestID = "probe-" + rand.Text()
 
 const (
 	probeTimeout  = time.Second
