A daemon that first hears of a target when it is leaving sends it nothing

What callers would see: after a restart of the daemon beside a target that is leaving, or when the first announcement of a target says so, a few requests reach it. Other daemons hear of it as serving before they hear that it is draining.

Cause: an announcement of a draining upstream was handled like any other, which gives the gate slots and publishes a serving target, and the drain followed as a step of its own. What an earlier process had acknowledged is not known after a restart.

Ruled out: announcements of an instance that this process has seen leaving; they are ignored (platform TestCheckIns).

Why it works: the gate drains before it gets slots, and the target is published as draining at once.

--- a/daemon/upstream.go
+++ b/daemon/upstream.go
@@ -11,14 +11,18 @@
 
 // handleAnnouncement applies an announcement of the local upstream to the
 // client and the gate, and passes it to the kernel. If the upstream has
-// restarted, the gate opens again after a drain, unless the daemon is leaving.
+// restarted, the gate opens again after a drain, unless the daemon is leaving. For an
+// upstream that is draining, the gate drains before it gets any slots.
 func (daemon *Daemon) handleAnnouncement(announcement upstream.Announcement) {
 	view := daemon.control.view.Load()
 	self, _ := view.Member(view.Self)
 	daemon.client.SetAddress(announcement.Address)
 	daemon.client.SetEchoesRequestID(announcement.EchoesRequestID)
 	daemon.client.SetExpectedInstance(announcement.Instance)
-	if announcement.StartedAt != self.Target.StartedAt && !self.Leaving {
+	switch {
+	case announcement.Draining:
+		daemon.gate.Drain()
+	case announcement.StartedAt != self.Target.StartedAt && !self.Leaving:
 		daemon.gate.Reopen()
 	}
 	rules := profile.FromView(view, announcement.Service)
--- a/io/upstream/announce.go
+++ b/io/upstream/announce.go
@@ -70,11 +70,15 @@
 // Target returns the target record that the daemon publishes to the other
 // members.
 func (announcement Announcement) Target() kernel.Target {
+	state := kernel.TargetServing
+	if announcement.Draining {
+		state = kernel.TargetDraining
+	}
 	return kernel.Target{
 		Service:   announcement.Service,
 		Address:   announcement.Address,
 		Slots:     announcement.Slots,
-		State:     kernel.TargetServing,
+		State:     state,
 		StartedAt: announcement.StartedAt,
 	}
 }
