--- a/daemon/promises_test.go
+++ b/daemon/promises_test.go
@@ -24,7 +24,7 @@
 	t.Helper()
 	status := dialect.Default()
 	status.Outcome = ""
-	status.NotRun = usersplatform.Dialect().NotRun
+	status.NotRun = func(response *http.Response) bool { return response.Header.Get("Not-Run") != "" }
 	status.PromisesNotRun = usersplatform.Dialect().PromisesNotRun
 	cluster := &cluster{t: t, store: &platform.Store{}}
 	t.Cleanup(func() { cluster.logs.printIfFailed(t) })
@@ -86,7 +86,7 @@
 		}
 	}
 	t.Run("with the upstream's statement the promise is kept", func(t *testing.T) {
-		raw.respond.Store(respond("HTTP/1.1 503 Service Unavailable\r\nX-Ibislift-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"))
+		raw.respond.Store(respond("HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"))
 		response := cluster.send(0, request{method: "POST", path: "/enrol"})
 		is := is.New(t)
 		is.NoErr(response.err)
