Idle time begins when a response arrives, not when it is read

What callers would see: a request that may not be repeated is written to a connection that the upstream is about to close, and ends with 502 and an unknown outcome.

Cause: a connection counted as idle from the moment at which the response had been read. After a pause of the process (SIGSTOP) with responses in flight, or behind a caller that reads slowly, that is seconds after the upstream has begun to count.

Ruled out: the clock of the limit itself, which is monotonic and goes on during a pause; a connection that the upstream has closed meanwhile, which IsQuiet finds.

Evidence: io/upstream TestIdleTimeBeginsWithTheArrivalOfAResponse, "a response that is read too late" (800 ms, limit 700 ms), failed before: "same != new".

Why it works: the operating system tells when it received the last data (TCP_INFO, on Linux).

--- a/io/tcp/tcp.go
+++ b/io/tcp/tcp.go
@@ -52,3 +52,8 @@
 	}
 	return isReceiveBufferEmpty(conn)
 }
+
+// SinceReceived returns how long ago the operating system received the last data of a
+// connection, which may be long before the process has read it. It returns 0 if that
+// is not known.
+func SinceReceived(conn net.Conn) time.Duration { return sinceReceived(conn) }
--- a/io/upstream/connection.go
+++ b/io/upstream/connection.go
@@ -48,7 +48,7 @@
 	head    *headReader
 	reader  *bufio.Reader
 	writer  *bufio.Writer
-	// idleSince is when the last response was read whole.
+	// idleSince is when the last data of the last response arrived.
 	idleSince time.Time
 	// keepAliveTimeout is how long the upstream keeps an idle connection, as
 	// stated in its Keep-Alive header, or 0 if it has stated nothing.
@@ -159,7 +159,9 @@
 		_ = connection.Close()
 		return
 	}
-	connection.idleSince = time.Now()
+	// The upstream's idle timeout does not wait until the response has been read, which
+	// may be late if the process was paused or the caller is slow.
+	connection.idleSince = time.Now().Add(-tcp.SinceReceived(connection.Conn))
 	pool.idle = append(pool.idle, connection)
 }
 
