--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -182,4 +182,47 @@
 	{' ./io/platform
 mutant "a daemon that is not a watcher never asks again after a failure" core/rollout/rollout.go \
   'return plugin.recheck(state, at)' 'return nil' ./core/rollout
+mutant "a status that no request asks for is an interim response" io/upstream/client.go \
+  'if !isResponseStatus(response.StatusCode) {' 'if false {' ./io/upstream
+mutant "a connection is reused after a part of a probe's response" io/upstream/client.go \
+  'if count < maxProbeBytes {' 'if count <= maxProbeBytes {' ./io/upstream
+mutant "an interim response of another request is relayed" io/upstream/client.go \
+  ' && !client.namesAnother(request, response) {' ' {' ./io/upstream
+mutant "a connection is reused before the request's body was written" io/upstream/client.go \
+  ' || !response.bodySent()' '' ./io/upstream
+mutant "a connection that the upstream closes is reused" io/upstream/client.go \
+  '!response.stop() || response.Close ||' '!response.stop() ||' ./io/upstream
+mutant "a connection is reused at once" io/upstream/connection.go \
+  'const minIdleTime = 50 * time.Millisecond' 'const minIdleTime = 0 * time.Millisecond' ./io/upstream
+mutant "idle time begins when the response has been read" io/upstream/connection.go \
+  '.Add(-tcp.SinceReceived(connection.Conn))' '' ./io/upstream
+mutant "a connection between daemons with a late frame is reused" io/peer/forward_conn.go \
+  'if tcp.IsQuiet(idle.Conn) {' 'if tcp.IsQuiet(idle.Conn) || true {' ./io/peer
+mutant "a response is complete although its gate has gone" io/caller/response.go \
+  'attempt.recordFailure(exchange)
+			return false
+		}
+		switch' 'attempt.recordFailure(exchange)
+			return true
+		}
+		switch' ./io/caller
+mutant "a part of a short response is relayed" io/peer/run.go \
+  'if err != nil {
+		response.Abort()
+		return true, server.sendLoss(stream, server.checkCrash())
+	}
+	response.Finish()' 'response.Finish()' ./daemon
+mutant "an upstream's status is taken for a promise" io/caller/attempt.go \
+  'promises != nil && promises(' 'promises != nil && false && promises(' ./daemon
+mutant "a target that is leaving gets slots before its gate drains" daemon/upstream.go \
+  'case announcement.Draining:
+		daemon.gate.Drain()' 'case announcement.Draining:' ./daemon
+mutant "a target that is leaving is published as serving" io/upstream/announce.go \
+  'if announcement.Draining {
+		state' 'if false {
+		state' ./daemon
+mutant "a commit after the deadline runs" core/admit/admit.go \
+  'case !committed.At.Before(reserved.arrived.Deadline):' 'case false:' ./core/admit
+mutant "a claim coordinator keeps its logs over a long pause" core/once/once.go \
+  'if !paused {' 'if !paused || true {' ./core/once
 exit $living
