--- a/io/tcp/tcp.go
+++ b/io/tcp/tcp.go
@@ -56,3 +56,8 @@
 // HasWaiting reports whether a connection waits to be accepted. It returns false if it
 // can't find out.
 func HasWaiting(listener net.Listener) bool { return hasWaiting(listener) }
+
+// SinceReceived returns how long ago the operating system received the last data of a
+// connection, which may be long before the process has read it. It returns 0 if that
+// is not known.
+func SinceReceived(conn net.Conn) time.Duration { return sinceReceived(conn) }
--- a/io/upstream/client.go
+++ b/io/upstream/client.go
@@ -21,6 +21,7 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"errors"
 	"io"
 	"net"
@@ -193,7 +194,10 @@
 		if err != nil {
 			return nil, err
 		}
-		if response.StatusCode >= 200 || response.StatusCode == http.StatusSwitchingProtocols {
+		if !isResponseStatus(response.StatusCode) {
+			return nil, errUnexpectedStatus
+		}
+		if response.StatusCode >= http.StatusOK {
 			if client.isStray(request, response) {
 				if err := discard(response); err != nil {
 					return nil, err
@@ -203,19 +207,34 @@
 			connection.recordKeepAlive(response)
 			return response, client.checkRequestID(request, response)
 		}
-		if interim != nil && response.StatusCode != http.StatusContinue {
+		if interim != nil && response.StatusCode != http.StatusContinue && !client.namesAnother(request, response) {
 			interim(response)
 		}
 	}
 }
 
+// errUnexpectedStatus is returned for a status that no request can have asked for.
+var errUnexpectedStatus = errors.New("the status is not one of a response")
+
+// isResponseStatus reports whether a status is one of an interim or final response.
+// Requests are sent without the Upgrade header, so an upstream has no reason to switch
+// protocols.
+func isResponseStatus(status int) bool {
+	return status >= http.StatusContinue && status != http.StatusSwitchingProtocols
+}
+
 // isStray reports whether a response has the ID of another request, as a late
 // or duplicate response to an earlier request of the connection does, and can be
 // skipped because its length is known.
 func (client *Client) isStray(request *http.Request, response *http.Response) bool {
-	requestID := response.Header.Get(client.EffectiveDialect().RequestID)
 	hasLength := response.ContentLength >= 0 && !response.Close
-	return client.echoesRequestID.Load() && hasLength && requestID != "" && requestID != request.Header.Get(client.EffectiveDialect().RequestID)
+	return client.echoesRequestID.Load() && hasLength && client.namesAnother(request, response)
+}
+
+// namesAnother reports whether a response has the ID of another request.
+func (client *Client) namesAnother(request *http.Request, response *http.Response) bool {
+	requestID := response.Header.Get(client.EffectiveDialect().RequestID)
+	return requestID != "" && requestID != request.Header.Get(client.EffectiveDialect().RequestID)
 }
 
 // maxStrayBytes is the largest stray response that is read to reach the next
@@ -297,12 +316,17 @@
 	if err != nil {
 		return false, nil
 	}
-	_, err = io.Copy(io.Discard, io.LimitReader(response.Body, maxProbeBytes))
+	count, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxProbeBytes))
 	if err != nil {
 		response.Abort()
 		return false, nil
 	}
-	response.Finish()
+	if count < maxProbeBytes {
+		response.Finish()
+	} else {
+		// The rest of the body would be read as the response to the next request.
+		response.Abort()
+	}
 	if parse := client.EffectiveDialect().ParseLoad; parse != nil {
 		if reported, found := parse(response.Header); found {
 			load = &reported
@@ -311,8 +335,9 @@
 	return response.StatusCode < http.StatusMultipleChoices, load
 }
 
-// probeRequestID is the request ID of health probes.
-const probeRequestID = "probe"
+// probeRequestID is the request ID of health probes. It is random, since callers may
+// choose the IDs of their requests.
+var probeRequestID = "probe-" + rand.Text()
 
 const (
 	probeTimeout  = time.Second
