--- a/io/http1/conn.go
+++ b/io/http1/conn.go
@@ -60,8 +60,10 @@
 	// has begun to arrive on it.
 	openedAt time.Time
 	used     bool
-	// waitUntil is the end of the wait for a request.
-	waitUntil time.Time
+	// waitUntil is the end of the wait for a request, and respondedAt the end of the
+	// last response.
+	waitUntil   time.Time
+	respondedAt time.Time
 	// closing reports that no further request is accepted, because a response
 	// ends the connection or the connection is being closed.
 	closing bool
@@ -195,12 +197,25 @@
 	if conn.closing {
 		return errClosing
 	}
-	conn.reading = true
 	conn.used = true
-	_ = conn.SetReadDeadline(time.Now().Add(conn.server.limits().HeaderTimeout))
+	conn.setReading()
 	return nil
 }
 
+// beginReading marks the connection before a request that has arrived is read, so that
+// no other goroutine shortens the wait for it.
+func (conn *conn) beginReading() {
+	conn.mutex.Lock()
+	defer conn.mutex.Unlock()
+	conn.setReading()
+}
+
+// setReading gives the caller the header timeout. The caller holds the mutex.
+func (conn *conn) setReading() {
+	conn.reading = true
+	_ = conn.SetReadDeadline(time.Now().Add(conn.server.limits().HeaderTimeout))
+}
+
 // isWaitOver reports whether the connection has waited long enough for a request, with
 // none in progress.
 func (conn *conn) isWaitOver() bool {
@@ -214,7 +229,7 @@
 // meanwhile.
 func (conn *conn) peekArrived() error {
 	if !tcp.IsQuiet(conn.Conn) {
-		_ = conn.SetReadDeadline(time.Now().Add(conn.server.limits().HeaderTimeout))
+		conn.beginReading()
 		_, err := conn.reader.Peek(1)
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
 			return err
@@ -226,8 +241,10 @@
 }
 
 // setWaitDeadline sets the read deadline for the next request: none while a request is
-// in progress, and otherwise the idle timeout or, when the server shuts down, what is
-// left of firstRequestTime. The caller holds the mutex.
+// in progress, and otherwise the idle timeout. When the server shuts down, it is the
+// rest of firstRequestTime on a new connection. On a used one it is lingerTimeout after
+// a last response that has not announced the end of the connection: closing it sooner
+// could reset it before the caller has read the response. The caller holds the mutex.
 func (conn *conn) setWaitDeadline() {
 	if conn.pending > 0 {
 		_ = conn.SetReadDeadline(time.Time{})
@@ -237,7 +254,7 @@
 	case !conn.server.stopping.Load():
 		conn.waitUntil = time.Now().Add(conn.server.limits().IdleTimeout + idleSlack)
 	case conn.used:
-		conn.waitUntil = time.Now()
+		conn.waitUntil = conn.respondedAt.Add(lingerTimeout)
 	default:
 		conn.waitUntil = conn.openedAt.Add(firstRequestTime)
 	}
@@ -311,6 +328,7 @@
 	defer func() {
 		conn.mutex.Lock()
 		conn.pending--
+		conn.respondedAt = time.Now()
 		if !conn.reading && !conn.closing {
 			conn.setWaitDeadline()
 		}
--- a/io/http1/server.go
+++ b/io/http1/server.go
@@ -18,6 +18,7 @@
 	"maps"
 	"net"
 	"net/http"
+	"os"
 	"runtime/debug"
 	"slices"
 	"sync"
@@ -82,11 +83,17 @@
 	mutex    sync.Mutex
 	listener net.Listener
 	conns    map[*conn]struct{}
-	closed   bool
+	// closed means that only waiting connections are still accepted, and cut that none
+	// is served.
+	closed bool
+	cut    bool
 	// backlogEnd is when Shutdown stops accepting connections at the latest, and
 	// ended is closed when Serve returns.
 	backlogEnd time.Time
 	ended      chan struct{}
+	// gapPassed is set when Accept has had backlogGap and no connection has come. Only
+	// Serve uses it.
+	gapPassed bool
 }
 
 // Serve accepts connections until the listener is closed. It returns
@@ -110,7 +117,7 @@
 		}
 		switch {
 		case server.isClosed():
-			if !server.limitAccept(listener) {
+			if !server.limitAccept(listener, err) {
 				_ = listener.Close()
 				return http.ErrServerClosed
 			}
@@ -126,8 +133,12 @@
 func (server *Server) start(accepted net.Conn) {
 	conn := newConn(server, accepted)
 	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	if server.cut {
+		_ = accepted.Close()
+		return
+	}
 	server.conns[conn] = struct{}{}
-	server.mutex.Unlock()
 	go conn.serve()
 }
 
@@ -172,11 +183,12 @@
 }
 
 // Closing a listener resets the connections that were opened and not accepted yet.
-// Shutdown therefore accepts those that wait, for maxBacklogTime at most. An Accept for
-// a connection that waits returns at once; maxAcceptTime ends it if the connection is
-// gone.
+// Shutdown therefore accepts until none has come for backlogGap, for maxBacklogTime at
+// most. An Accept for a connection that waits returns at once; maxAcceptTime ends it if
+// the connection is gone.
 const (
-	maxBacklogTime = 100 * time.Millisecond
+	backlogGap     = time.Millisecond
+	maxBacklogTime = 500 * time.Millisecond
 	maxAcceptTime  = time.Second
 )
 
@@ -196,14 +208,31 @@
 	<-ended
 }
 
-// limitAccept reports whether a connection waits to be accepted while the server shuts
-// down, and limits the time to accept it. The deadline that has interrupted Accept does
-// not tell: it may have passed while a connection was waiting.
-func (server *Server) limitAccept(listener net.Listener) bool {
+// limitAccept limits the next Accept while the server shuts down, and reports whether
+// there is to be one. It looks whether a connection waits, since an Accept whose
+// deadline has passed does not.
+func (server *Server) limitAccept(listener net.Listener, acceptErr error) bool {
 	server.mutex.Lock()
 	inTime := time.Now().Before(server.backlogEnd)
 	server.mutex.Unlock()
-	return inTime && tcp.HasWaiting(listener) && setDeadline(listener, time.Now().Add(maxAcceptTime))
+	waiting := tcp.HasWaiting(listener)
+	switch {
+	case !inTime:
+		return false
+	case acceptErr == nil:
+		server.gapPassed = false
+	case !errors.Is(acceptErr, os.ErrDeadlineExceeded):
+		server.log("cannot accept a connection", acceptErr)
+		time.Sleep(acceptRetryDelay)
+	}
+	if waiting {
+		return setDeadline(listener, time.Now().Add(maxAcceptTime))
+	}
+	if server.gapPassed {
+		return false
+	}
+	server.gapPassed = true
+	return setDeadline(listener, time.Now().Add(backlogGap))
 }
 
 // setDeadline sets the deadline of Accept and reports whether the listener has one.
@@ -217,6 +246,7 @@
 	server.stopListening()
 	server.mutex.Lock()
 	defer server.mutex.Unlock()
+	server.cut = true
 	for conn := range server.conns {
 		conn.logCut()
 		_ = conn.Close()
--- a/io/http1/shutdown_test.go
+++ b/io/http1/shutdown_test.go
@@ -150,6 +150,20 @@
 		stopping.stop()
 		expectResponse(t, stopping.reader, http.StatusOK, "/2")
 	})
+	t.Run("when the shutdown is tried again", func(t *testing.T) {
+		stopping := serveLate(t, &lateListener{readLate: lateness}, slowEcho)
+		send(t, stopping.conn, get("/1"))
+		expectResponse(t, stopping.reader, http.StatusOK, "/1")
+		send(t, stopping.conn, get("/2"))
+		time.Sleep(lateness / 2)
+		for range 2 {
+			ctx, cancel := context.WithTimeout(context.Background(), lateness*3/4)
+			_ = stopping.server.Shutdown(ctx)
+			cancel()
+		}
+		stopping.stop()
+		expectResponse(t, stopping.reader, http.StatusOK, "/2")
+	})
 	t.Run("on a connection that was opened some time before its first request", func(t *testing.T) {
 		stopping := serveLate(t, &lateListener{readLate: lateness}, slowEcho)
 		time.Sleep(260 * time.Millisecond)
@@ -162,20 +176,50 @@
 // A reset destroys what the caller has not received yet.
 func TestShutdownDoesNotResetLastResponse(t *testing.T) {
 	const size = 100_000
-	stopping := serveLate(t, &lateListener{readLate: lateness}, http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
-		_, _ = io.WriteString(writer, strings.Repeat("x", size))
-	}))
-	is := is.New(t)
-	is.NoErr(stopping.conn.(*net.TCPConn).SetReadBuffer(16 << 10)) // most of the response stays at the server
-	stopping.server.Drain()
+	for name, begunBeforeStop := range map[string]bool{"begun after the stop": false, "begun before the stop": true} {
+		t.Run(name, func(t *testing.T) {
+			started, finish := make(chan struct{}), make(chan struct{})
+			stopping := serveLate(t, &lateListener{readLate: lateness}, http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+				if request.URL.Path != "/1" {
+					return
+				}
+				if begunBeforeStop {
+					writer.(http.Flusher).Flush()
+				}
+				close(started)
+				<-finish
+				_, _ = io.WriteString(writer, strings.Repeat("x", size))
+			}))
+			is := is.New(t)
+			is.NoErr(stopping.conn.(*net.TCPConn).SetReadBuffer(16 << 10)) // most of the response stays at the server
+			send(t, stopping.conn, get("/1"))
+			<-started
+			stopping.server.Drain()
+			if begunBeforeStop {
+				stopping.stop()
+				time.Sleep(lateness)
+			}
+			close(finish)
+			response, err := http.ReadResponse(stopping.reader, nil)
+			is.NoErr(err)
+			is.Equal(response.Close, !begunBeforeStop)
+			time.Sleep(lateness) // the response has been written
+			send(t, stopping.conn, get("/2"))
+			if !begunBeforeStop {
+				stopping.stop()
+			}
+			time.Sleep(2 * lateness)
+			count, err := io.Copy(io.Discard, response.Body)
+			is.NoErr(err)
+			is.Equal(count, int64(size))
+		})
+	}
+}
+
+func TestCloseEndsConnectionThatIsBeingAccepted(t *testing.T) {
+	stopping := serveLate(t, &lateListener{acceptLate: lateness}, slowEcho)
 	send(t, stopping.conn, get("/1"))
-	response, err := http.ReadResponse(stopping.reader, nil)
-	is.NoErr(err)
-	time.Sleep(lateness) // the response has been written
-	send(t, stopping.conn, get("/2"))
-	stopping.stop()
-	time.Sleep(2 * lateness)
-	count, err := io.Copy(io.Discard, response.Body)
-	is.NoErr(err)
-	is.Equal(count, int64(size))
+	_ = stopping.server.Close()
+	_, err := http.ReadResponse(stopping.reader, nil)
+	is.New(t).True(err != nil)
 }
--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -24,7 +24,7 @@
     return
   fi
   local caught
-  caught=$(cd "$copy/tree" && timeout 90 go test -vet=off -count=1 -timeout 80s "$@" 2>&1 | grep -E '^ *--- FAIL|build failed' | grep -v '^--- FAIL.*/' | head -2 | tr -s ' ' | tr '\n' ' ')
+  caught=$(cd "$copy/tree" && timeout 90 go test -vet=off -count=1 -timeout 80s "$@" 2>&1 | grep -E '^ *--- FAIL|^fatal error|build failed' | grep -v '^--- FAIL.*/' | head -2 | tr -s ' ' | tr '\n' ' ')
   case "$caught" in
     "") echo "$name: NOT CAUGHT"; living=1 ;;
     *"build failed"*) echo "$name: does not build"; living=1 ;;
@@ -115,12 +115,18 @@
   'ingressConnStream.conn.Conn, bodyStallTimeout)' 'ingressConnStream.conn.Conn, tcp.StallTimeout)' ./daemon
 mutant "a new connection is closed by a planned stop before its request" io/http1/conn.go \
   'conn.waitUntil = conn.openedAt.Add(firstRequestTime)' 'conn.waitUntil = time.Now()' ./io/http1
+mutant "a repeated shutdown drops a request that has arrived" io/http1/conn.go \
+  'conn.beginReading()' '_ = conn.SetReadDeadline(time.Now().Add(time.Second))' ./io/http1
+mutant "a planned stop resets a response whose end it has not announced" io/http1/conn.go \
+  'conn.waitUntil = conn.respondedAt.Add(lingerTimeout)' 'conn.waitUntil = time.Now()' ./io/http1
+mutant "a closed server serves the connection that is being accepted" io/http1/server.go \
+  'if server.cut {' 'if false {' ./io/http1
 mutant "a planned stop closes a connection on which a request has arrived" io/http1/conn.go \
   'if !tcp.IsQuiet(conn.Conn) {' 'if false {' ./io/http1
 mutant "a planned stop does not wait until the last response has been received" io/http1/server.go \
   'for len(server.openConns()) > 0 {' 'for false {' ./io/http1
 mutant "a connection that waits to be accepted is reset by a planned stop" io/http1/server.go \
-  'return inTime && tcp.HasWaiting(listener)' 'return inTime && false' ./io/http1
+  'waiting := tcp.HasWaiting(listener)' 'waiting := false' ./io/http1
 mutant "the reply to flooded records counts as a comparison" core/spread/spread.go \
   'if envelope.TableDigest == 0 {' 'if false {' ./core/spread
 mutant "a stopped watch of a connection begins" io/peer/forward_server.go \
@@ -146,7 +152,7 @@
 mutant "a stopping daemon takes callers until its gate has drained" daemon/daemon.go \
   'drained := daemon.gate.Close()' 'drained := daemon.gate.Close(); <-drained' ./daemon
 mutant "requests in progress are cut when the drain timeout has passed" daemon/daemon.go \
-  'daemon.endRequests()' '' ./daemon
+  'daemon.ingress.EndRequestsAt(time.Now().Add(settings.DrainTimeout))' '' ./daemon
 mutant "a draining server reads on while a request is in progress" io/http1/conn.go \
   'if conn.server.draining.Load() {
 		<-conn.lastDone' 'if conn.server.draining.Load() && false {
