The end of a stopping daemon's requests does not drop answers that have arrived

What callers would see: when the drain timeout passed, an answer that had arrived at the daemon could be replaced by 504, and a response whose head had been read lost its body.

Cause: ended the requests by closing their streams, and chose at random between an event and the end.

Change: the time at which the requests end is known when the stop begins, so it is a deadline like the others, and each wait looks at it again after 500 ms at the latest. No stream is closed for it, and a request no longer registers with a context of the daemon.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -94,17 +94,15 @@
 	// if the log does not count them.
 	DroppedLogLines func() uint64
 
-	startedAt time.Time
-	control   *control
-	claims    *claims
-	gate      *upstream.Gate
-	client    *upstream.Client
-	monitor   *upstream.Monitor
-	peers     *peer.Peers
-	platform  *platform.Client
-	ingress   *caller.Handler
-	// endRequests ends the requests of callers that are in progress.
-	endRequests     context.CancelFunc
+	startedAt       time.Time
+	control         *control
+	claims          *claims
+	gate            *upstream.Gate
+	client          *upstream.Client
+	monitor         *upstream.Monitor
+	peers           *peer.Peers
+	platform        *platform.Client
+	ingress         *caller.Handler
 	meter           *metrics.Meter
 	rpc             *grpc.Server
 	peerServer      *peer.Server
@@ -199,8 +197,6 @@
 }
 
 func (daemon *Daemon) buildIngress() *caller.Handler {
-	var ending context.Context
-	ending, daemon.endRequests = context.WithCancel(context.Background())
 	return &caller.Handler{
 		Daemon:        daemon.Settings.Name,
 		Epoch:         daemon.startedAt.UnixMilli(),
@@ -217,7 +213,6 @@
 		SharedBudget:  func() *call.SharedBudget { return daemon.liveSettings.Load().sharedRetryBudget() },
 		ReportTo:      daemon.Settings.PeerAddress,
 		Splitter:      &routes.Splitter{Daemon: daemon.Settings.Name},
-		Ending:        ending,
 	}
 }
 
@@ -299,6 +294,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), settings.DrainTimeout)
 	defer cancel()
 	daemon.leaving.Store(true)
+	daemon.ingress.EndRequestsAt(time.Now().Add(settings.DrainTimeout))
 	daemon.callerServer.Drain()
 	notice := min(departureNotice, settings.LingerTime)
 	time.Sleep(settings.LingerTime - notice)
@@ -324,19 +320,18 @@
 	daemon.Log.Info("daemon stopped")
 }
 
-// shutDownCallerServer waits for the requests of callers. Those that are still in
-// progress when the context ends get their final answers.
+// shutDownCallerServer waits for the requests of callers, and for the final answers to
+// those that the ingress has ended at the drain timeout.
 func (daemon *Daemon) shutDownCallerServer(ctx context.Context) {
 	err := daemon.callerServer.Shutdown(ctx)
 	if err == nil {
 		return
 	}
 	daemon.Log.Warn("callers were still waiting when the drain timeout passed", "error", err)
-	daemon.endRequests()
 	ctx, cancel := context.WithTimeout(context.Background(), finalAnswerTime)
 	defer cancel()
 	if err := daemon.callerServer.Shutdown(ctx); err != nil {
-		daemon.Log.Warn("connections of callers are cut", "error", err)
+		daemon.Log.Warn("connections of callers were open after the final answers", "error", err)
 	}
 }
 
--- a/io/caller/caller.go
+++ b/io/caller/caller.go
@@ -81,9 +81,6 @@
 	ReportTo string
 	// Splitter divides the requests of a route among its destinations.
 	Splitter *routes.Splitter
-	// Ending ends when the daemon waits for responses no longer. The requests in
-	// progress then end as at their deadlines.
-	Ending context.Context
 
 	services services
 	// lastHealth is the last result of AssessHealth, which is called by one
@@ -92,11 +89,17 @@
 	ageEstimator pick.AgeEstimator
 	lastID       atomic.Uint64
 	running      atomic.Int64
+	// endAt is when the requests in progress end, or nil.
+	endAt atomic.Pointer[time.Time]
 }
 
 // Running returns the number of requests in progress.
 func (handler *Handler) Running() int64 { return handler.running.Load() }
 
+// EndRequestsAt ends the requests that are in progress at a time as at their deadlines.
+// The time must be at least maxWait ahead.
+func (handler *Handler) EndRequestsAt(endAt time.Time) { handler.endAt.Store(&endAt) }
+
 // ServeHTTP serves one request.
 func (handler *Handler) ServeHTTP(writer http.ResponseWriter, original *http.Request) {
 	handler.running.Add(1)
--- a/io/caller/exchange.go
+++ b/io/caller/exchange.go
@@ -74,11 +74,13 @@
 	exchange.hedgeAt = exchange.arrived.Add(exchange.picker.HedgeDelay(exchange.arrived))
 	exchange.apply(call.RequestArrived{})
 	for !exchange.done {
-		exchange.apply(exchange.await())
+		if event := exchange.await(); event != nil {
+			exchange.apply(event)
+		}
 	}
 }
 
-// await waits for the next event. While there is a single attempt, this
+// await waits for the next event, and returns nil if none has come for maxWait. While there is a single attempt, this
 // goroutine reads its frames itself. Otherwise attempts and claims send events
 // from their own goroutines.
 func (exchange *exchange) await() call.Event {
@@ -94,24 +96,18 @@
 		return exchange.timeoutEvent()
 	case <-exchange.original.Context().Done():
 		return call.CallerLeft{}
-	case <-exchange.handler.Ending.Done():
-		return call.DeadlinePassed{}
 	}
 }
 
-// awaitDirect waits for the next event of the direct attempt, until the time of
-// the hedge or the deadline, or until the caller disconnects or the daemon ends.
+// awaitDirect waits for the next event of the direct attempt, until the next timeout or
+// until the caller disconnects.
 func (exchange *exchange) awaitDirect(direct *attempt) call.Event {
-	stopOnLeave := context.AfterFunc(exchange.original.Context(), direct.stop)
-	stopOnEnding := context.AfterFunc(exchange.handler.Ending, direct.stop)
+	stop := context.AfterFunc(exchange.original.Context(), direct.stop)
 	event, timedOut := direct.nextEventUntil(exchange, exchange.nextTimeout())
-	stopOnLeave()
-	stopOnEnding()
+	stop()
 	switch {
 	case exchange.original.Context().Err() != nil:
 		return call.CallerLeft{}
-	case exchange.handler.Ending.Err() != nil && (timedOut || isLost(event)):
-		return call.DeadlinePassed{}
 	case timedOut:
 		return exchange.timeoutEvent()
 	}
@@ -119,26 +115,41 @@
 	return event
 }
 
-func isLost(event call.Event) bool {
-	_, lost := event.(call.AttemptLost)
-	return lost
-}
+// maxWait limits a wait, after which the end of the request is determined again.
+const maxWait = 500 * time.Millisecond
 
-// nextTimeout returns the time of the hedge or of the deadline, whichever comes
-// next.
+// nextTimeout returns the time of the hedge, of the end of the request or of maxWait,
+// whichever comes next.
 func (exchange *exchange) nextTimeout() time.Time {
-	if !exchange.hedgeDue && exchange.hedgeAt.Before(exchange.request.deadline) {
-		return exchange.hedgeAt
+	next := earlier(exchange.endAt(), exchange.handler.Now().Add(maxWait))
+	if !exchange.hedgeDue {
+		next = earlier(next, exchange.hedgeAt)
+	}
+	return next
+}
+
+// endAt returns the deadline of the request or, if that is earlier, the time at which
+// the handler ends all requests.
+func (exchange *exchange) endAt() time.Time {
+	if endAt := exchange.handler.endAt.Load(); endAt != nil {
+		return earlier(exchange.request.deadline, *endAt)
 	}
 	return exchange.request.deadline
 }
 
+// timeoutEvent returns the event that a timeout means, or nil if only maxWait has
+// passed.
 func (exchange *exchange) timeoutEvent() call.Event {
-	if exchange.handler.Now().Before(exchange.request.deadline) {
+	now := exchange.handler.Now()
+	switch {
+	case !now.Before(exchange.endAt()):
+		return call.DeadlinePassed{}
+	case !exchange.hedgeDue && !now.Before(exchange.hedgeAt):
 		exchange.hedgeDue = true
 		return call.HedgeDue{}
+	default:
+		return nil
 	}
-	return call.DeadlinePassed{}
 }
 
 // startReading arranges for the next event of an attempt to be read: directly
