--- a/core/admit/commit_test.go
+++ b/core/admit/commit_test.go
@@ -30,8 +30,7 @@
 	is.Equal(next, []admit.Effect{admit.HandOver{ID: 2}})
 }
 
-// TestLateCommit guards against a request that runs on a reservation which ended while
-// the gate or the ingress was paused.
+// No request runs on a reservation that ended during a pause.
 func TestLateCommit(t *testing.T) {
 	t.Run("after the deadline", func(t *testing.T) {
 		gate, at := reserve(t, time.Second)
--- a/core/once/pause_test.go
+++ b/core/once/pause_test.go
@@ -9,9 +9,7 @@
 	"ibislift/core/kernel"
 )
 
-// TestLongPauseOfACoordinator guards against a key that is granted twice: after a pause
-// longer than the retention, the position at which the paused coordinator would write
-// next is free again, as its segment has been deleted.
+// The position at which a paused coordinator writes is free again once its segment is deleted.
 func TestLongPauseOfACoordinator(t *testing.T) {
 	is := is.New(t)
 	harness := newHarness(15, 4)
--- a/daemon/announcement_test.go
+++ b/daemon/announcement_test.go
@@ -20,8 +20,7 @@
 	return daemon.gate.Admit(admit.Arrived{Deadline: time.Now().Add(time.Minute)}, "").Wait(context.Background())
 }
 
-// TestFirstAnnouncement guards against a gate that is open for a moment to a target that
-// is leaving: other daemons may still know the target as serving.
+// Other daemons may still know a leaving target as serving.
 func TestFirstAnnouncement(t *testing.T) {
 	serving := upstream.Announcement{Service: "intake", Address: "127.0.0.1:9000", Slots: 4, HealthPath: "/health", StartedAt: 1}
 	leaving := serving
--- a/daemon/claims_test.go
+++ b/daemon/claims_test.go
@@ -105,8 +105,7 @@
 	return kernel.Member{ID: name, PeerAddress: listener.Addr().String()}
 }
 
-// TestStopWaitsForTheEndOfClaims guards against keys that stay claimed although their
-// request has not run, because the daemon ends before it has told the coordinators.
+// A key whose request has not run stays claimed if its coordinators are not told.
 func TestStopWaitsForTheEndOfClaims(t *testing.T) {
 	newCoordinator := func() lateCoordinator {
 		return lateCoordinator{arrived: make(chan struct{}, 2), release: make(chan struct{}), recorded: &atomic.Int64{}}
--- a/daemon/leaving_target_test.go
+++ b/daemon/leaving_target_test.go
@@ -15,8 +15,7 @@
 	"ibislift/io/upstream"
 )
 
-// TestTargetThatIsLeavingGetsNothing guards against a request on a target that is
-// leaving when its daemon first hears of it, as after a restart of the daemon.
+// A daemon that has been restarted may first hear of a target when that one is leaving.
 func TestTargetThatIsLeavingGetsNothing(t *testing.T) {
 	is := is.New(t)
 	cluster := newCluster(t, 1)
--- a/daemon/promises_test.go
+++ b/daemon/promises_test.go
@@ -49,9 +49,7 @@
 	return cluster
 }
 
-// TestStatusOfAnExecutedRequestPromisesNothing guards against a caller that sends a
-// request again because the status of an upstream, which says nothing about its
-// execution, reached it as the promise that the request has not run.
+// Callers take these statuses for the promise that their request has not run.
 func TestStatusOfAnExecutedRequestPromisesNothing(t *testing.T) {
 	cluster := newStatusCluster(t)
 	raw := cluster.replaceUpstream(0)
--- a/io/caller/cut_test.go
+++ b/io/caller/cut_test.go
@@ -44,8 +44,7 @@
 	is.Equal(recorder.Body.String(), body)
 }
 
-// TestResponseThatAGateCutsOff guards against a part of a response that reaches the
-// caller as the whole, as when the gate's process is killed.
+// The gate's process may be killed in the middle of a response.
 func TestResponseThatAGateCutsOff(t *testing.T) {
 	part := &peerpb.AnswerFrame{Frame: &peerpb.AnswerFrame_Chunk{Chunk: []byte("part")}}
 	end := &peerpb.AnswerFrame{Frame: &peerpb.AnswerFrame_End{End: &peerpb.AnswerEnd{}}}
--- a/io/peer/gate_conn_test.go
+++ b/io/peer/gate_conn_test.go
@@ -135,8 +135,7 @@
 	<-server.Gate.Drain() // its slot is free again
 }
 
-// TestStoppingGateCutsNothingThatHasNotRun guards against requests that a stopping
-// gate cuts instead of refusing them, so that their ingress does not know whether they ran.
+// Without a refusal, the ingress does not know whether a request has run.
 func TestStoppingGateCutsNothingThatHasNotRun(t *testing.T) {
 	t.Run("its connection is accepted late", func(t *testing.T) {
 		late := lateListener{Listener: listen(t), accepted: make(chan struct{}), release: make(chan struct{})}
@@ -315,8 +314,7 @@
 	return listener.Addr().String()
 }
 
-// TestEarlyResponseArrivesWhole guards against a response that is destroyed because
-// the gate closes a connection on which the body of the request still arrives.
+// Closing a connection on which a body still arrives resets it.
 func TestEarlyResponseArrivesWhole(t *testing.T) {
 	listener := endListener{Listener: listen(t), ended: make(chan struct{}), once: &sync.Once{}}
 	server := startGate(t, listener)
--- a/io/peer/idle_conn_test.go
+++ b/io/peer/idle_conn_test.go
@@ -40,8 +40,7 @@
 	is.New(t).Equal(found, reused)
 }
 
-// TestIdleConnectionWithNewsIsNotUsed guards against a late frame of an earlier
-// request that is taken for the answer to the next one. Frames have no ID.
+// Frames have no ID, so a late one would be taken for the answer to the next request.
 func TestIdleConnectionWithNewsIsNotUsed(t *testing.T) {
 	t.Run("a quiet one is used", func(t *testing.T) {
 		peers, _ := newIdleConn(t)
--- a/io/peer/peers_test.go
+++ b/io/peer/peers_test.go
@@ -26,8 +26,7 @@
 	return kernel.ClaimResult{Status: kernel.ClaimGranted}, nil
 }
 
-// TestStopAnswersClaimsInProgress guards against claims that a stopping coordinator
-// cuts, so that their ingresses have to take over the partition.
+// An ingress whose claim is cut has to take over the partition.
 func TestStopAnswersClaimsInProgress(t *testing.T) {
 	for name, allowed := range map[string]bool{"the stop has time": true, "the stop may take no longer": false} {
 		t.Run(name, func(t *testing.T) {
--- a/io/upstream/gate_test.go
+++ b/io/upstream/gate_test.go
@@ -46,8 +46,7 @@
 	is.Equal(recorded, []recordedWait{{"enrol", "", 0}, {"search", "", 40 * time.Millisecond}, {"enrol", admit.ReasonDraining, 0}})
 }
 
-// TestClosedGateIsNotReopened guards against a stopping daemon whose gate admits again
-// because its upstream has restarted, and which then cuts what the gate has admitted.
+// An upstream that restarts makes its daemon reopen a drained gate.
 func TestClosedGateIsNotReopened(t *testing.T) {
 	for name, end := range map[string]struct {
 		drain  func(*upstream.Gate) <-chan struct{}
--- a/io/upstream/idle_clock_test.go
+++ b/io/upstream/idle_clock_test.go
@@ -12,9 +12,7 @@
 	"github.com/matryer/is"
 )
 
-// TestIdleTimeBeginsWithTheArrivalOfAResponse guards against a request that is written
-// to a connection which the upstream is about to close: the upstream counts the time
-// during which the process was paused, or its caller was slow to read.
+// The upstream counts idle time while the process is paused or its caller is slow to read.
 func TestIdleTimeBeginsWithTheArrivalOfAResponse(t *testing.T) {
 	t.Run("a response that is read at once", func(t *testing.T) {
 		for range 5 {
--- a/io/upstream/probe_id_test.go
+++ b/io/upstream/probe_id_test.go
@@ -9,8 +9,7 @@
 	"ibislift/io/dialect"
 )
 
-// TestCallersDoNotShareTheIDOfProbes guards against a caller whose own ID makes a
-// response without an ID, or a late one to a probe, count as its own.
+// A caller whose own ID is that of probes accepts responses without an ID.
 func TestCallersDoNotShareTheIDOfProbes(t *testing.T) {
 	client := newClient(newScriptedServer(t, respond(okHead+"Content-Length: 3\r\n\r\none")))
 	client.SetEchoesRequestID(true)
