--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -122,11 +122,11 @@
 mutant "a closed server serves the connection that is being accepted" io/http1/server.go \
   'if server.cut {' 'if false {' ./io/http1
 mutant "a planned stop closes a connection on which a request has arrived" io/http1/conn.go \
-  'if !tcp.IsQuiet(conn.Conn) {' 'if false {' ./io/http1
+  'if !tcp.IsQuiet(conn.Conn) {' 'if !tcp.IsQuiet(conn.Conn) && false {' ./io/http1
 mutant "a planned stop does not wait until the last response has been received" io/http1/server.go \
   'for len(server.openConns()) > 0 {' 'for false {' ./io/http1
 mutant "a connection that waits to be accepted is reset by a planned stop" io/http1/server.go \
-  'waiting := tcp.HasWaiting(listener)' 'waiting := false' ./io/http1
+  'waiting := tcp.HasWaiting(listener)' 'waiting := tcp.HasWaiting(listener) && false' ./io/http1
 mutant "the reply to flooded records counts as a comparison" core/spread/spread.go \
   'if envelope.TableDigest == 0 {' 'if false {' ./core/spread
 mutant "a stopped watch of a connection begins" io/peer/forward_server.go \
