--- a/io/caller/exchange.go
+++ b/io/caller/exchange.go
@@ -80,9 +80,9 @@
 	}
 }
 
-// await waits for the next event, and returns nil if none has come for maxWait. While there is a single attempt, this
-// goroutine reads its frames itself. Otherwise attempts and claims send events
-// from their own goroutines.
+// await waits for the next event, and returns nil if none has come for maxWait. While
+// there is a single attempt, this goroutine reads its frames itself. Otherwise attempts
+// and claims send events from their own goroutines.
 func (exchange *exchange) await() call.Event {
 	if direct := exchange.direct; direct != nil {
 		return exchange.awaitDirect(direct)
