Rate limits and departures that answers tell are decoded and logged

The gate records the limit and logs its changes with the number of requests handed over; a gauge shows it. Nothing is decided by it yet.

--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -172,6 +172,8 @@
 	// ClassServiceTime is the mean service time of the requested class at normal
 	// speed. 0 means that it is unknown.
 	ClassServiceTime time.Duration `json:"work,omitempty"`
+	// RateLimit is what the upstream has said of its rate limit.
+	RateLimit RateLimit `json:"rateLimit,omitzero"`
 }
 
 type stage uint8
@@ -206,6 +208,7 @@
 	MaxSlownessAge time.Duration
 
 	estimator
+	rateLimiter rateLimiter
 	// lastArrivalAt is when the last request arrived, measureRequestedAt when
 	// the gate last emitted MeasureSlowness.
 	lastArrivalAt      time.Time
@@ -252,6 +255,15 @@
 	case SlownessReported:
 		gate.recordSlowness(event)
 		return gate.decideMeasured(event.At, true)
+	case RateLimitReported:
+		gate.rateLimiter.report(event)
+		return nil
+	case RateLimitHinted:
+		gate.rateLimiter.hint(event)
+		return nil
+	case UpstreamStarted:
+		gate.rateLimiter.start(event)
+		return nil
 	case Resized:
 		gate.Slots = event.Slots
 		gate.QueueBound = event.QueueBound
@@ -273,6 +285,7 @@
 		Slots:       gate.capacity(),
 		ServiceTime: gate.serviceTime,
 		Draining:    gate.draining || gate.Slots == 0,
+		RateLimit:   gate.rateLimiter.limit,
 	}
 }
 
--- a/daemon/gauges.go
+++ b/daemon/gauges.go
@@ -45,6 +45,7 @@
 	} {
 		group.Add(daemon.meter.AddGauge(gauge.name, gauge.description, gauge.value))
 	}
+	group.Add(daemon.meter.AddFloatGauge("ibislift.gate.rate.limit", "Requests a second that the upstream beside takes; -1 without a limit.", daemon.rateLimit))
 	if daemon.DroppedLogLines != nil {
 		group.Add(daemon.meter.AddCounter("ibislift.log.dropped", "Log lines left out.",
 			func() int64 { return int64(daemon.DroppedLogLines()) }))
@@ -66,6 +67,17 @@
 	return newest
 }
 
+// noRateLimit is the value of the gauge while the upstream names no rate limit.
+const noRateLimit = -1
+
+func (daemon *Daemon) rateLimit() float64 {
+	limit := daemon.gate.Load().RateLimit
+	if !limit.InForce {
+		return noRateLimit
+	}
+	return limit.PerSecond
+}
+
 func (daemon *Daemon) configurationAgeSeconds() int64 {
 	appliedAt := daemon.configAppliedAt.Load()
 	if appliedAt == nil {
--- a/daemon/upstream.go
+++ b/daemon/upstream.go
@@ -19,6 +19,7 @@
 	daemon.client.SetAddress(announcement.Address)
 	daemon.client.SetEchoesRequestID(announcement.EchoesRequestID)
 	daemon.client.SetExpectedInstance(announcement.Instance)
+	daemon.gate.SetUpstream(announcement.StartedAt)
 	switch {
 	case announcement.Draining:
 		daemon.gate.Drain()
--- a/io/dialect/dialect.go
+++ b/io/dialect/dialect.go
@@ -12,6 +12,7 @@
 	"math"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/zeebo/errs"
@@ -75,6 +76,13 @@
 	// ParseLoad reads the load of the upstream from the headers of a response.
 	// It returns false if there is no valid load. It may be nil.
 	ParseLoad func(http.Header) (Load, bool)
+	// ParseRateLimit reads from the headers of a response how many requests a second
+	// the upstream takes from all daemons together. named is false if the response
+	// names no limit. It may be nil.
+	ParseRateLimit func(http.Header) (perSecond float64, named bool, err error)
+	// Leaving reports whether the headers of a response say that the upstream is
+	// leaving. It may be nil.
+	Leaving func(http.Header) bool
 	// ReadyPath is the path at which the daemon reports whether it accepts
 	// callers.
 	ReadyPath string
@@ -91,10 +99,37 @@
 		IdempotencyKey:   "Idempotency-Key",
 		Tenant:           "Ibislift-Tenant",
 		FormatRetryAfter: FormatSeconds,
+		ParseRateLimit:   RateLimitHeader("Ibislift-Rate-Limit"),
+		Leaving:          LeavingHeader("Ibislift-Leaving"),
 		ReadyPath:        "/ready",
 	}
 }
 
+// RateLimitHeader returns a Dialect.ParseRateLimit for a header that holds a decimal
+// number of requests a second.
+func RateLimitHeader(name string) func(http.Header) (float64, bool, error) {
+	return func(header http.Header) (perSecond float64, named bool, err error) {
+		text := strings.TrimSpace(header.Get(name))
+		if text == "" {
+			return 0, false, nil
+		}
+		perSecond, err = strconv.ParseFloat(text, 64)
+		if isRate := perSecond >= 0 && !math.IsInf(perSecond, 0); err != nil || !isRate {
+			return 0, false, Error.New("%s: %q is not a number of requests a second", name, text)
+		}
+		return perSecond, true, nil
+	}
+}
+
+// LeavingHeader returns a Dialect.Leaving for a header that is set to 1 by an upstream
+// that is leaving.
+func LeavingHeader(name string) func(http.Header) bool {
+	return func(header http.Header) bool {
+		text := strings.TrimSpace(header.Get(name))
+		return text != "" && text != "0"
+	}
+}
+
 func parseDeadline(text string) (time.Duration, error) {
 	timeLeft, err := time.ParseDuration(text)
 	if err != nil || timeLeft <= 0 || timeLeft > MaxDeadline {
--- a/io/metrics/metrics.go
+++ b/io/metrics/metrics.go
@@ -142,6 +142,16 @@
 	return Error.Wrap(err)
 }
 
+// AddFloatGauge is AddGauge for a value with fractions.
+func (meter *Meter) AddFloatGauge(name, description string, value func() float64) error {
+	_, err := meter.meter.Float64ObservableGauge(name, metric.WithDescription(description),
+		metric.WithFloat64Callback(func(_ context.Context, observer metric.Float64Observer) error {
+			observer.Observe(value())
+			return nil
+		}))
+	return Error.Wrap(err)
+}
+
 // AddCounter adds a counter whose value is read at each scrape. The value must
 // never decrease.
 func (meter *Meter) AddCounter(name, description string, value func() int64) error {
--- a/io/peer/run.go
+++ b/io/peer/run.go
@@ -35,6 +35,7 @@
 	interim := func(interim *http.Response) {
 		_ = stream.Send(&peerpb.AnswerFrame{Frame: &peerpb.AnswerFrame_Interim{Interim: encodeHead(interim)}})
 	}
+	handedOverAt := server.Gate.Now()
 	do := server.Upstream.Do
 	if head.GetReserve() {
 		do = server.Upstream.DoNonRepeatable
@@ -48,7 +49,11 @@
 		server.log(stream, slog.LevelInfo, "upstream failed", "error", err.Error(), "left", deadline.Sub(server.Gate.Now()), "givenUp", ctx.Err() != nil)
 		return true, server.sendLoss(stream, ctx.Err() == nil && server.checkCrash())
 	}
-	if kind := server.classifyResponse(response); kind != responseNormal {
+	kind := server.classifyResponse(response)
+	if kind == responseNormal || kind == responseNotRun {
+		server.recordStatements(stream, response.Header, handedOverAt)
+	}
+	if kind != responseNormal {
 		response.Abort()
 		return true, server.sendFailure(stream, kind, response.Response)
 	}
--- a/io/upstream/gate.go
+++ b/io/upstream/gate.go
@@ -252,6 +252,25 @@
 	})
 }
 
+// RecordRateLimit records what a response said of the upstream's rate limit, and
+// returns the limit before and after that.
+func (gate *Gate) RecordRateLimit(reported admit.RateLimitReported) (before, after admit.RateLimit) {
+	gate.apply(func() []admit.Effect {
+		reported.At = gate.Now()
+		before = gate.machine.Load().RateLimit
+		effects := gate.machine.Update(reported)
+		after = gate.machine.Load().RateLimit
+		return effects
+	})
+	return before, after
+}
+
+// SetUpstream sets when the upstream started that requests are handed over to, in Unix
+// milliseconds. What the previous upstream has said no longer counts.
+func (gate *Gate) SetUpstream(startedAt int64) {
+	gate.apply(func() []admit.Effect { return gate.machine.Update(admit.UpstreamStarted{StartedAt: startedAt}) })
+}
+
 // HandedOverCount returns the number of requests handed over so far.
 func (gate *Gate) HandedOverCount() uint64 { return gate.handedOver.Load() }
 
