A gate hands over no more requests than its upstream's rate limit

Cause: nothing acted on the header; the answers of targets were relayed with it unread.

Ruled out: that each daemon applies the limit alone (none had read it), and that a restart loses it (the first break is before any restart).

Change: all requests to a target pass the gate beside it, so the gate keeps the limit for all daemons together, as a token bucket at exactly the rate that the target names. The time until the next token counts as waiting time like that for a slot: a request waits if no target serves it sooner, goes to another one if one does, and is refused with the time of the next token if it cannot be served in time. Load reports carry that time, and ingresses pass over a target without room. Responses arrive in any order, so a limit ends only with a response to a request that was handed over after the limit was last named.

--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -172,8 +172,10 @@
 	// ClassServiceTime is the mean service time of the requested class at normal
 	// speed. 0 means that it is unknown.
 	ClassServiceTime time.Duration `json:"work,omitempty"`
-	// RateLimit is what the upstream has said of its rate limit.
-	RateLimit RateLimit `json:"rateLimit,omitzero"`
+	// RateLimit is what the upstream has said of its rate limit, and RateDelay the time
+	// until it lets a further request through.
+	RateLimit RateLimit     `json:"rateLimit,omitzero"`
+	RateDelay time.Duration `json:"rateDelay,omitempty"`
 }
 
 type stage uint8
@@ -257,7 +259,7 @@
 		return gate.decideMeasured(event.At, true)
 	case RateLimitReported:
 		gate.rateLimiter.report(event)
-		return nil
+		return gate.fillSlots(event.At)
 	case RateLimitHinted:
 		gate.rateLimiter.hint(event)
 		return nil
@@ -276,8 +278,8 @@
 	}
 }
 
-// Load returns the load of the gate without SlotInterval, ClassServiceTime and
-// Slowness.
+// Load returns the load of the gate without SlotInterval, ClassServiceTime,
+// RateDelay and Slowness.
 func (gate *Gate) Load() Load {
 	return Load{
 		Running:     gate.slotsInUse,
@@ -289,11 +291,12 @@
 	}
 }
 
-// LoadForClass returns the load of the gate at a time, including SlotInterval, the
-// ClassServiceTime of a class of requests, and Slowness if the upstream reports it.
+// LoadForClass returns the load of the gate at a time, including SlotInterval, RateDelay,
+// the ClassServiceTime of a class of requests, and Slowness if the upstream reports it.
 func (gate *Gate) LoadForClass(at time.Time, class string) Load {
 	load := gate.Load()
 	load.SlotInterval = gate.slotInterval(at)
+	load.RateDelay = gate.rateLimiter.delay(at, len(gate.queue)+1)
 	load.ClassServiceTime = gate.meanOfClass[class]
 	if gate.slowness > 0 {
 		load.Slowness = gate.slownessAt(at)
@@ -338,7 +341,7 @@
 		return refuse(arrived.ID, ReasonBusy, wait)
 	}
 	var effects []Effect
-	if gate.slotsInUse >= gate.capacity() && len(gate.queue) >= gate.QueueBound {
+	if !gate.canStart(arrived.At) && len(gate.queue) >= gate.QueueBound {
 		displaced, done := gate.displace(arrived, wait)
 		if !done {
 			return refuse(arrived.ID, ReasonQueueFull, wait)
@@ -380,6 +383,7 @@
 func (gate *Gate) revoke(id uint64, reason Reason, at time.Time) []Effect {
 	delete(gate.requests, id)
 	gate.slotsInUse--
+	gate.rateLimiter.giveBack()
 	return append(refuse(id, reason, 0), gate.fillSlots(at)...)
 }
 
--- a/core/admit/queue.go
+++ b/core/admit/queue.go
@@ -88,11 +88,21 @@
 	return gate.expectedServiceTime(at, "") / time.Duration(max(1, gate.capacity()))
 }
 
+// startDelay returns the expected time until the request at a position of the queue, the
+// first being 1, gets a slot and the rate limit lets it through.
+func (gate *Gate) startDelay(at time.Time, position int) time.Duration {
+	freeSlots := gate.capacity() - gate.slotsInUse
+	waitForSlot := gate.slotInterval(at) * time.Duration(max(0, position-freeSlots))
+	return max(waitForSlot, gate.rateLimiter.delay(at, position))
+}
+
+// canStart reports whether a slot is free and the rate limit lets a request through.
+func (gate *Gate) canStart(at time.Time) bool {
+	return gate.slotsInUse < gate.capacity() && gate.rateLimiter.delay(at, 1) == 0
+}
+
 // expectedWait returns the expected time until an arriving request gets a slot.
 func (gate *Gate) expectedWait(arrived Arrived) time.Duration {
-	if gate.slotsInUse < gate.capacity() && len(gate.queue) == 0 {
-		return 0
-	}
 	newcomer := queueEntry{arrived: arrived, missesObjective: gate.missesObjective(arrived.At, arrived)}
 	ahead := 0
 	for _, queued := range gate.sortedQueue(arrived.At) {
@@ -100,7 +110,7 @@
 			ahead++
 		}
 	}
-	return gate.slotInterval(arrived.At) * time.Duration(ahead+1)
+	return gate.startDelay(arrived.At, ahead+1)
 }
 
 // maxWaitDivisor limits the wait for a slot to a fraction of the time that a
@@ -155,21 +165,24 @@
 
 // fillSlots gives free slots to queued requests in the order of sortedQueue. It
 // refuses requests that have less than half of their service time left until their
-// deadline.
+// deadline. If only the rate limit holds requests back, it asks to be woken.
 func (gate *Gate) fillSlots(at time.Time) []Effect {
 	var effects []Effect
-	for gate.slotsInUse < gate.capacity() && len(gate.queue) > 0 {
+	for gate.canStart(at) && len(gate.queue) > 0 {
 		next := gate.sortedQueue(at)[0].arrived
 		if at.Add(gate.expectedServiceTime(at, next.Class) / 2).After(next.Deadline) {
 			gate.removeQueued(next.ID)
-			effects = append(effects, refuse(next.ID, ReasonDeadline, gate.slotInterval(at))...)
+			effects = append(effects, refuse(next.ID, ReasonDeadline, gate.startDelay(at, 1))...)
 			continue
 		}
 		gate.dequeue(next.ID)
 		effects = append(effects, gate.start(next, at))
 	}
-	if len(gate.queue) == 0 {
+	switch wait := gate.rateLimiter.delay(at, 1); {
+	case len(gate.queue) == 0:
 		gate.lastEmptyAt = at
+	case wait > 0 && gate.slotsInUse < gate.capacity():
+		effects = append(effects, Wake{After: wait})
 	}
 	return append(effects, gate.checkDrained()...)
 }
@@ -178,6 +191,7 @@
 func (gate *Gate) start(arrived Arrived, at time.Time) Effect {
 	request := gate.requests[arrived.ID]
 	gate.slotsInUse++
+	gate.rateLimiter.take()
 	request.started = at
 	request.slowness = gate.slownessAt(at)
 	if arrived.Reserve {
@@ -193,15 +207,14 @@
 // can then try another target at once.
 func (gate *Gate) shedLate(at time.Time) []Effect {
 	var effects []Effect
-	interval := gate.slotInterval(at)
 	ahead := 0
 	for _, queued := range gate.sortedQueue(at) {
 		ahead++
-		startsAt := at.Add(interval * time.Duration(ahead))
+		startsAt := at.Add(gate.startDelay(at, ahead))
 		if startsAt.Add(gate.expectedServiceTime(at, queued.arrived.Class) / 2).After(queued.arrived.Deadline) {
 			ahead--
 			gate.removeQueued(queued.arrived.ID)
-			effects = append(effects, refuse(queued.arrived.ID, ReasonDeadline, interval*time.Duration(ahead+1))...)
+			effects = append(effects, refuse(queued.arrived.ID, ReasonDeadline, gate.startDelay(at, ahead+1))...)
 		}
 	}
 	return effects
--- a/core/admit/report.go
+++ b/core/admit/report.go
@@ -17,12 +17,16 @@
 	SubscriptionTime = 2 * time.Second
 )
 
-// Changes since the last report that cause a new one: the slowness rises or falls
+// Changes since the last report that cause a new one, besides the begin and end of a
+// delay because of a rate limit: the slowness rises or falls
 // by more than the factor slownessStep, or the number of requests changes by at
 // least the fraction requestsStep of the slots.
 const (
 	slownessStep = 1.25
 	requestsStep = 0.25
+	// rateDelayStep is the increase of the delay because of a rate limit that causes
+	// a report. That it decreases with time is expected.
+	rateDelayStep = 20 * time.Millisecond
 )
 
 // NeedsReport reports whether the load differs enough from the last reported one
@@ -35,7 +39,10 @@
 	if max(oldRequests, newRequests) > slots/2 && math.Abs(newRequests-oldRequests) >= requestsStep*slots {
 		return true
 	}
-	if lastReported.Draining != load.Draining || lastReported.Slots != load.Slots {
+	if lastReported.Draining != load.Draining || lastReported.Slots != load.Slots || lastReported.RateLimit != load.RateLimit {
+		return true
+	}
+	if lastReported.RateDelay > 0 != (load.RateDelay > 0) || load.RateDelay > lastReported.RateDelay+rateDelayStep {
 		return true
 	}
 	low, high := min(lastReported.Slowness, load.Slowness), max(lastReported.Slowness, load.Slowness)
--- a/core/route/adaptive.go
+++ b/core/route/adaptive.go
@@ -125,6 +125,7 @@
 	seconds += latency * (1 + load/slots)
 	seconds += latency * max(0, load+1-slots) / slots
 	seconds += overdueSeconds(candidate)
+	seconds += rateDelaySeconds(candidate)
 	seconds += candidate.FailureRate * failurePenalty.Seconds()
 	seconds += candidate.LinkCost * linkCostWeight(request.Weights) * linkCostPenalty.Seconds()
 	return seconds
--- a/core/route/leasttime.go
+++ b/core/route/leasttime.go
@@ -116,11 +116,17 @@
 	if slotInterval == 0 {
 		slotInterval = serviceTime * slowness / slots
 	}
-	seconds := idleSeconds(request, candidate) + serviceTime*(slowness-1) + queueLength*slotInterval
+	seconds := idleSeconds(request, candidate) + serviceTime*(slowness-1) + max(queueLength*slotInterval, rateDelaySeconds(candidate))
 	seconds += candidate.FailureRate * worthSeconds(request)
 	return seconds
 }
 
+// rateDelaySeconds returns how much longer the rate limit of the target delays a
+// request, as of its last report.
+func rateDelaySeconds(candidate Candidate) float64 {
+	return max(0, candidate.Load.RateDelay-candidate.ReportAge).Seconds()
+}
+
 // nearTripFraction is the part of the service time that a trip to a target and back
 // may take so that a target that has never reported is tried.
 const nearTripFraction = 0.1
--- a/daemon/cluster_test.go
+++ b/daemon/cluster_test.go
@@ -164,19 +164,45 @@
 
 func (cluster *cluster) start(number int) {
 	cluster.t.Helper()
-	ip := fmt.Sprintf("%s.%d", cluster.prefix, 10+number)
-	instance := &instance{ip: ip, ended: make(chan error, 1)}
+	instance := &instance{ip: fmt.Sprintf("%s.%d", cluster.prefix, 10+number)}
+	cluster.startDaemon(instance, number)
+	cluster.instances = append(cluster.instances, instance)
+	cluster.startUpstream(instance, number)
+}
+
+// restartDaemon stops the daemon of an instance and starts it again. Its upstream goes
+// on.
+func (cluster *cluster) restartDaemon(number int) {
+	cluster.t.Helper()
+	instance := cluster.instances[number]
+	instance.stop()
+	is.New(cluster.t).NoErr(<-instance.ended)
+	cluster.await("the socket for load reports is closed", func() bool {
+		socket, err := net.ListenPacket("udp", instance.ip+":8001")
+		if err == nil {
+			_ = socket.Close()
+		}
+		return err == nil
+	})
+	cluster.startDaemon(instance, number)
+}
+
+func (cluster *cluster) startDaemon(instance *instance, number int) {
+	cluster.t.Helper()
+	instance.ended = make(chan error, 1)
 	log := slog.New(slog.NewTextHandler(&cluster.logs, &slog.HandlerOptions{Level: slog.LevelDebug})).With("daemon", number)
-	running := &daemon.Daemon{Settings: cluster.settings(ip, number), Log: log}
+	running := &daemon.Daemon{Settings: cluster.settings(instance.ip, number), Log: log}
 	ctx, stop := context.WithCancel(context.Background())
 	instance.stop = stop
-	go func() { instance.ended <- running.Run(ctx) }()
+	ended := instance.ended
+	go func() {
+		ended <- running.Run(ctx)
+		close(ended)
+	}()
 	cluster.t.Cleanup(func() {
 		stop()
-		<-instance.ended
+		<-ended
 	})
-	cluster.instances = append(cluster.instances, instance)
-	cluster.startUpstream(instance, number)
 }
 
 func (cluster *cluster) settings(ip string, number int) daemon.Settings {
--- a/io/peer/codec.go
+++ b/io/peer/codec.go
@@ -42,19 +42,35 @@
 		Slowness:         float64(load.GetSlowness()) / 100,
 		SlotInterval:     time.Duration(load.GetTurnMicroseconds()) * time.Microsecond,
 		ClassServiceTime: time.Duration(load.GetWorkMicroseconds()) * time.Microsecond,
+		RateLimit:        decodeRateLimit(load.GetRateLimit()),
+		RateDelay:        time.Duration(load.GetRateDelayMicroseconds()) * time.Microsecond,
 	}
 }
 
+func decodeRateLimit(limit *peerpb.RateLimit) admit.RateLimit {
+	return admit.RateLimit{InForce: limit.GetInForce(), PerSecond: limit.GetPerSecond(), StartedAt: limit.GetUpstreamStarted()}
+}
+
+// EncodeRateLimit converts a rate limit to its protobuf form: nil if none was ever named.
+func EncodeRateLimit(limit admit.RateLimit) *peerpb.RateLimit {
+	if limit == (admit.RateLimit{}) {
+		return nil
+	}
+	return &peerpb.RateLimit{InForce: limit.InForce, PerSecond: limit.PerSecond, UpstreamStarted: limit.StartedAt}
+}
+
 func encodeLoad(load admit.Load) *peerpb.Load {
 	return &peerpb.Load{
-		Running:             int32(load.Running),
-		Queued:              int32(load.Queued),
-		Slots:               int32(load.Slots),
-		ServiceMicroseconds: load.ServiceTime.Microseconds(),
-		Draining:            load.Draining,
-		Slowness:            int32(math.Round(load.Slowness * 100)),
-		TurnMicroseconds:    load.SlotInterval.Microseconds(),
-		WorkMicroseconds:    load.ClassServiceTime.Microseconds(),
+		Running:               int32(load.Running),
+		Queued:                int32(load.Queued),
+		Slots:                 int32(load.Slots),
+		ServiceMicroseconds:   load.ServiceTime.Microseconds(),
+		Draining:              load.Draining,
+		Slowness:              int32(math.Round(load.Slowness * 100)),
+		TurnMicroseconds:      load.SlotInterval.Microseconds(),
+		WorkMicroseconds:      load.ClassServiceTime.Microseconds(),
+		RateLimit:             EncodeRateLimit(load.RateLimit),
+		RateDelayMicroseconds: load.RateDelay.Microseconds(),
 	}
 }
 
--- a/io/upstream/gate.go
+++ b/io/upstream/gate.go
@@ -49,6 +49,8 @@
 	crashReported map[uint64]bool
 	lastID        atomic.Uint64
 	drained       chan struct{}
+	// woken is set while a Ticked event is due because of the rate limit.
+	woken bool
 	// closed is set when a drain can no longer be ended.
 	closed     bool
 	handedOver atomic.Uint64
@@ -207,11 +209,28 @@
 		gate.deliver(effect.ID, Decision{Reason: effect.Reason, RetryAfter: effect.RetryAfter})
 	case admit.MeasureSlowness:
 		go gate.MeasureSlowness()
+	case admit.Wake:
+		gate.wake(effect.After)
 	case admit.Drained:
 		close(gate.drained)
 	}
 }
 
+// wake ticks the machine after a time, unless that is about to happen anyway. The caller
+// holds the mutex.
+func (gate *Gate) wake(after time.Duration) {
+	if gate.woken {
+		return
+	}
+	gate.woken = true
+	time.AfterFunc(after, func() {
+		gate.apply(func() []admit.Effect {
+			gate.woken = false
+			return gate.machine.Update(admit.Ticked{At: gate.Now()})
+		})
+	})
+}
+
 // deliver sends a decision to the waiting caller. The channel has room for the
 // three decisions that a request can get: a grant, a hand-over and a refusal.
 func (gate *Gate) deliver(id uint64, decision Decision) {
--- a/standin/play/daemon.go
+++ b/standin/play/daemon.go
@@ -29,6 +29,8 @@
 	lastReported admit.Load
 	reportedAt   time.Time
 	subscribers  map[*daemon]*subscriber
+	// woken is set while a tick is due because of the rate limit.
+	woken bool
 
 	trackers     map[string]*route.Tracker
 	budgets      map[string]*call.Budget
@@ -93,6 +95,18 @@
 	return daemon.budgets[service]
 }
 
+// wake ticks the gate after a time, unless that is about to happen anyway.
+func (daemon *daemon) wake(after time.Duration) {
+	if daemon.woken {
+		return
+	}
+	daemon.woken = true
+	daemon.simulation.clock.runAfter(after, func() {
+		daemon.woken = false
+		daemon.update(admit.Ticked{At: daemon.simulation.clock.now})
+	})
+}
+
 // arrive passes an attempt to the gate or, without a gate, to the target.
 func (daemon *daemon) arrive(attempt *attempt) {
 	exchange := attempt.exchange
@@ -132,6 +146,8 @@
 			daemon.replyRefused(effect.ID, effect.Reason, effect.RetryAfter, false)
 		case admit.MeasureSlowness:
 			daemon.measureSlowness()
+		case admit.Wake:
+			daemon.wake(effect.After)
 		}
 	}
 }
--- a/standin/upstream/upstream.go
+++ b/standin/upstream/upstream.go
@@ -46,6 +46,11 @@
 	DuplicateDelay time.Duration `json:"duplicateDelay"`
 	// Hang holds requests, and their slots, until it is switched off.
 	Hang bool `json:"hang"`
+	// RateLimit is the number of requests a second that all responses name as the limit
+	// of the upstream. Nothing is refused above it.
+	RateLimit *float64 `json:"rateLimit,omitempty"`
+	// Leaving makes all responses say that the upstream is leaving.
+	Leaving bool `json:"leaving"`
 }
 
 // Request headers that the stand-in interprets.
@@ -73,13 +78,14 @@
 	// Crash ends the upstream; if it is nil, the process exits.
 	Crash func()
 
-	mutex    sync.Mutex
-	switches Switches
-	random   *rand.Rand
-	slots    chan struct{}
-	running  atomic.Int64
-	bodies   atomic.Int64
-	released chan struct{}
+	mutex      sync.Mutex
+	switches   Switches
+	statements statements
+	random     *rand.Rand
+	slots      chan struct{}
+	running    atomic.Int64
+	bodies     atomic.Int64
+	released   chan struct{}
 }
 
 // Handler returns the HTTP handler of the upstream.
@@ -105,6 +111,7 @@
 		server.released = make(chan struct{})
 	}
 	server.switches = switches
+	server.statements.set(switches)
 }
 
 // Running returns the number of requests that hold a slot.
@@ -129,11 +136,13 @@
 		http.Error(writer, "sick", http.StatusInternalServerError)
 		return
 	}
+	server.state(writer.Header())
 	_, _ = io.WriteString(writer, "ok\n")
 }
 
 func (server *Server) handleLoad(writer http.ResponseWriter, _ *http.Request) {
-	_ = json.NewEncoder(writer).Encode(map[string]int{"running": server.Running(), "slots": server.Slots})
+	excess, late := server.Unwanted()
+	_ = json.NewEncoder(writer).Encode(map[string]int{"running": server.Running(), "slots": server.Slots, "excess": excess, "late": late})
 }
 
 func (server *Server) currentSwitches() Switches {
@@ -143,6 +152,7 @@
 }
 
 func (server *Server) handleRequest(writer http.ResponseWriter, request *http.Request) {
+	server.countArrival()
 	server.slots <- struct{}{}
 	server.running.Add(1)
 	defer func() {
@@ -151,6 +161,7 @@
 	}()
 	server.recordStart(request)
 	writer.Header().Set(dialect.Default().RequestID, request.Header.Get(dialect.Default().RequestID))
+	server.state(writer.Header())
 	switches := server.currentSwitches()
 	switch {
 	case request.Header.Get(CrashHeader) != "":
@@ -168,6 +179,7 @@
 	if !server.simulateWork(request, switches) {
 		return
 	}
+	server.state(writer.Header())
 	server.respond(writer, request, switches)
 }
 
