A restarted gate learns the rate limit from the ingresses that know it

What callers would see: after a restart of the daemon beside a limited target, requests of all other daemons are handed over without a limit until the target's first response.

Cause: the limit is told in responses only, and the gate that keeps it forgets it with its process. The rule counts by the daemons that have passed on such a response, and those go on. Class: a fact that is told in responses alone and kept in one process.

Ruled out: a replicated record or the platform. The first requests may arrive before the records are synchronized; the request itself carries the fact in time.

Change: load reports carry the limit with the start of the upstream that named it, and ingresses keep it; a forwarded request carries the limit that its ingress knows. A gate applies it until the upstream itself has responded, with no tokens, since the gate before may just have used up the limit. What the upstream has said since goes first, and a limit does not pass to another upstream.

--- a/core/admit/ratelimit_test.go
+++ b/core/admit/ratelimit_test.go
@@ -189,3 +189,53 @@
 		is.New(t).True(len(upstream.handedOver) > 80)
 	})
 }
+
+// restartGate replaces the gate by one that knows nothing, while the upstream goes on with
+// what it runs.
+func (upstream *limitedUpstream) restartGate() {
+	upstream.gate = &admit.Gate{Slots: 20, QueueBound: 64}
+	upstream.running = map[uint64]time.Time{}
+	upstream.wakeAt = time.Time{}
+	upstream.update(admit.UpstreamStarted{StartedAt: 7})
+}
+
+func TestRestartedGateKeepsTheRateLimitThatIngressesKnow(t *testing.T) {
+	t.Run("whatever the rate", func(t *testing.T) {
+		rapid.Check(t, func(t *rapid.T) {
+			limit := rapid.Float64Range(0, 20).Draw(t, "limit")
+			upstream := newLimitedUpstream(t, limit)
+			upstream.serviceTime = 300 * time.Millisecond
+			upstream.update(admit.UpstreamStarted{StartedAt: 7})
+			random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
+			upstream.flood(200, time.Second, random, admit.Arrived{})
+			since := upstream.now
+			for range rapid.IntRange(1, 4).Draw(t, "restarts") {
+				upstream.flood(200, time.Duration(rapid.IntRange(1, 3000).Draw(t, "milliseconds"))*time.Millisecond, random, admit.Arrived{})
+				known := upstream.gate.Load().RateLimit
+				upstream.restartGate()
+				upstream.update(admit.RateLimitHinted{At: upstream.now, Limit: known})
+			}
+			upstream.flood(200, 4*time.Second, random, admit.Arrived{})
+			upstream.checkLimit(limit, since)
+		})
+	})
+	known := admit.RateLimit{InForce: true, PerSecond: 3, StartedAt: 7}
+	inForce := func(events ...admit.Event) bool {
+		gate := &admit.Gate{Slots: 4, QueueBound: 8}
+		for _, event := range append([]admit.Event{admit.UpstreamStarted{StartedAt: 7}}, events...) {
+			gate.Update(event)
+		}
+		return gate.Load().RateLimit.InForce
+	}
+	now := time.Unix(1000, 0)
+	t.Run("of the same upstream only", func(t *testing.T) {
+		is := is.New(t)
+		is.True(inForce(admit.RateLimitHinted{At: now, Limit: known}))
+		is.True(!inForce(admit.UpstreamStarted{StartedAt: 8}, admit.RateLimitHinted{At: now, Limit: known}))
+	})
+	t.Run("not against what the upstream has said since", func(t *testing.T) {
+		is := is.New(t)
+		is.True(!inForce(admit.RateLimitReported{At: now, HandedOverAt: now.Add(-time.Second)}, admit.RateLimitHinted{At: now, Limit: known}))
+		is.True(!inForce(admit.RateLimitHinted{At: now, Limit: known}, admit.RateLimitReported{At: now.Add(2 * time.Second), HandedOverAt: now.Add(time.Second)}))
+	})
+}
--- a/core/route/tracker.go
+++ b/core/route/tracker.go
@@ -104,6 +104,10 @@
 	tracker.mutex.Lock()
 	defer tracker.mutex.Unlock()
 	target := tracker.statsFor(id)
+	if load.RateLimit == (admit.RateLimit{}) {
+		// The gate may have been restarted since the limit was named.
+		load.RateLimit = target.load.RateLimit
+	}
 	target.load = load
 	target.reportedAt = at
 	if load.Slowness > 0 {
@@ -114,6 +118,18 @@
 	}
 }
 
+// RateLimit returns the rate limit that a target is known to have, or the zero value if
+// none is in force.
+func (tracker *Tracker) RateLimit(id string) admit.RateLimit {
+	tracker.mutex.Lock()
+	defer tracker.mutex.Unlock()
+	limit := tracker.statsFor(id).load.RateLimit
+	if !limit.InForce {
+		return admit.RateLimit{}
+	}
+	return limit
+}
+
 // reportWeight is the weight of one report in the running means.
 const reportWeight = 0.02
 
--- a/daemon/statements_test.go
+++ b/daemon/statements_test.go
@@ -56,4 +56,21 @@
 		excess, _ := cluster.instances[0].upstream.Unwanted()
 		is.Equal(excess, 0)
 	})
+	t.Run("also when the daemon beside it restarts", func(t *testing.T) {
+		is := is.New(t)
+		cluster := newCluster(t, 2)
+		limit := 0.5
+		for _, instance := range cluster.instances {
+			instance.upstream.SetSwitches(upstream.Switches{RateLimit: &limit, SlowFactor: 50})
+		}
+		stop := cluster.flood(1)
+		time.Sleep(4500 * time.Millisecond)
+		for range 4 {
+			cluster.restartDaemon(0)
+			time.Sleep(300 * time.Millisecond)
+		}
+		stop()
+		excess, _ := cluster.instances[0].upstream.Unwanted()
+		is.Equal(excess, 0)
+	})
 }
--- a/io/caller/attempt.go
+++ b/io/caller/attempt.go
@@ -92,6 +92,7 @@
 		ReportTo:              exchange.handler.ReportTo,
 		PatienceMicroseconds:  exchange.maxDelay.Microseconds(),
 		ObjectiveMicroseconds: request.objective.Sub(exchange.handler.Now()).Microseconds(),
+		RateLimit:             peer.EncodeRateLimit(exchange.service.tracker.RateLimit(send.Target)),
 	}
 	if name := exchange.handler.Dialect.CallerService; name != "" {
 		head.Headers = append(head.Headers, &peerpb.Field{Name: name, Value: exchange.handler.CallerService})
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -129,6 +129,9 @@
 	deadline := server.Gate.Now().Add(remaining)
 	ctx, cancel := context.WithTimeout(stream.Context(), remaining)
 	defer cancel()
+	if limit := head.GetRateLimit(); limit != nil {
+		server.Gate.HintRateLimit(decodeRateLimit(limit))
+	}
 	admission := server.Gate.Admit(admit.Arrived{
 		Deadline:  deadline,
 		Important: head.GetImportant(),
--- a/io/upstream/gate.go
+++ b/io/upstream/gate.go
@@ -284,6 +284,13 @@
 	return before, after
 }
 
+// HintRateLimit passes on a limit that an ingress knows from an earlier response.
+func (gate *Gate) HintRateLimit(limit admit.RateLimit) {
+	gate.apply(func() []admit.Effect {
+		return gate.machine.Update(admit.RateLimitHinted{At: gate.Now(), Limit: limit})
+	})
+}
+
 // SetUpstream sets when the upstream started that requests are handed over to, in Unix
 // milliseconds. What the previous upstream has said no longer counts.
 func (gate *Gate) SetUpstream(startedAt int64) {
