A target that says in a response that it is leaving gets nothing more

What callers would see: requests reach a target after a daemon has passed on a response that says that it leaves, where the target's own announcement is late, lost, or was taken by a daemon that has been restarted since.

Cause: the header was not read. Class: as with the rate limit, a fact that responses tell.

Change: the gate treats the statement, in responses and health checks, like an announcement: it drains, and the record of the target says so to all daemons. The instance is the one that the request named, so a late response does not drain the next one. An ingress that has relayed such a response remembers the start of that upstream and does not choose it again, whatever a restarted gate publishes. A health check that names a limit counts too; one that names none ends none.

Evidence: TestTargetThatSaysThatItIsLeavingGetsNothing.

--- a/core/pick/exclusion.go
+++ b/core/pick/exclusion.go
@@ -61,7 +61,7 @@
 		return ExcludedTried
 	case member.State == kernel.MemberDead:
 		return ExcludedDead
-	case member.Leaving:
+	case member.Leaving || picker.Tracker.IsLeaving(member.ID, member.Target.StartedAt):
 		return ExcludedLeaving
 	case !member.Serves():
 		return ExcludedDraining
--- a/core/pick/pick.go
+++ b/core/pick/pick.go
@@ -116,11 +116,14 @@
 }
 
 // untried returns the members that the request may be sent to: those that it has
-// not been sent to or, if there are none, those whose response was lost.
+// not been sent to or, if there are none, those whose response was lost. Upstreams that
+// have said that they are leaving are left out.
 func (picker *Picker) untried(members []kernel.Member) []kernel.Member {
 	var untried, lost []kernel.Member
 	for _, member := range members {
 		switch {
+		case picker.Tracker.IsLeaving(member.ID, member.Target.StartedAt):
+			// It gets nothing new.
 		case !picker.tried[member.ID]:
 			untried = append(untried, member)
 		case picker.lost[member.ID]:
--- a/core/route/tracker.go
+++ b/core/route/tracker.go
@@ -56,6 +56,10 @@
 	// smoothedAt.
 	smoothedSlowness float64
 	smoothedAt       time.Time
+	// leaving is set if the upstream that started at leavingStartedAt has said that it
+	// is leaving.
+	leaving          bool
+	leavingStartedAt int64
 }
 
 // Weights and lifetimes of the running means.
@@ -130,6 +134,24 @@
 	return limit
 }
 
+// RecordLeaving records that an upstream has said in a response that it is leaving.
+// startedAt is when it started, in Unix milliseconds.
+func (tracker *Tracker) RecordLeaving(id string, startedAt int64) {
+	tracker.mutex.Lock()
+	defer tracker.mutex.Unlock()
+	target := tracker.statsFor(id)
+	target.leaving, target.leavingStartedAt = true, startedAt
+}
+
+// IsLeaving reports whether the upstream that started at the given time has said that it
+// is leaving. It stays so if the gate beside it is restarted and does not know it.
+func (tracker *Tracker) IsLeaving(id string, startedAt int64) bool {
+	tracker.mutex.Lock()
+	defer tracker.mutex.Unlock()
+	target, known := tracker.targets[id]
+	return known && target.leaving && target.leavingStartedAt == startedAt
+}
+
 // reportWeight is the weight of one report in the running means.
 const reportWeight = 0.02
 
--- a/daemon/statements_test.go
+++ b/daemon/statements_test.go
@@ -74,3 +74,29 @@
 		is.Equal(excess, 0)
 	})
 }
+
+func TestTargetThatSaysThatItIsLeavingGetsNothing(t *testing.T) {
+	cluster := newCluster(t, 3)
+	leaving := cluster.instances[0].upstream
+	leaving.SetSwitches(upstream.Switches{Leaving: true})
+	floodAndCheck := func(t *testing.T, index int, length time.Duration) {
+		t.Helper()
+		is := is.New(t)
+		stop := cluster.flood(index)
+		time.Sleep(length)
+		is.True(stop() > 100) // the other targets serve
+		_, late := leaving.Unwanted()
+		is.Equal(late, 0)
+	}
+	t.Run("from a daemon that has passed on a response that says so", func(t *testing.T) {
+		floodAndCheck(t, 1, 3*time.Second)
+	})
+	t.Run("from a daemon that has not", func(t *testing.T) {
+		floodAndCheck(t, 2, 500*time.Millisecond)
+	})
+	t.Run("after a restart of the daemon beside it", func(t *testing.T) {
+		leaving.SetSwitches(upstream.Switches{Leaving: true, FailHealthProbes: true}) // health checks do not say it
+		cluster.restartDaemon(0)
+		floodAndCheck(t, 1, 2*time.Second)
+	})
+}
--- a/daemon/upstream.go
+++ b/daemon/upstream.go
@@ -53,9 +53,7 @@
 		return
 	}
 	path := daemon.healthPath()
-	healthy, _ := daemon.client.Probe(context.Background(), path)
-	daemon.meter.Probe(healthy)
-	if !healthy {
+	if !daemon.probe(path).Healthy {
 		daemon.Log.Warn("upstream failed its health probe", "path", path)
 	}
 }
@@ -68,14 +66,22 @@
 		return
 	}
 	defer daemon.measuring.Store(false)
-	healthy, load := daemon.client.Probe(context.Background(), daemon.healthPath())
-	daemon.meter.Probe(healthy)
-	if load != nil {
-		daemon.gate.RecordSlowness(load.Slowness)
+	result := daemon.probe(daemon.healthPath())
+	if result.Load != nil {
+		daemon.gate.RecordSlowness(result.Load.Slowness)
 		daemon.peerServer.Reporter.ReportIfChanged(time.Now())
 	}
 }
 
+// probe sends a health probe to the local upstream and records what the response says of
+// the upstream's own state.
+func (daemon *Daemon) probe(path string) upstream.ProbeResult {
+	result := daemon.client.Probe(context.Background(), path)
+	daemon.meter.Probe(result.Healthy)
+	daemon.peerServer.RecordProbe(result)
+	return result
+}
+
 // healthPath returns the health path from the route table or, if the table has
 // none, from the upstream's announcement.
 func (daemon *Daemon) healthPath() string {
@@ -116,6 +122,10 @@
 // another instance.
 func (daemon *Daemon) ReportMisdirected(instance string) { daemon.monitor.ReportMisdirected(instance) }
 
+// ReportLeaving drains an instance that has said in a response that it is leaving, as if
+// it had announced that.
+func (daemon *Daemon) ReportLeaving(instance string) { daemon.monitor.RecordDeparture(instance) }
+
 // ReportCrashed spreads the fingerprints of the requests that were running when the
 // local upstream crashed, and takes the upstream out of service.
 func (daemon *Daemon) ReportCrashed(fingerprints []string) {
--- a/io/caller/attempt.go
+++ b/io/caller/attempt.go
@@ -200,6 +200,9 @@
 
 func (attempt *attempt) receiveHead(exchange *exchange, head *peerpb.AnswerHead) call.Event {
 	attempt.recordLoad(exchange, head.GetLoad())
+	if head.GetLeaving() {
+		exchange.service.tracker.RecordLeaving(attempt.member.ID, attempt.member.Target.StartedAt)
+	}
 	if promises := exchange.handler.Dialect.PromisesNotRun; promises != nil && promises(int(head.GetStatus())) {
 		return attempt.loseResponse(exchange, head)
 	}
--- a/io/peer/run.go
+++ b/io/peer/run.go
@@ -50,17 +50,18 @@
 		return true, server.sendLoss(stream, ctx.Err() == nil && server.checkCrash())
 	}
 	kind := server.classifyResponse(response)
+	leaving := false
 	if kind == responseNormal || kind == responseNotRun {
-		server.recordStatements(stream, response.Header, handedOverAt)
+		leaving = server.recordStatements(response, handedOverAt)
 	}
 	if kind != responseNormal {
 		response.Abort()
 		return true, server.sendFailure(stream, kind, response.Response)
 	}
 	if response.ContentLength >= 0 && response.ContentLength <= MaxInlineBodySize && len(response.Trailer) == 0 {
-		return server.sendComplete(stream, response)
+		return server.sendComplete(stream, response, leaving)
 	}
-	return server.sendStreamed(stream, response)
+	return server.sendStreamed(stream, response, leaving)
 }
 
 // upstreamRequest builds the request to the upstream. Its deadline header holds
@@ -171,7 +172,7 @@
 
 // sendComplete sends a short response as one frame. It reads the whole body first,
 // so that the ingress gets either the complete response or a loss.
-func (server *Server) sendComplete(stream *requestStream, response *upstream.Response) (bool, error) {
+func (server *Server) sendComplete(stream *requestStream, response *upstream.Response, leaving bool) (bool, error) {
 	body, err := io.ReadAll(response.Body)
 	if err != nil {
 		response.Abort()
@@ -181,14 +182,16 @@
 	head := encodeHead(response.Response)
 	head.Body = body
 	head.Complete = true
+	head.Leaving = leaving
 	head.Load = encodeLoad(server.Gate.LoadForClass(stream.class))
 	err = stream.Send(&peerpb.AnswerFrame{Frame: &peerpb.AnswerFrame_Head{Head: head}})
 	return isServerFailure(response.StatusCode), Error.Wrap(err)
 }
 
 // sendStreamed sends a longer response in parts as they arrive.
-func (server *Server) sendStreamed(stream *requestStream, response *upstream.Response) (bool, error) {
+func (server *Server) sendStreamed(stream *requestStream, response *upstream.Response, leaving bool) (bool, error) {
 	head := encodeHead(response.Response)
+	head.Leaving = leaving
 	head.Load = encodeLoad(server.Gate.LoadForClass(stream.class))
 	if err := stream.Send(&peerpb.AnswerFrame{Frame: &peerpb.AnswerFrame_Head{Head: head}}); err != nil {
 		response.Abort()
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -40,6 +40,8 @@
 	// ReportMisdirected reports an instance whose address now belongs to another
 	// one.
 	ReportMisdirected(instance string)
+	// ReportLeaving reports an instance that has said in a response that it is leaving.
+	ReportLeaving(instance string)
 	// Serves reports whether the local upstream belongs to the service.
 	Serves(service string) bool
 	// ReportCrashed reports the fingerprints of the requests that were running
--- a/io/peer/server_test.go
+++ b/io/peer/server_test.go
@@ -51,6 +51,7 @@
 func (stubControl) ReportCompleted(string)                 {}
 func (stubControl) ReportCrashed([]string)                 {}
 func (stubControl) ReportMisdirected(string)               {}
+func (stubControl) ReportLeaving(string)                   {}
 func (stubControl stubControl) Serves(service string) bool { return service == stubControl.service }
 
 // TestGateRefusesAnotherService guards against a request that runs on the wrong
--- a/io/peer/statements.go
+++ b/io/peer/statements.go
@@ -1,34 +1,67 @@
 package peer
 
 import (
+	"context"
 	"log/slog"
 	"net/http"
 	"time"
 
 	"ibislift/core/admit"
+	"ibislift/io/upstream"
 )
 
-// recordStatements records what a response says of the upstream's own state: its rate
-// limit, and whether it is leaving.
-func (server *Server) recordStatements(stream *requestStream, header http.Header, handedOverAt time.Time) {
+// recordStatements records what a response to a request says of the upstream's own
+// state: its rate limit, and whether it is leaving. It reports whether it is.
+func (server *Server) recordStatements(response *upstream.Response, handedOverAt time.Time) (leaving bool) {
 	dialect := server.Upstream.EffectiveDialect()
 	if dialect.ParseRateLimit != nil {
-		server.recordRateLimit(stream, header, handedOverAt)
-	}
-	if dialect.Leaving != nil && dialect.Leaving(header) && !server.Gate.Load().Draining {
-		server.log(stream, slog.LevelInfo, "upstream says that it is leaving")
+		perSecond, named, err := dialect.ParseRateLimit(response.Header)
+		if err != nil {
+			server.logStatement(slog.LevelWarn, "rate limit of the upstream ignored", "error", err.Error())
+		} else {
+			server.recordRateLimit(admit.RateLimitReported{HandedOverAt: handedOverAt, Named: named, PerSecond: perSecond})
+		}
 	}
+	return server.recordLeaving(response.Header, response.Request.Header.Get(dialect.Instance))
 }
 
-// recordRateLimit records the rate limit that a response names, or that it names none.
-func (server *Server) recordRateLimit(stream *requestStream, header http.Header, handedOverAt time.Time) {
-	perSecond, named, err := server.Upstream.EffectiveDialect().ParseRateLimit(header)
-	if err != nil {
-		server.log(stream, slog.LevelWarn, "rate limit of the upstream ignored", "error", err.Error())
-		return
+// RecordProbe records what a response to a health probe says of the upstream's own state.
+// A rate limit that it does not name may still be in force: not every upstream names it
+// there.
+func (server *Server) RecordProbe(result upstream.ProbeResult) {
+	dialect := server.Upstream.EffectiveDialect()
+	if dialect.ParseRateLimit != nil {
+		if perSecond, named, err := dialect.ParseRateLimit(result.Header); err == nil && named {
+			server.recordRateLimit(admit.RateLimitReported{Named: true, PerSecond: perSecond})
+		}
 	}
-	before, after := server.Gate.RecordRateLimit(admit.RateLimitReported{HandedOverAt: handedOverAt, Named: named, PerSecond: perSecond})
+	server.recordLeaving(result.Header, result.Instance)
+}
+
+func (server *Server) recordRateLimit(reported admit.RateLimitReported) {
+	before, after := server.Gate.RecordRateLimit(reported)
 	if before != after {
-		server.log(stream, slog.LevelInfo, "rate limit of the upstream changed", "limited", after.InForce, "perSecond", after.PerSecond, "handedOver", server.Gate.HandedOverCount())
+		server.logStatement(slog.LevelInfo, "rate limit of the upstream changed", "limited", after.InForce, "perSecond", after.PerSecond, "handedOver", server.Gate.HandedOverCount())
+	}
+}
+
+// recordLeaving records that a response of an instance says that it is leaving, and
+// reports whether it does.
+func (server *Server) recordLeaving(header http.Header, instance string) bool {
+	dialect := server.Upstream.EffectiveDialect()
+	if dialect.Leaving == nil || !dialect.Leaving(header) {
+		return false
+	}
+	if !server.Gate.Load().Draining {
+		server.logStatement(slog.LevelInfo, "upstream says that it is leaving")
+		server.Control.ReportLeaving(instance)
+	}
+	return true
+}
+
+// logStatement writes a message about what the upstream has said.
+func (server *Server) logStatement(level slog.Level, message string, attributes ...any) {
+	if server.Log != nil {
+		server.Log.Log(context.Background(), level, message, append(attributes, "target", server.Upstream.ExpectedInstance())...)
 	}
 }
--- a/io/upstream/client.go
+++ b/io/upstream/client.go
@@ -301,25 +301,36 @@
 	return errors.Is(err, syscall.ECONNREFUSED)
 }
 
-// Probe requests the upstream's health path. It reports whether the response was
-// a success and returns the load that the upstream reported, or nil if it
-// reported none.
-func (client *Client) Probe(ctx context.Context, path string) (healthy bool, load *dialect.Load) {
+// ProbeResult is what a response to a health probe says. The zero value stands for a
+// probe without a response.
+type ProbeResult struct {
+	// Healthy is set if the response was a success.
+	Healthy bool
+	// Load is the load that the upstream reported, or nil if it reported none.
+	Load   *dialect.Load
+	Header http.Header
+	// Instance is the instance that the probe was meant for.
+	Instance string
+}
+
+// Probe requests the upstream's health path.
+func (client *Client) Probe(ctx context.Context, path string) ProbeResult {
+	instance := client.ExpectedInstance()
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://upstream"+path, nil)
 	if err != nil {
-		return false, nil
+		return ProbeResult{}
 	}
 	request.Header.Set(client.EffectiveDialect().RequestID, probeRequestID)
 	response, err := client.Do(ctx, request, nil)
 	if err != nil {
-		return false, nil
+		return ProbeResult{}
 	}
 	count, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxProbeBytes))
 	if err != nil {
 		response.Abort()
-		return false, nil
+		return ProbeResult{}
 	}
 	if count < maxProbeBytes {
 		response.Finish()
@@ -327,12 +338,13 @@
 		// The rest of the body would be read as the response to the next request.
 		response.Abort()
 	}
+	result := ProbeResult{Healthy: response.StatusCode < http.StatusMultipleChoices, Header: response.Header, Instance: instance}
 	if parse := client.EffectiveDialect().ParseLoad; parse != nil {
 		if reported, found := parse(response.Header); found {
-			load = &reported
+			result.Load = &reported
 		}
 	}
-	return response.StatusCode < http.StatusMultipleChoices, load
+	return result
 }
 
 // probeRequestID is the request ID of health probes. It is random, since callers may
--- a/io/upstream/echo_test.go
+++ b/io/upstream/echo_test.go
@@ -47,9 +47,9 @@
 			reply(conn, "ok")
 		}))
 		client.SetEchoesRequestID(true)
-		healthy, load := client.Probe(context.Background(), "/health")
+		result := client.Probe(context.Background(), "/health")
 		is := is.New(t)
-		is.True(healthy)
-		is.True(load == nil) // the response reports no load
+		is.True(result.Healthy)
+		is.True(result.Load == nil) // the response reports no load
 	})
 }
--- a/io/upstream/reuse_test.go
+++ b/io/upstream/reuse_test.go
@@ -44,7 +44,7 @@
 				_, _ = conn.Write(make([]byte, 904))
 			}
 		}, func(client *upstream.Client) {
-			healthy, _ := client.Probe(context.Background(), "/health")
+			healthy := client.Probe(context.Background(), "/health").Healthy
 			is.New(t).True(healthy)
 			close(sendRest)
 		})
