A target that has left does not serve again after a restart of its daemon

What callers would see: requests go to a target that has left, if the daemon beside it is restarted and then gets a heartbeat that the target had sent before and that was delayed.

Cause: a restarted daemon knows no departures, and its new record replaces the one that says that its target is draining.

Change: every daemon remembers the start of a target that has been published as draining by a daemon that goes on, and keeps it draining in later records of that daemon. The next target has another start. A target whose daemon alone stops serves again as before.

--- a/core/member/member.go
+++ b/core/member/member.go
@@ -77,6 +77,7 @@
 	// platformLostAt is when this daemon last reported that it does not reach the
 	// platform.
 	platformLostAt time.Time
+	departures     departures
 }
 
 // record is the replicated form of a member. Died is in Unix milliseconds.
@@ -128,6 +129,7 @@
 func (plugin *plugin) start(state *kernel.State, event kernel.Event) []kernel.Effect {
 	settings := state.Settings
 	plugin.members = map[string]trackedMember{}
+	plugin.departures = departures{}
 	plugin.failures = map[string]int{}
 	plugin.lastFailure = map[string]time.Time{}
 	plugin.lastContact = event.At
@@ -181,7 +183,7 @@
 			// before it becomes suspect again.
 			delete(plugin.failures, update.ID)
 		}
-		plugin.members[update.ID] = trackedMember{member: update.Member, version: replica.Version, changedAt: at, diedAt: time.UnixMilli(update.Died)}
+		plugin.members[update.ID] = trackedMember{member: plugin.departures.apply(update.Member), version: replica.Version, changedAt: at, diedAt: time.UnixMilli(update.Died)}
 		if update.ID == plugin.self.ID {
 			effects = append(effects, plugin.refute(replica.Version)...)
 		}
@@ -336,6 +338,7 @@
 		if tracked.member.State == kernel.MemberDead && at.Sub(tracked.diedAt) >= DeadRetention {
 			delete(plugin.members, id)
 			delete(plugin.failures, id)
+			delete(plugin.departures, id)
 			state.Table.Remove(kernel.Key{Kind: kernel.KindMember, Name: id})
 			plugin.membersChanged = true
 		}
