The soak lets upstreams name rate limits and say that they are leaving

Two upstreams at a time, beside the other faults, from the beginning to the end of the load; a stand-in counts what comes above its limit, and what comes more than 2.5 s after it has said that it is leaving.

--- a/cmd/soak/trial.go
+++ b/cmd/soak/trial.go
@@ -175,13 +175,11 @@
 		Rate: requestRate, Seed: uint64(trial.seed), IDPrefix: fmt.Sprintf("s%d-", trial.seed), NextRequest: trial.nextRequest, Resends: resends,
 		NeverResend: func(request load.Request) bool { return request.Class == "once" },
 	}
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		trial.injectFaults()
-	}()
+	var waitGroup sync.WaitGroup
+	waitGroup.Go(trial.injectFaults)
+	waitGroup.Go(trial.runStatements)
 	report := generator.Run(trial.soak.length + finalLoadTime)
-	<-done
+	waitGroup.Wait()
 	trial.total = report.Total("")
 	return report
 }
--- a/standin/deployment/control.go
+++ b/standin/deployment/control.go
@@ -212,6 +212,26 @@
 	return postJSON("http://"+instance.UpstreamAddress()+"/switches", switches)
 }
 
+// UpstreamLoad is what an upstream reports at its load path.
+type UpstreamLoad struct {
+	Running int `json:"running"`
+	Slots   int `json:"slots"`
+	// Excess counts the requests above the rate limit that the upstream has named, Late
+	// those long after it had said that it is leaving.
+	Excess int `json:"excess"`
+	Late   int `json:"late"`
+}
+
+// UpstreamLoad reads the load of an upstream.
+func (running *Running) UpstreamLoad(instance *Instance) (load UpstreamLoad, err error) {
+	response, err := httpClient.Get("http://" + instance.UpstreamAddress() + "/load")
+	if err != nil {
+		return load, Error.Wrap(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	return load, Error.Wrap(json.NewDecoder(response.Body).Decode(&load))
+}
+
 func postJSON(url string, value any) error {
 	body, err := json.Marshal(value)
 	if err != nil {
