The player's targets name rate limits; requests say what limit decided

The step considered of a failed request and the gate's lines say the limit and the time until the next request.

--- a/io/caller/record.go
+++ b/io/caller/record.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"ibislift/core/admit"
 	"ibislift/core/call"
 	"ibislift/core/route"
 )
@@ -60,8 +61,12 @@
 			if candidate.HasReport {
 				age = candidate.ReportAge.Round(time.Millisecond).String()
 			}
-			return fmt.Sprintf(" %d, %s: running %d of %d, queued %d, slowness %.2f, failing %.2f, age %s", len(step.Candidates),
-				candidate.Target, candidate.Running, candidate.Slots, candidate.Queued, candidate.Slowness, candidate.FailureRate, age)
+			limit := ""
+			if candidate.RateLimit.InForce {
+				limit = fmt.Sprintf(", limit %g/s, next in %s", candidate.RateLimit.PerSecond, candidate.RateDelay.Round(time.Millisecond))
+			}
+			return fmt.Sprintf(" %d, %s: running %d of %d, queued %d, slowness %.2f%s, failing %.2f, age %s", len(step.Candidates),
+				candidate.Target, candidate.Running, candidate.Slots, candidate.Queued, candidate.Slowness, limit, candidate.FailureRate, age)
 		}
 	}
 	return ""
@@ -85,6 +90,10 @@
 	Warmth      float64       `json:"warmth"`
 	Ejected     bool          `json:"ejected,omitempty"`
 	Draining    bool          `json:"draining,omitempty"`
+	// RateLimit is the limit that the target names, RateDelay the time until the limit
+	// let a further request through when the target reported it.
+	RateLimit admit.RateLimit `json:"rateLimit,omitzero"`
+	RateDelay time.Duration   `json:"rateDelay,omitempty"`
 }
 
 // maxRecords is the number of records that a daemon keeps.
@@ -174,6 +183,7 @@
 			Running: candidate.Load.Running, Queued: candidate.Load.Queued, Slots: candidate.Load.Slots,
 			ReportAge: candidate.ReportAge, HasReport: candidate.HasReport, Latency: candidate.Latency, LinkLatency: candidate.LinkLatency,
 			Slowness: candidate.Load.Slowness, FailureRate: candidate.FailureRate, Warmth: candidate.Warmth, Ejected: candidate.Ejected, Draining: candidate.Load.Draining,
+			RateLimit: candidate.Load.RateLimit, RateDelay: candidate.Load.RateDelay,
 		})
 	}
 	exchange.addStep(step)
--- a/io/logs/fields.go
+++ b/io/logs/fields.go
@@ -46,6 +46,7 @@
 	"slots":      "number of slots of the target",
 	"queued":     "number of requests that wait for a slot",
 	"slowness":   "current service time on the target, as a multiple of the usual one",
+	"rateDelay":  "time until the upstream's rate limit lets a further request through",
 	"limited":    "whether the upstream names a rate limit",
 	"perSecond":  "requests a second that the upstream takes from all daemons together",
 	"handedOver": "number of requests handed over to the upstream since the daemon started",
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -218,7 +218,7 @@
 	}
 	load := server.Gate.LoadForClass(stream.class)
 	attributes = append(attributes, "request", stream.requestID, "class", stream.class, "target", server.Upstream.ExpectedInstance(),
-		"running", load.Running, "slots", load.Slots, "queued", load.Queued, "slowness", load.Slowness)
+		"running", load.Running, "slots", load.Slots, "queued", load.Queued, "slowness", load.Slowness, "rateDelay", load.RateDelay)
 	server.Log.Log(stream.Context(), level, message, attributes...)
 }
 
--- a/standin/play/daemon.go
+++ b/standin/play/daemon.go
@@ -263,6 +263,7 @@
 	}
 	if outcome == outcomeSucceeded || outcome == outcomeFailed {
 		daemon.update(admit.SlownessReported{At: daemon.simulation.clock.now, Slowness: daemon.upstream.slowness()})
+		daemon.reportLimit(run)
 	}
 	switch outcome {
 	case outcomeSucceeded:
@@ -286,6 +287,15 @@
 	daemon.sendReports()
 }
 
+// reportLimit passes what a response says of the target's rate limit to the gate.
+func (daemon *daemon) reportLimit(run *run) {
+	reported := admit.RateLimitReported{At: daemon.simulation.clock.now, HandedOverAt: run.arrivedAt}
+	if limit := daemon.upstream.rateLimit; limit != nil {
+		reported.Named, reported.PerSecond = true, *limit
+	}
+	daemon.update(reported)
+}
+
 func (daemon *daemon) recordFinished(id uint64, failed bool) {
 	if daemon.simulation.policy.UseGates {
 		daemon.update(admit.Finished{ID: id, At: daemon.simulation.clock.now, Failed: failed})
--- a/standin/play/fault.go
+++ b/standin/play/fault.go
@@ -71,6 +71,9 @@
 		return changeFactor(func(upstream *upstreamModel, factor float64) { upstream.hangRate = factor }, 0)
 	case "lostAnswers":
 		return changeFactor(func(upstream *upstreamModel, factor float64) { upstream.lossRate = factor }, 0)
+	case "limited":
+		changeAll(func(upstream *upstreamModel) { upstream.nameLimit(&fault.Factor) })
+		return func() { changeAll(func(upstream *upstreamModel) { upstream.nameLimit(nil) }) }
 	case "lyingHealth":
 		changeAll(func(upstream *upstreamModel) { upstream.falselyHealthy = true })
 		return func() { changeAll(func(upstream *upstreamModel) { upstream.falselyHealthy = false }) }
--- a/standin/play/report.go
+++ b/standin/play/report.go
@@ -75,6 +75,9 @@
 	// is the number of slots.
 	SlotSeconds float64
 	Slots       int
+	// OverLimit counts the requests that targets got above the rate limit that they
+	// named.
+	OverLimit int
 	// Probes counts the probes for a target's slowness.
 	Probes int
 	// Steps holds the results over time, in steps of StepTime.
--- a/standin/play/scenario.go
+++ b/standin/play/scenario.go
@@ -157,6 +157,7 @@
 	"hanging":      "a share of the targets never responds to the fraction factor of its requests",
 	"lostAnswers":  "a share of the targets loses the fraction factor of its responses after the run",
 	"crash":        "a share of the targets is down, and slow after its restart while it is cold",
+	"limited":      "a share of the targets names a limit of factor requests a second in its responses",
 	"lyingHealth":  "a share of the targets passes health checks but fails all requests at once",
 	"staleReports": "gates send no load reports",
 }
--- a/standin/play/simulation.go
+++ b/standin/play/simulation.go
@@ -82,6 +82,7 @@
 	}
 	simulation.clock.runUntil(simulation.startedAt.Add(seconds(scenario.Seconds) + settleTime))
 	for _, daemon := range simulation.daemons {
+		simulation.report.OverLimit += daemon.upstream.overLimit
 		simulation.report.SlotSeconds += daemon.upstream.slotTime.Seconds()
 		simulation.report.Slots += daemon.upstream.service.Slots
 	}
--- a/standin/play/upstream.go
+++ b/standin/play/upstream.go
@@ -31,6 +31,7 @@
 	// startCalls is called when half of the run is done. The run then waits for
 	// resume.
 	startCalls func()
+	arrivedAt  time.Time
 	startedAt  time.Time
 	started    bool
 	ended      bool
@@ -55,6 +56,14 @@
 	lossRate       float64
 	falselyHealthy bool
 	down           bool
+	// rateLimit is what responses name as the limit of requests a second, or nil.
+	rateLimit *float64
+	limitedAt time.Time
+	// arrivals holds the times of requests that came while the limit was named, for as
+	// long as a limit is judged.
+	arrivals []time.Time
+	// overLimit counts the requests that came above the limit.
+	overLimit int
 	// slotTime is the total time for which runs held slots.
 	slotTime time.Duration
 }
@@ -174,6 +183,8 @@
 // accept queues a request, or ends it at once. A request that hangs is neither
 // queued nor ended.
 func (upstream *upstreamModel) accept(run *run) {
+	run.arrivedAt = upstream.clock.now
+	upstream.countLimited()
 	drawn := upstream.random.Float64()
 	switch {
 	case upstream.down:
@@ -201,6 +212,35 @@
 	}
 }
 
+// What a rate limit allows in how much time, and how long after it is first named the
+// requests do not count.
+const (
+	limitWindow     = 4 * time.Second
+	limitFactor     = 1.5
+	limitSlack      = 5
+	limitNoticeTime = 500 * time.Millisecond
+)
+
+// countLimited counts an arrival against the limit.
+func (upstream *upstreamModel) countLimited() {
+	now := upstream.clock.now
+	if upstream.rateLimit == nil || now.Sub(upstream.limitedAt) < limitNoticeTime {
+		return
+	}
+	for len(upstream.arrivals) > 0 && now.Sub(upstream.arrivals[0]) > limitWindow {
+		upstream.arrivals = upstream.arrivals[1:]
+	}
+	upstream.arrivals = append(upstream.arrivals, now)
+	if float64(len(upstream.arrivals)) > limitFactor**upstream.rateLimit*limitWindow.Seconds()+limitSlack {
+		upstream.overLimit++
+	}
+}
+
+// nameLimit starts to name a limit, or none if it is nil.
+func (upstream *upstreamModel) nameLimit(limit *float64) {
+	upstream.rateLimit, upstream.limitedAt, upstream.arrivals = limit, upstream.clock.now, nil
+}
+
 func removeRun(runs []*run, removed *run) []*run {
 	for index, run := range runs {
 		if run == removed {
