A reservation from before a rate limit takes its part of the limit at its commit

Cause: the gate counted a request against the limit when it got its slot.

Ruled out: the gate's own restart (there was none), late responses that end the limit.

Change: a request with a slot keeps the token that it has taken. One that was taken before the limit began is void: it is not given back, and the commit takes another or is refused at once with the time of the next.

Evidence: two new cases of TestGateHandsOverNoMoreThanTheUpstreamsRateLimit fail without it.

--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -194,6 +194,8 @@
 	started time.Time
 	// slowness is the slowness of the upstream at started.
 	slowness float64
+	// token is what the request has taken of the rate limit at started.
+	token token
 }
 
 // Gate is the admission control of one upstream. Set the exported fields before
@@ -360,7 +362,7 @@
 }
 
 // commit hands over a reserved request, unless its reservation or its deadline
-// has passed.
+// has passed, or the upstream has named a rate limit since that has no room for it.
 func (gate *Gate) commit(committed Committed) []Effect {
 	reserved, known := gate.requests[committed.ID]
 	switch {
@@ -370,9 +372,14 @@
 		return nil
 	case committed.At.Sub(reserved.started) >= ReservationTimeout:
 		return gate.revoke(committed.ID, ReasonReservationExpired, committed.At)
+	case gate.rateLimiter.isVoid(reserved.token) && gate.rateLimiter.delay(committed.At, 1) > 0:
+		return gate.revoke(committed.ID, ReasonBusy, committed.At)
 	case !committed.At.Before(reserved.arrived.Deadline):
 		return gate.revoke(committed.ID, ReasonDeadline, committed.At)
 	}
+	if gate.rateLimiter.isVoid(reserved.token) {
+		reserved.token = gate.rateLimiter.take()
+	}
 	reserved.stage = stageRunning
 	reserved.started = committed.At
 	reserved.slowness = gate.slownessAt(committed.At)
@@ -381,10 +388,10 @@
 
 // revoke refuses a request that holds a reservation, and frees its slot.
 func (gate *Gate) revoke(id uint64, reason Reason, at time.Time) []Effect {
+	gate.rateLimiter.giveBack(gate.requests[id].token)
 	delete(gate.requests, id)
 	gate.slotsInUse--
-	gate.rateLimiter.giveBack()
-	return append(refuse(id, reason, 0), gate.fillSlots(at)...)
+	return append(refuse(id, reason, gate.rateLimiter.delay(at, 1)), gate.fillSlots(at)...)
 }
 
 // cancel refuses a request that has not run. A running request keeps its slot
--- a/core/admit/queue.go
+++ b/core/admit/queue.go
@@ -191,7 +191,7 @@
 func (gate *Gate) start(arrived Arrived, at time.Time) Effect {
 	request := gate.requests[arrived.ID]
 	gate.slotsInUse++
-	gate.rateLimiter.take()
+	request.token = gate.rateLimiter.take()
 	request.started = at
 	request.slowness = gate.slownessAt(at)
 	if arrived.Reserve {
--- a/core/admit/ratelimit.go
+++ b/core/admit/ratelimit.go
@@ -67,6 +67,8 @@
 	namedAt    time.Time
 	tokens     float64
 	refilledAt time.Time
+	// imposed counts how often a limit has begun. A token that was taken before is void.
+	imposed int
 }
 
 // start forgets the limit of an upstream that another one has replaced.
@@ -115,6 +117,7 @@
 	rateLimiter.limit = RateLimit{InForce: true, PerSecond: perSecond, StartedAt: rateLimiter.startedAt}
 	rateLimiter.namedAt = at
 	rateLimiter.refilledAt = at
+	rateLimiter.imposed++
 }
 
 func (rateLimiter *rateLimiter) rate() float64 { return max(minRate, rateLimiter.limit.PerSecond) }
@@ -131,12 +134,25 @@
 	}
 }
 
-// take takes the token of a request that gets a slot, and giveBack returns that of one
-// that was not handed over.
-func (rateLimiter *rateLimiter) take() { rateLimiter.tokens-- }
+// token is what a request with a slot has taken of the limit.
+type token struct{ imposed int }
 
-func (rateLimiter *rateLimiter) giveBack() {
-	rateLimiter.tokens = min(rateLimiter.burst(), rateLimiter.tokens+1)
+// take takes a token.
+func (rateLimiter *rateLimiter) take() token {
+	rateLimiter.tokens--
+	return token{rateLimiter.imposed}
+}
+
+// isVoid reports whether a token was taken before the limit in force was named.
+func (rateLimiter *rateLimiter) isVoid(token token) bool {
+	return rateLimiter.limit.InForce && token.imposed != rateLimiter.imposed
+}
+
+// giveBack returns the token of a request that is not handed over.
+func (rateLimiter *rateLimiter) giveBack(token token) {
+	if !rateLimiter.isVoid(token) {
+		rateLimiter.tokens = min(rateLimiter.burst(), rateLimiter.tokens+1)
+	}
 }
 
 // delay returns the time until the limit lets a number of further requests through: 0
--- a/core/admit/ratelimit_test.go
+++ b/core/admit/ratelimit_test.go
@@ -144,6 +144,29 @@
 		is.Equal(upstream.refused[0].Reason, admit.ReasonSlower)
 		is.True(upstream.refused[0].RetryAfter > 30*time.Millisecond) // its MaxDelay
 	})
+	t.Run("a reservation from before the limit is refused at its commit without room", func(t *testing.T) {
+		is := is.New(t)
+		gate := &admit.Gate{Slots: 8, QueueBound: 8}
+		now := time.Unix(1000, 0)
+		for id := range uint64(8) {
+			gate.Update(admit.Arrived{ID: id, At: now, Deadline: now.Add(time.Second), Reserve: true})
+		}
+		gate.Update(admit.RateLimitReported{At: now, Named: true, PerSecond: 4})
+		is.Equal(gate.Update(admit.Committed{ID: 0, At: now}), []admit.Effect{admit.HandOver{ID: 0}})
+		is.Equal(gate.Update(admit.Committed{ID: 1, At: now}), []admit.Effect{admit.Refuse{ID: 1, Reason: admit.ReasonBusy, RetryAfter: 250 * time.Millisecond}})
+	})
+	t.Run("a reservation from before the limit gives nothing back", func(t *testing.T) {
+		is := is.New(t)
+		gate := &admit.Gate{Slots: 8, QueueBound: 8}
+		now := time.Unix(1000, 0)
+		for id := range uint64(7) {
+			gate.Update(admit.Arrived{ID: id, At: now, Deadline: now.Add(time.Second), Reserve: true})
+		}
+		gate.Update(admit.RateLimitReported{At: now, Named: true, PerSecond: 1})
+		is.Equal(gate.Update(admit.Committed{ID: 0, At: now}), []admit.Effect{admit.HandOver{ID: 0}})
+		gate.Update(admit.Cancelled{ID: 1, At: now})
+		is.Equal(gate.LoadForClass(now, "").RateDelay, time.Second)
+	})
 	t.Run("a reservation that is not committed takes nothing of it", func(t *testing.T) {
 		gate := &admit.Gate{Slots: 4, QueueBound: 8}
 		now := time.Unix(1000, 0)
