--- a/core/route/tracker.go
+++ b/core/route/tracker.go
@@ -134,13 +134,15 @@
 	return limit
 }
 
-// RecordLeaving records that an upstream has said in a response that it is leaving.
-// startedAt is when it started, in Unix milliseconds.
-func (tracker *Tracker) RecordLeaving(id string, startedAt int64) {
+// RecordLeaving records that an upstream has said in a response that it is leaving, and
+// reports whether that was not known. startedAt is when it started, in Unix milliseconds.
+func (tracker *Tracker) RecordLeaving(id string, startedAt int64) bool {
 	tracker.mutex.Lock()
 	defer tracker.mutex.Unlock()
 	target := tracker.statsFor(id)
+	known := target.leaving && target.leavingStartedAt == startedAt
 	target.leaving, target.leavingStartedAt = true, startedAt
+	return !known
 }
 
 // IsLeaving reports whether the upstream that started at the given time has said that it
--- a/io/caller/attempt.go
+++ b/io/caller/attempt.go
@@ -201,7 +201,7 @@
 func (attempt *attempt) receiveHead(exchange *exchange, head *peerpb.AnswerHead) call.Event {
 	attempt.recordLoad(exchange, head.GetLoad())
 	if head.GetLeaving() {
-		exchange.service.tracker.RecordLeaving(attempt.member.ID, attempt.member.Target.StartedAt)
+		attempt.recordLeaving(exchange)
 	}
 	if promises := exchange.handler.Dialect.PromisesNotRun; promises != nil && promises(int(head.GetStatus())) {
 		return attempt.loseResponse(exchange, head)
@@ -239,6 +239,14 @@
 	return call.AttemptLost{Attempt: attempt.index}
 }
 
+// recordLeaving keeps further requests from a target that has said that it is leaving.
+func (attempt *attempt) recordLeaving(exchange *exchange) {
+	if exchange.service.tracker.RecordLeaving(attempt.member.ID, attempt.member.Target.StartedAt) {
+		exchange.handler.Log.Info("target says that it is leaving", "request", exchange.request.id,
+			"service", exchange.request.service, "target", attempt.member.ID)
+	}
+}
+
 func (attempt *attempt) recordLoad(exchange *exchange, load *peerpb.Load) {
 	if load != nil {
 		exchange.service.tracker.RecordReport(attempt.member.ID, exchange.handler.Now(), peer.DecodeLoad(load))
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -132,7 +132,7 @@
 	ctx, cancel := context.WithTimeout(stream.Context(), remaining)
 	defer cancel()
 	if limit := head.GetRateLimit(); limit != nil {
-		server.Gate.HintRateLimit(decodeRateLimit(limit))
+		server.logRateLimit(server.Gate.HintRateLimit(decodeRateLimit(limit)))
 	}
 	admission := server.Gate.Admit(admit.Arrived{
 		Deadline:  deadline,
--- a/io/peer/statements.go
+++ b/io/peer/statements.go
@@ -19,7 +19,7 @@
 		if err != nil {
 			server.logStatement(slog.LevelWarn, "rate limit of the upstream ignored", "error", err.Error())
 		} else {
-			server.recordRateLimit(admit.RateLimitReported{HandedOverAt: handedOverAt, Named: named, PerSecond: perSecond})
+			server.logRateLimit(server.Gate.RecordRateLimit(admit.RateLimitReported{HandedOverAt: handedOverAt, Named: named, PerSecond: perSecond}))
 		}
 	}
 	return server.recordLeaving(response.Header, response.Request.Header.Get(dialect.Instance))
@@ -32,14 +32,14 @@
 	dialect := server.Upstream.EffectiveDialect()
 	if dialect.ParseRateLimit != nil {
 		if perSecond, named, err := dialect.ParseRateLimit(result.Header); err == nil && named {
-			server.recordRateLimit(admit.RateLimitReported{Named: true, PerSecond: perSecond})
+			server.logRateLimit(server.Gate.RecordRateLimit(admit.RateLimitReported{Named: true, PerSecond: perSecond}))
 		}
 	}
 	server.recordLeaving(result.Header, result.Instance)
 }
 
-func (server *Server) recordRateLimit(reported admit.RateLimitReported) {
-	before, after := server.Gate.RecordRateLimit(reported)
+// logRateLimit writes a line if the known rate limit of the upstream has changed.
+func (server *Server) logRateLimit(before, after admit.RateLimit) {
 	if before != after {
 		server.logStatement(slog.LevelInfo, "rate limit of the upstream changed", "limited", after.InForce, "perSecond", after.PerSecond, "handedOver", server.Gate.HandedOverCount())
 	}
--- a/io/upstream/gate.go
+++ b/io/upstream/gate.go
@@ -274,21 +274,27 @@
 // RecordRateLimit records what a response said of the upstream's rate limit, and
 // returns the limit before and after that.
 func (gate *Gate) RecordRateLimit(reported admit.RateLimitReported) (before, after admit.RateLimit) {
-	gate.apply(func() []admit.Effect {
+	return gate.updateRateLimit(func() admit.Event {
 		reported.At = gate.Now()
-		before = gate.machine.Load().RateLimit
-		effects := gate.machine.Update(reported)
-		after = gate.machine.Load().RateLimit
-		return effects
+		return reported
 	})
-	return before, after
 }
 
-// HintRateLimit passes on a limit that an ingress knows from an earlier response.
-func (gate *Gate) HintRateLimit(limit admit.RateLimit) {
+// HintRateLimit passes on a limit that an ingress knows from an earlier response, and
+// returns the limit before and after that.
+func (gate *Gate) HintRateLimit(limit admit.RateLimit) (before, after admit.RateLimit) {
+	return gate.updateRateLimit(func() admit.Event { return admit.RateLimitHinted{At: gate.Now(), Limit: limit} })
+}
+
+// updateRateLimit applies an event and returns the rate limit before and after it.
+func (gate *Gate) updateRateLimit(event func() admit.Event) (before, after admit.RateLimit) {
 	gate.apply(func() []admit.Effect {
-		return gate.machine.Update(admit.RateLimitHinted{At: gate.Now(), Limit: limit})
+		before = gate.machine.Load().RateLimit
+		effects := gate.machine.Update(event())
+		after = gate.machine.Load().RateLimit
+		return effects
 	})
+	return before, after
 }
 
 // SetUpstream sets when the upstream started that requests are handed over to, in Unix
--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -263,4 +263,38 @@
   'case !committed.At.Before(reserved.arrived.Deadline):' 'case false:' ./core/admit
 mutant "a claim coordinator keeps its logs over a long pause" core/once/once.go \
   'if !paused {' 'if !paused || true {' ./core/once
+mutant "a gate ignores the rate limit of its upstream" core/admit/ratelimit.go \
+  'if !rateLimiter.limit.InForce {
+		return 0' 'if true {
+		return 0' ./core/admit
+mutant "a rate limit ends with a late response" core/admit/ratelimit.go \
+  'case reported.HandedOverAt.After(rateLimiter.namedAt):' 'default:' ./core/admit
+mutant "a hint goes before what the upstream has said" core/admit/ratelimit.go \
+  'if rateLimiter.heard || known' 'if known' ./core/admit
+mutant "a rate limit passes to the next upstream" core/admit/ratelimit.go \
+  'hinted.Limit.StartedAt != rateLimiter.startedAt' 'false' ./core/admit
+mutant "a restarted gate begins with a full bucket" core/admit/ratelimit.go \
+  'rateLimiter.tokens = 0' 'rateLimiter.tokens = rateLimiter.burst()' ./core/admit
+mutant "a token that was never taken is given back" core/admit/ratelimit.go \
+  'if !rateLimiter.isVoid(token) {' 'if true {' ./core/admit
+mutant "a reservation from before a rate limit runs" core/admit/admit.go \
+  'case gate.rateLimiter.isVoid(reserved.token) && gate.rateLimiter.delay(committed.At, 1) > 0:' 'case false:' ./core/admit
+mutant "a restarted gate does not learn the rate limit" io/peer/server.go \
+  'if limit := head.GetRateLimit(); limit != nil {' 'if limit := head.GetRateLimit(); false && limit != nil {' ./daemon
+mutant "an ingress forgets a rate limit that a restarted gate does not know" core/route/tracker.go \
+  'if load.RateLimit == (admit.RateLimit{}) {' 'if false {' ./core/pick
+mutant "an ingress does not pass over a target without room in its rate limit" core/route/leasttime.go \
+  'max(queueLength*slotInterval, rateDelaySeconds(candidate))' 'queueLength*slotInterval' ./core/pick
+mutant "the rate limit that answers name is not read" platform/headers.go \
+  'ParseRateLimit:   dialect.RateLimitHeader(headerRateLimit),' '' ./platform
+mutant "a gate does not hear that its upstream is leaving" io/peer/statements.go \
+  'server.Control.ReportLeaving(instance)' '' ./daemon
+mutant "an ingress does not remember that a target is leaving" io/caller/attempt.go \
+  'if head.GetLeaving() {' 'if false {' ./daemon
+mutant "a leaving target is chosen again" core/pick/pick.go \
+  'case picker.Tracker.IsLeaving(member.ID, member.Target.StartedAt):' 'case false:' ./core/pick
+mutant "a target that has left serves again after a restart of its daemon" core/member/departure.go \
+  'case departures[member.ID] == startedAt:' 'case false:' ./core/member
+mutant "a target whose daemon alone stops is taken for gone" core/member/departure.go \
+  'case member.Target.State == kernel.TargetDraining && !member.Leaving:' 'case member.Target.State == kernel.TargetDraining:' ./core/member
 exit $living
