A restart in a test leaves the end of the daemon to the cleanup; a bucket that begins empty

The mutants showed it. The mutant "a restarted gate begins with a full bucket" was not caught; the new case catches it.

--- a/core/admit/ratelimit_test.go
+++ b/core/admit/ratelimit_test.go
@@ -251,6 +251,13 @@
 		return gate.Load().RateLimit.InForce
 	}
 	now := time.Unix(1000, 0)
+	t.Run("and begins without room", func(t *testing.T) {
+		is := is.New(t)
+		gate := &admit.Gate{Slots: 4, QueueBound: 8}
+		gate.Update(admit.UpstreamStarted{StartedAt: 7})
+		gate.Update(admit.RateLimitHinted{At: now, Limit: admit.RateLimit{InForce: true, PerSecond: 4, StartedAt: 7}})
+		is.Equal(gate.LoadForClass(now, "").RateDelay, 250*time.Millisecond)
+	})
 	t.Run("of the same upstream only", func(t *testing.T) {
 		is := is.New(t)
 		is.True(inForce(admit.RateLimitHinted{At: now, Limit: known}))
--- a/daemon/cluster_test.go
+++ b/daemon/cluster_test.go
@@ -176,7 +176,9 @@
 	cluster.t.Helper()
 	instance := cluster.instances[number]
 	instance.stop()
-	is.New(cluster.t).NoErr(<-instance.ended)
+	err := <-instance.ended
+	is.New(cluster.t).NoErr(err)
+	instance.ended <- err // the cleanup of the cluster receives it again
 	cluster.await("the socket for load reports is closed", func() bool {
 		socket, err := net.ListenPacket("udp", instance.ip+":8001")
 		if err == nil {
@@ -195,10 +197,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	instance.stop = stop
 	ended := instance.ended
-	go func() {
-		ended <- running.Run(ctx)
-		close(ended)
-	}()
+	go func() { ended <- running.Run(ctx) }()
 	cluster.t.Cleanup(func() {
 		stop()
 		<-ended
