The gate's side of a hint has a test without timing

Cause: the mutant "a restarted gate does not learn the rate limit" lived on a busy machine. The test with whole daemons notices it only if a restart takes less than about a second.

No change of the daemon.

--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -280,7 +280,7 @@
 mutant "a reservation from before a rate limit runs" core/admit/admit.go \
   'case gate.rateLimiter.isVoid(reserved.token) && gate.rateLimiter.delay(committed.At, 1) > 0:' 'case false:' ./core/admit
 mutant "a restarted gate does not learn the rate limit" io/peer/server.go \
-  'if limit := head.GetRateLimit(); limit != nil {' 'if limit := head.GetRateLimit(); false && limit != nil {' ./daemon
+  'if limit := head.GetRateLimit(); limit != nil {' 'if limit := head.GetRateLimit(); false && limit != nil {' ./io/peer
 mutant "an ingress forgets a rate limit that a restarted gate does not know" core/route/tracker.go \
   'if load.RateLimit == (admit.RateLimit{}) {' 'if false {' ./core/pick
 mutant "an ingress does not pass over a target without room in its rate limit" core/route/leasttime.go \
