--- a/core/admit/ratelimit_test.go
+++ b/core/admit/ratelimit_test.go
@@ -181,7 +181,7 @@
 }
 
 func TestRateLimitEnds(t *testing.T) {
-	handedOver := func(events ...admit.Event) bool {
+	ended := func(events ...admit.Event) bool {
 		gate := &admit.Gate{Slots: 4, QueueBound: 8}
 		for _, event := range events {
 			gate.Update(event)
@@ -193,14 +193,14 @@
 	}
 	named := admit.RateLimitReported{At: at(100), HandedOverAt: at(0), Named: true, PerSecond: 5}
 	t.Run("with a response that names none", func(t *testing.T) {
-		is.New(t).True(handedOver(named, admit.RateLimitReported{At: at(300), HandedOverAt: at(200)}))
+		is.New(t).True(ended(named, admit.RateLimitReported{At: at(300), HandedOverAt: at(200)}))
 	})
 	t.Run("not with a late response to an earlier request", func(t *testing.T) {
-		is.New(t).True(!handedOver(named, admit.RateLimitReported{At: at(300), HandedOverAt: at(90)}))
+		is.New(t).True(!ended(named, admit.RateLimitReported{At: at(300), HandedOverAt: at(90)}))
 	})
 	t.Run("with the upstream that named it", func(t *testing.T) {
-		is.New(t).True(handedOver(admit.UpstreamStarted{StartedAt: 1}, named, admit.UpstreamStarted{StartedAt: 2}))
-		is.New(t).True(!handedOver(admit.UpstreamStarted{StartedAt: 1}, named, admit.UpstreamStarted{StartedAt: 1}))
+		is.New(t).True(ended(admit.UpstreamStarted{StartedAt: 1}, named, admit.UpstreamStarted{StartedAt: 2}))
+		is.New(t).True(!ended(admit.UpstreamStarted{StartedAt: 1}, named, admit.UpstreamStarted{StartedAt: 1}))
 	})
 	t.Run("a limit of 0 lets a request through that can show its end", func(t *testing.T) {
 		upstream := newLimitedUpstream(t, 0)
