An upstream without a known start is not taken for leaving by its successors

Found while reading the change: an own upstream that announces no start and says that it is leaving would be left out by ingresses for good, as the next one has the same start of 0. The new line of TestLeavingTargetIsNotChosenAgain fails without the change.

--- a/core/pick/statements_test.go
+++ b/core/pick/statements_test.go
@@ -48,6 +48,9 @@
 	is.Equal(fixture.chosen()["t0"], 0)
 	fixture.members[0].Target.StartedAt = 8
 	is.True(fixture.chosen()["t0"] > 0)
+	fixture.members[0].Target.StartedAt = 0
+	fixture.tracker.RecordLeaving("t0", 0) // the next one could not be told from it
+	is.True(fixture.chosen()["t0"] > 0)
 	for index := range fixture.members {
 		fixture.members[index].Target.StartedAt = 9
 		fixture.tracker.RecordLeaving(fixture.members[index].ID, 9)
--- a/core/route/tracker.go
+++ b/core/route/tracker.go
@@ -136,7 +136,11 @@
 
 // RecordLeaving records that an upstream has said in a response that it is leaving, and
 // reports whether that was not known. startedAt is when it started, in Unix milliseconds.
+// Without it nothing is recorded, since the next upstream could not be told from this one.
 func (tracker *Tracker) RecordLeaving(id string, startedAt int64) bool {
+	if startedAt == 0 {
+		return false
+	}
 	tracker.mutex.Lock()
 	defer tracker.mutex.Unlock()
 	target := tracker.statsFor(id)
