--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -290,7 +290,9 @@
 mutant "a gate does not hear that its upstream is leaving" io/peer/statements.go \
   'server.Control.ReportLeaving(instance)' '' ./daemon
 mutant "an ingress does not remember that a target is leaving" io/caller/attempt.go \
-  'if head.GetLeaving() {' 'if false {' ./daemon
+  'if head.GetLeaving() {' 'if false {' ./io/caller
+mutant "a forwarded request does not tell the rate limit that its ingress knows" io/caller/attempt.go \
+  'peer.EncodeRateLimit(exchange.service.tracker.RateLimit(send.Target))' 'nil' ./io/caller
 mutant "a leaving target is chosen again" core/pick/pick.go \
   'case picker.Tracker.IsLeaving(member.ID, member.Target.StartedAt):' 'case false:' ./core/pick
 mutant "a target that has left serves again after a restart of its daemon" core/member/departure.go \
