--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -299,4 +299,16 @@
   'case departures[member.ID] == startedAt:' 'case false:' ./core/member
 mutant "a target whose daemon alone stops is taken for gone" core/member/departure.go \
   'case member.Target.State == kernel.TargetDraining && !member.Leaving:' 'case member.Target.State == kernel.TargetDraining:' ./core/member
+mutant "a health check that names no rate limit ends it" io/peer/statements.go \
+  'err == nil && named {
+			server.logRateLimit(server.Gate.RecordRateLimit(admit.RateLimitReported{Named: true,' 'err == nil {
+			server.logRateLimit(server.Gate.RecordRateLimit(admit.RateLimitReported{HandedOverAt: server.Gate.Now(), Named: named,' ./io/peer
+mutant "a health check that says that its upstream is leaving is not heard" io/peer/statements.go \
+  'server.recordLeaving(result.Header, result.Instance)' '' ./io/peer
+mutant "a rate limit that is no number ends the one before" io/peer/statements.go \
+  'if err != nil {' 'if false {' ./io/peer
+mutant "a rate limit of 0 lets nothing through that could show its end" core/admit/ratelimit.go \
+  'max(minRate, rateLimiter.limit.PerSecond)' 'rateLimiter.limit.PerSecond' ./core/admit
+mutant "an upstream without a known start is taken for leaving by its successors" core/route/tracker.go \
+  'if startedAt == 0 {' 'if false {' ./core/pick
 exit $living
