--- a/review/kit/fleet.go
+++ b/review/kit/fleet.go
@@ -159,6 +159,23 @@
 	machine.process = nil
 }
 
+// Signal sends a signal to the daemon of a machine.
+func (fleet *Fleet) Signal(machine *Machine, signal os.Signal) {
+	if machine.process == nil {
+		return
+	}
+	fleet.Record.Line("daemon: %s to %s", signal, machine.Node)
+	_ = machine.process.Process.Signal(signal)
+}
+
+// Await waits for the end of the daemon of a machine.
+func (fleet *Fleet) Await(machine *Machine) {
+	if machine.process != nil {
+		<-machine.ended
+		machine.process = nil
+	}
+}
+
 // Close ends all daemons and removes their files.
 func (fleet *Fleet) Close() {
 	for _, machine := range fleet.Machines {
