--- a/review/kit/store.go
+++ b/review/kit/store.go
@@ -123,6 +123,19 @@
 	return machines
 }
 
+// Specs returns the objects of a kind.
+func (store *Store) Specs(kind string) []string {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	var specs []string
+	for _, object := range store.objects {
+		if object.kind == kind {
+			specs = append(specs, string(object.spec))
+		}
+	}
+	return specs
+}
+
 // Put writes an object as the operator, and returns its revision.
 func (store *Store) Put(kind, name string, spec []byte) uint64 {
 	store.mutex.Lock()
