review: case 1 also with the crash of one target

Tried: TROUBLE=crash target/cases upload, five times: each time one upload was run without a part of its body (65,537 or 267,233 of 300,000 bytes) and answered with 200.

--- a/review/cases/upload.go
+++ b/review/cases/upload.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"os"
 	"sync"
 	"time"
 
@@ -30,7 +31,8 @@
 
 func init() { cases["upload"] = playUpload }
 
-// playUpload sends uploads in chunks while the targets reject a part of all requests.
+// playUpload sends uploads in chunks while the targets reject a part of all requests or,
+// with TROUBLE=crash, after one of the targets has crashed.
 func playUpload(environment *environment) ([]string, error) {
 	environment.configure(kit.Config{
 		Version:  1,
@@ -49,7 +51,11 @@
 		return nil, err
 	}
 	time.Sleep(4 * time.Second)
-	if environment.trouble {
+	switch {
+	case os.Getenv("TROUBLE") == "crash":
+		environment.record.Line("trouble: %s crashes", targets[0].ID)
+		targets[0].Exit()
+	case environment.trouble:
 		environment.record.Line("trouble: all targets reject %.2f of the requests for %s", shedShare, shedTime)
 		for _, target := range targets {
 			target.Shedding.Store(true)
