--- a/review/kit/target.go
+++ b/review/kit/target.go
@@ -157,7 +157,7 @@
 	length, err := io.Copy(digest, request.Body)
 	run := Run{
 		At: target.Record.Seconds(), ID: id, Target: target.ID, Service: target.Machine.Service, Method: request.Method,
-		Path: request.URL.RequestURI(), BodyLength: int(length), BodyDigest: hex.EncodeToString(digest.Sum(nil)[:8]), Complete: err == nil,
+		Path: request.RequestURI, BodyLength: int(length), BodyDigest: hex.EncodeToString(digest.Sum(nil)[:8]), Complete: err == nil,
 	}
 	if err != nil {
 		target.Record.Line("target: %s gets only a part of the body of %s (%d bytes) and does not run it: %v", target.ID, id, length, err)
