--- a/review/cases/era.go
+++ b/review/cases/era.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"os"
 	"time"
 
 	"ibislift/review/kit"
@@ -48,7 +49,7 @@
 }
 
 // drill takes the store away and brings it back from a copy. The operator writes again what
-// is missing.
+// is missing or, with TROUBLE=last, the last version only.
 func (environment *environment) drill(from kit.Copy) {
 	environment.record.Line("trouble: the store is away for %s", awayTime)
 	environment.store.GoAway()
@@ -56,8 +57,10 @@
 	environment.store.Return(from)
 	environment.record.Line("trouble: the store is back from a copy with r1, in the next era")
 	time.Sleep(untilRewrite)
-	environment.configure(configTable(5, "old"))
-	time.Sleep(changesApart)
+	if os.Getenv("TROUBLE") != "last" {
+		environment.configure(configTable(5, "old"))
+		time.Sleep(changesApart)
+	}
 	environment.configure(configTable(9, "new"))
 }
 
--- a/review/kit/target.go
+++ b/review/kit/target.go
@@ -43,6 +43,7 @@
 	OnRun func(Run)
 
 	born     int64
+	left     atomic.Bool
 	sequence atomic.Uint64
 	running  atomic.Int64
 	server   *http.Server
@@ -103,7 +104,11 @@
 }
 
 // Leave sends the call with which a target leaves, and returns the status.
-func (target *Target) Leave() int { return target.call(http.MethodDelete, nil) }
+// From then on all its answers say that it is leaving.
+func (target *Target) Leave() int {
+	target.left.Store(true)
+	return target.call(http.MethodDelete, nil)
+}
 
 func (target *Target) call(method string, body []byte) int {
 	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
@@ -124,12 +129,19 @@
 func (target *Target) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
 	header := writer.Header()
 	header.Set(Name("load"), fmt.Sprintf("%d,0,%d", target.running.Load(), target.Slots))
+	if target.left.Load() {
+		header.Set(Name("leaving"), "1")
+	}
 	id := request.Header.Get(Name("requestID"))
 	if id != "" {
 		header.Set(Name("requestID"), id)
 	}
 	if request.URL.Path == "/health" {
 		header.Set(Name("instanceID"), target.ID)
+		if target.left.Load() {
+			writer.WriteHeader(http.StatusServiceUnavailable)
+		}
+		target.Record.Line("target: %s answers a status check", target.ID)
 		return
 	}
 	if expected := request.Header.Get(Name("instance")); expected != "" && expected != target.ID {
