--- a/review/cases/drain.go
+++ b/review/cases/drain.go
@@ -34,7 +34,7 @@
 func playDrain(environment *environment) ([]string, error) {
 	environment.configure(kit.Config{
 		Version: 1, Services: []string{"desk"},
-		Routes: []kit.Route{{Name: "r-desk", Host: "desk.example", Prefix: "/desk/", Type: "non_idempotent", Service: "desk", Timeout: 1.5, Objective: 0.5}},
+		Routes: []kit.Route{{Name: "r-desk", Host: "desk.example", Prefix: "/desk/", Type: kit.Name("nonIdempotent"), Service: "desk", Timeout: 1.5, Objective: 0.5}},
 	})
 	var targets []*kit.Target
 	for index, zone := range []string{"north-a", "north-b", "south-a"} {
--- a/review/cases/recover.go
+++ b/review/cases/recover.go
@@ -59,6 +59,9 @@
 		back = environment.loseAll(lost, targets)
 	}
 	time.Sleep(recoverTime)
+	if err := environment.fleet.AwaitReady(back, time.Second); err != nil {
+		environment.record.Line("check: not all machines that are back are ready")
+	}
 	after := environment.servedShare(back)
 	environment.record.Line("check: %.2f of the requests were served before, %.2f later than recover-s after it", before, after)
 	if before >= minServed && after < minServed {
