rollout: a platform that sends nothing no longer hides a change

Cause: a watch of 25 s without a reply was taken for a platform without changes. Nothing else was called meanwhile, so the watchers neither read the change nor saw the outage, and no other daemon watched in their place.

Ruled out: the read after the timeout (it brings the version), the spread between daemons, eras (the platform kept its own).

Change: while a watch waits, its daemon reads the platform's revision every 1.5 s, without objects and stale, with a timeout of 1 s. If the revision is above the one at which the watch has missed nothing, the table is read stale; if that is newer, the watch is cancelled and the table read anew. A failed check counts as a failed call, so that another daemon watches after a second. A call that has ended with its timeout is repeated at once.

The fake fleet counts these reads on their own, bounded by one in 1.5 s for each watcher; the bounds on other calls stay.

--- a/core/kernel/effect.go
+++ b/core/kernel/effect.go
@@ -50,6 +50,12 @@
 	Call  PlatformCall
 }
 
+// CancelPlatformCall ends a CallPlatform that waits. Its result still arrives.
+type CancelPlatformCall struct {
+	Owner string
+	Token uint64
+}
+
 // ReplyToChange replies to the ChangeRequested with the same token.
 type ReplyToChange struct {
 	Token  uint64
@@ -62,16 +68,17 @@
 	Result ClaimResult
 }
 
-func (MergeRecords) effect()  {}
-func (Dispatch) effect()      {}
-func (Publish) effect()       {}
-func (Wake) effect()          {}
-func (ProbeUpstream) effect() {}
-func (CallPeer) effect()      {}
-func (ReplyToPeer) effect()   {}
-func (CallPlatform) effect()  {}
-func (ReplyToChange) effect() {}
-func (ReplyToClaim) effect()  {}
+func (MergeRecords) effect()       {}
+func (Dispatch) effect()           {}
+func (Publish) effect()            {}
+func (Wake) effect()               {}
+func (ProbeUpstream) effect()      {}
+func (CallPeer) effect()           {}
+func (ReplyToPeer) effect()        {}
+func (CallPlatform) effect()       {}
+func (CancelPlatformCall) effect() {}
+func (ReplyToChange) effect()      {}
+func (ReplyToClaim) effect()       {}
 
 // Neighbour is a daemon that this one exchanges control traffic with. ID is
 // empty for a first peer of which only the address is known.
--- a/core/kernel/platform.go
+++ b/core/kernel/platform.go
@@ -32,6 +32,11 @@
 	Wait     time.Duration
 }
 
+// ReadRevision reads the platform's revision without any object. It costs a platform
+// less than a list that offers stale results, and may be some seconds old too. Prefix
+// is that of the objects which the caller watches.
+type ReadRevision struct{ Prefix string }
+
 // DeleteObject removes an object.
 type DeleteObject struct{ Name string }
 
@@ -39,6 +44,7 @@
 func (ReadObject) platformCall()   {}
 func (ListObjects) platformCall()  {}
 func (WatchObjects) platformCall() {}
+func (ReadRevision) platformCall() {}
 func (DeleteObject) platformCall() {}
 
 // CallKind returns the kind of a call as it appears in logs and metrics.
@@ -52,6 +58,8 @@
 		return "list"
 	case WatchObjects:
 		return "watch"
+	case ReadRevision:
+		return "revision"
 	case DeleteObject:
 		return "delete"
 	default:
--- a/core/rollout/rollout.go
+++ b/core/rollout/rollout.go
@@ -2,7 +2,9 @@
 // daemon reads the table from the platform when it starts. After that, the
 // watchers of each data centre watch the platform and merge each newer version
 // into the replicated records, which reach the other daemons within a few
-// round trips. A daemon that has lost contact with its neighbours watches the
+// round trips. While a watch waits, the watcher reads the platform's revision now and
+// then, which shows a change that the watch has missed and a platform that does not
+// reply. A daemon that has lost contact with its neighbours watches the
 // platform itself. A table is always applied as a whole, and an older version
 // never replaces a newer one.
 //
@@ -56,17 +58,21 @@
 	// minFailedNeighbours is the number of failed neighbours from which a
 	// daemon considers itself disconnected. A single one may be restarting.
 	minFailedNeighbours = 2
-	// retryDelay is the delay before a failed call is repeated, to which up to
-	// retryJitter is added. The sum stays well below the 4 s within which a
-	// change must be in force.
+	// retryDelay is the time from the beginning of a failed call until it is repeated,
+	// to which up to retryJitter is added. A call that ends with its timeout is
+	// repeated at once. The sum stays well below the 4 s within which a change must
+	// be in force.
 	retryDelay  = 700 * time.Millisecond
 	retryJitter = 600 * time.Millisecond
 )
 
-// Tokens of the plug-in's calls.
+// Tokens of the plug-in's calls. Each watch has its own, from firstWatchToken on, so
+// that the result of an abandoned one is recognized.
 const (
 	readToken = iota + 1
-	watchToken
+	checkToken
+	verifyToken
+	firstWatchToken
 )
 
 func init() {
@@ -76,13 +82,21 @@
 type plugin struct {
 	table *routes.Table
 	// lastParsed is the result of the last call of parse, and lastBody its input.
-	lastParsed  *routes.Table
-	lastBody    []byte
-	source      string
-	eraTracker  eraTracker
-	revision    uint64
-	callPending bool
-	// calledAt is when the last call ended.
+	lastParsed *routes.Table
+	lastBody   []byte
+	source     string
+	eraTracker eraTracker
+	// revision is the revision from which the next watch starts, and checkedRevision
+	// the last one at which the waiting watch is known to have missed nothing.
+	revision        uint64
+	checkedRevision uint64
+	// readPending and checkPending are true during a read and a check. watchToken is
+	// the token of the waiting watch, or 0 if none waits.
+	readPending  bool
+	checkPending bool
+	watchToken   uint64
+	watchCount   uint64
+	// calledAt is when the last call began.
 	calledAt time.Time
 	// revisionAt is when the platform returned the revision.
 	revisionAt time.Time
@@ -141,7 +155,7 @@
 		plugin.startedAt = event.At
 		plugin.connectedSince = event.At
 		plugin.failedPeers = map[string]time.Time{}
-		return plugin.read(state)
+		return plugin.read(state, event.At)
 	case kernel.PeerReplied:
 		plugin.lastContact = event.At
 		delete(plugin.failedPeers, message.Peer.Address)
@@ -173,24 +187,27 @@
 	}
 }
 
-// tick starts the next read or watch if no call is pending.
+// tick starts the next read or watch if neither is pending, or a check of the watch.
 func (plugin *plugin) tick(state *kernel.State, at time.Time) []kernel.Effect {
-	if plugin.callPending || at.Before(plugin.retryAt) {
+	if plugin.readPending || at.Before(plugin.retryAt) {
 		return nil
 	}
+	if plugin.watchToken != 0 {
+		return plugin.checkWatch(state, at)
+	}
 	if !state.Watching && plugin.isConnected(at) {
 		return plugin.recheck(state, at)
 	}
 	if plugin.revision == 0 {
-		return plugin.read(state)
+		return plugin.read(state, at)
 	}
 	if plugin.isSettling(state, at) {
 		return nil
 	}
 	if at.Sub(plugin.revisionAt) > maxRevisionAge {
-		return plugin.read(state)
+		return plugin.read(state, at)
 	}
-	return plugin.watch(state)
+	return plugin.watch(state, at)
 }
 
 // recheck reads the table now and then if the last call has failed, although the
@@ -199,7 +216,7 @@
 	if plugin.platformDownSince.IsZero() || at.Sub(plugin.calledAt) < recheckInterval {
 		return nil
 	}
-	return plugin.read(state)
+	return plugin.read(state, at)
 }
 
 // isSettling reports whether this daemon has started too recently to watch.
@@ -232,12 +249,15 @@
 }
 
 // read reads the table.
-func (plugin *plugin) read(state *kernel.State) []kernel.Effect {
-	return plugin.call(readToken, kernel.ListObjects{Prefix: objectPrefix(state), StaleAllowed: !plugin.hasRead})
+func (plugin *plugin) read(state *kernel.State, at time.Time) []kernel.Effect {
+	plugin.readPending = true
+	return plugin.call(at, readToken, kernel.ListObjects{Prefix: objectPrefix(state), StaleAllowed: !plugin.hasRead})
 }
 
-func (plugin *plugin) watch(state *kernel.State) []kernel.Effect {
-	return plugin.call(watchToken, kernel.WatchObjects{Prefix: objectPrefix(state), Revision: plugin.revision, Wait: watchTimeout})
+func (plugin *plugin) watch(state *kernel.State, at time.Time) []kernel.Effect {
+	plugin.watchToken = firstWatchToken + plugin.watchCount
+	plugin.watchCount++
+	return plugin.call(at, plugin.watchToken, kernel.WatchObjects{Prefix: objectPrefix(state), Revision: plugin.revision, Wait: watchTimeout})
 }
 
 // objectPrefix returns the name of the route object up to its last slash.
@@ -246,45 +266,97 @@
 	return name[:strings.LastIndex(name, "/")+1]
 }
 
-// call returns the effect that makes a platform call and marks it as pending.
-func (plugin *plugin) call(token uint64, call kernel.PlatformCall) []kernel.Effect {
-	plugin.callPending = true
+// call returns the effect that makes a platform call.
+func (plugin *plugin) call(at time.Time, token uint64, call kernel.PlatformCall) []kernel.Effect {
+	plugin.calledAt = at
 	return []kernel.Effect{kernel.CallPlatform{Owner: pluginName, Token: token, Call: call}}
 }
 
+// endCall records the end of a call. It reports false for a watch that was abandoned.
+func (plugin *plugin) endCall(token uint64) bool {
+	switch token {
+	case readToken, verifyToken:
+		plugin.readPending = false
+	case checkToken:
+		plugin.checkPending = false
+	case plugin.watchToken:
+		plugin.watchToken = 0
+	default:
+		return false
+	}
+	return true
+}
+
 // handleCallEnd merges the table that a call returned and continues with a watch
 // if this daemon has to watch. After a failed call the table is read again,
 // because the platform may have dropped the history in the meantime.
 func (plugin *plugin) handleCallEnd(state *kernel.State, event kernel.Event, ended kernel.PlatformCallEnded) []kernel.Effect {
-	plugin.callPending = false
-	plugin.calledAt = event.At
+	if !plugin.endCall(ended.Token) {
+		return nil
+	}
 	result := ended.Result
 	plugin.updatePlatformStatus(state, event.At, result.Status)
-	if !plugin.enterEra(ended) {
+	var effects []kernel.Effect
+	era := plugin.eraTracker.era
+	usable := plugin.enterEra(ended)
+	if era != 0 && plugin.eraTracker.era != era {
+		plugin.revision = 0
+		plugin.checkedRevision = 0
+		effects = plugin.abandonWatch()
+	}
+	switch {
+	case !usable:
 		plugin.revision = 0
 		plugin.retryAt = event.At
 		if result.Era < plugin.eraTracker.era {
 			plugin.retryAt = event.At.Add(retryDelay)
 		}
-		return plugin.tick(state, event.At)
+		return append(effects, plugin.tick(state, event.At)...)
+	case result.Status != kernel.PlatformOK:
+		plugin.handleFailure(event, ended)
+		return effects
+	case ended.Token == checkToken:
+		effects = append(effects, plugin.handleCheck(state, event.At, result)...)
+	case ended.Token == verifyToken:
+		effects = append(effects, plugin.handleVerification(state, result)...)
+	default:
+		effects = append(effects, plugin.handleObjects(state, event.At, ended)...)
 	}
-	if result.Status != kernel.PlatformOK {
+	return append(effects, plugin.tick(state, event.At)...)
+}
+
+// handleFailure schedules the call after a failed one. A failed check says nothing
+// about what the waiting watch may have missed.
+func (plugin *plugin) handleFailure(event kernel.Event, ended kernel.PlatformCallEnded) {
+	if ended.Token != checkToken && ended.Token != verifyToken {
 		plugin.revision = 0
-		plugin.retryAt = event.At.Add(retryDelay + time.Duration(event.Random%uint64(retryJitter)))
-		if result.Status == kernel.PlatformHistoryLost {
-			plugin.retryAt = event.At
-		}
-		return nil
 	}
+	if ended.Result.Status == kernel.PlatformHistoryLost {
+		plugin.retryAt = event.At
+		return
+	}
+	plugin.retryAt = plugin.calledAt.Add(retryDelay + time.Duration(event.Random%uint64(retryJitter)))
+}
+
+// handleObjects merges the table among the objects that a read or a watch returned.
+func (plugin *plugin) handleObjects(state *kernel.State, at time.Time, ended kernel.PlatformCallEnded) []kernel.Effect {
+	result := ended.Result
 	isCurrent := plugin.hasRead
 	plugin.hasRead = true
 	plugin.revision = result.Revision
-	plugin.revisionAt = event.At
-	var records []kernel.Record
+	plugin.checkedRevision = result.Revision
+	plugin.revisionAt = at
 	if isCurrent && ended.Token == readToken && len(result.Objects)+result.Invalid == 0 {
 		plugin.eraTracker.record(0, 0)
 	}
-	for _, object := range result.Objects {
+	return plugin.mergeTable(state, result.Objects, isCurrent)
+}
+
+// mergeTable merges the table among the objects. isCurrent is false if they may be some
+// seconds old.
+func (plugin *plugin) mergeTable(state *kernel.State, objects []kernel.Object, isCurrent bool) []kernel.Effect {
+	var records []kernel.Record
+	for _, object := range objects {
 		if object.Name != state.Settings.RouteObject {
 			continue
 		}
@@ -299,8 +371,7 @@
 			records = append(records, kernel.Record{Key: routeKey(state), Version: version.encode(), Body: body})
 		}
 	}
-	effects := []kernel.Effect{kernel.MergeRecords{Records: records}}
-	return append(effects, plugin.tick(state, event.At)...)
+	return []kernel.Effect{kernel.MergeRecords{Records: records}}
 }
 
 // routeKey is the key of the record with the route table.
@@ -320,7 +391,7 @@
 		return false
 	}
 	plugin.eraTracker.enter(era)
-	return before == 0 || ended.Token != watchToken
+	return before == 0 || ended.Token < firstWatchToken
 }
 
 // confirmEra gives the known table the version of the current era, so that a daemon
--- a/core/rollout/rollout_test.go
+++ b/core/rollout/rollout_test.go
@@ -21,7 +21,9 @@
 	kernel kernel.Kernel
 	now    time.Time
 	calls  []kernel.CallPlatform
-	view   *kernel.View
+	// cancelled holds the calls that the plug-in has cancelled.
+	cancelled []kernel.CancelPlatformCall
+	view      *kernel.View
 }
 
 func newDaemon() *daemon {
@@ -35,6 +37,8 @@
 		switch effect := effect.(type) {
 		case kernel.CallPlatform:
 			daemon.calls = append(daemon.calls, effect)
+		case kernel.CancelPlatformCall:
+			daemon.cancelled = append(daemon.cancelled, effect)
 		case kernel.Publish:
 			daemon.view = effect.View
 		}
@@ -178,6 +182,102 @@
 	})
 }
 
+// A watch that the platform does not answer hides neither a change nor the platform's
+// silence.
+func TestWatchesAreChecked(t *testing.T) {
+	// watching returns a daemon that watches from revision 10 and has table 5.
+	watching := func() *daemon {
+		daemon := newDaemon()
+		daemon.reply(listResult(5, 10))
+		daemon.failNeighbours()
+		daemon.reply(listResult(5, 10))
+		return daemon
+	}
+	// checking returns it with a check in progress.
+	checking := func(t *testing.T) *daemon {
+		t.Helper()
+		daemon := watching()
+		calls := len(daemon.calls)
+		daemon.advance(2 * time.Second)
+		is.New(t).Equal(len(daemon.calls), calls+1)
+		requireLastCall(t, daemon, kernel.ReadRevision{Prefix: "config/"})
+		return daemon
+	}
+	t.Run("a revision without a change is not followed by a read", func(t *testing.T) {
+		daemon := checking(t)
+		daemon.reply(kernel.PlatformResult{Revision: 10})
+		calls := len(daemon.calls)
+		daemon.advance(kernel.TickInterval)
+		is.New(t).Equal(len(daemon.calls), calls)
+	})
+	t.Run("a table that the watch has missed is applied, and the watch is abandoned", func(t *testing.T) {
+		daemon := checking(t)
+		watch := daemon.calls[len(daemon.calls)-2]
+		daemon.reply(kernel.PlatformResult{Revision: 12})
+		requireLastCall(t, daemon, kernel.ListObjects{Prefix: "config/", StaleAllowed: true})
+		daemon.reply(listResult(11, 12))
+		requireRouteVersion(t, daemon, 11)
+		is := is.New(t)
+		is.Equal(daemon.cancelled, []kernel.CancelPlatformCall{{Owner: watch.Owner, Token: watch.Token}})
+		requireLastCall(t, daemon, kernel.ListObjects{Prefix: "config/"})
+		daemon.reply(listResult(11, 12))
+		next := daemon.calls[len(daemon.calls)-1]
+		is.True(next.Token != watch.Token)
+		calls := len(daemon.calls)
+		daemon.update(kernel.PlatformCallEnded{Owner: watch.Owner, Token: watch.Token, Result: kernel.PlatformResult{Status: kernel.PlatformUnknown}})
+		is.True(daemon.view.PlatformDownSince.IsZero())
+		is.Equal(len(daemon.calls), calls)
+	})
+	t.Run("a watch goes on if other objects have changed", func(t *testing.T) {
+		daemon := checking(t)
+		daemon.reply(kernel.PlatformResult{Revision: 12})
+		daemon.reply(listResult(5, 12))
+		is := is.New(t)
+		is.Equal(len(daemon.cancelled), 0)
+		calls := len(daemon.calls)
+		daemon.advance(2 * time.Second)
+		daemon.reply(kernel.PlatformResult{Revision: 12})
+		is.Equal(len(daemon.calls), calls+1) // the check only
+	})
+	t.Run("a check without a reply shows that the platform is silent, and is repeated", func(t *testing.T) {
+		daemon := checking(t)
+		daemon.advance(time.Second)
+		daemon.reply(kernel.PlatformResult{Status: kernel.PlatformUnknown})
+		is := is.New(t)
+		is.True(!daemon.view.PlatformDownSince.IsZero())
+		calls := len(daemon.calls)
+		daemon.advance(1500 * time.Millisecond)
+		is.Equal(len(daemon.calls), calls+1)
+		daemon.reply(kernel.PlatformResult{Revision: 10})
+		is.True(daemon.view.PlatformDownSince.IsZero())
+	})
+	t.Run("a check in a later era ends the watch", func(t *testing.T) {
+		daemon := newDaemon()
+		first := listResult(5, 10)
+		first.Era = 1
+		daemon.reply(first)
+		daemon.failNeighbours()
+		daemon.reply(first)
+		daemon.advance(2 * time.Second)
+		daemon.reply(kernel.PlatformResult{Era: 2, Revision: 4})
+		is.New(t).Equal(len(daemon.cancelled), 1)
+		requireLastCall(t, daemon, kernel.ListObjects{Prefix: "config/"})
+	})
+	t.Run("a read that ends with its timeout is repeated at once", func(t *testing.T) {
+		daemon := newDaemon()
+		daemon.advance(2 * time.Second)
+		daemon.reply(kernel.PlatformResult{Status: kernel.PlatformUnknown})
+		calls := len(daemon.calls)
+		daemon.advance(kernel.TickInterval)
+		is.New(t).Equal(len(daemon.calls), calls+1)
+	})
+}
+
+func requireLastCall(t *testing.T, daemon *daemon, call kernel.PlatformCall) {
+	t.Helper()
+	is.New(t).Equal(daemon.calls[len(daemon.calls)-1].Call, call)
+}
+
 func TestCompression(t *testing.T) {
 	large := []byte(`{"version":1,"routes":[` + strings.Repeat(`{"host":"h","prefix":"/","parts":[{"service":"s","weight":1}]},`, 100) + `{"host":"h","prefix":"/","parts":[{"service":"s","weight":1}]}]}`)
 	deliver := func(body []byte) *daemon {
--- a/daemon/control.go
+++ b/daemon/control.go
@@ -40,6 +40,8 @@
 	mutex     sync.Mutex
 	lastToken uint64
 	pending   map[uint64]chan<- kernel.Effect
+	// platformCalls holds the functions that cancel the calls to the platform.
+	platformCalls map[kernel.CancelPlatformCall]context.CancelFunc
 }
 
 func newControl(settings kernel.Settings) *control {
@@ -48,6 +50,8 @@
 		messages: make(chan kernel.Message, messageBuffer),
 		done:     make(chan struct{}),
 		pending:  map[uint64]chan<- kernel.Effect{},
+
+		platformCalls: map[kernel.CancelPlatformCall]context.CancelFunc{},
 	}
 	control.view.Store(&kernel.View{Self: settings.Self})
 	return control
@@ -99,7 +103,9 @@
 	case kernel.CallPeer:
 		go control.callPeer(effect)
 	case kernel.CallPlatform:
-		go control.callPlatform(effect)
+		control.startPlatformCall(effect)
+	case kernel.CancelPlatformCall:
+		control.cancelPlatformCall(effect)
 	case kernel.ReplyToPeer:
 		control.deliverReply(effect.Token, effect)
 	case kernel.ReplyToChange:
@@ -142,9 +148,30 @@
 	control.send(kernel.PeerReplied{Peer: call.Peer, Envelope: peer.DecodeEnvelope(reply)})
 }
 
-func (control *control) callPlatform(call kernel.CallPlatform) {
-	result := control.platform.Do(control.ctx, call.Call)
-	control.send(kernel.PlatformCallEnded{Owner: call.Owner, Token: call.Token, Result: result})
+// startPlatformCall makes a call to the platform in a goroutine of its own.
+func (control *control) startPlatformCall(call kernel.CallPlatform) {
+	ctx, cancel := context.WithCancel(control.ctx)
+	key := kernel.CancelPlatformCall{Owner: call.Owner, Token: call.Token}
+	control.mutex.Lock()
+	control.platformCalls[key] = cancel
+	control.mutex.Unlock()
+	go func() {
+		defer cancel()
+		result := control.platform.Do(ctx, call.Call)
+		control.mutex.Lock()
+		delete(control.platformCalls, key)
+		control.mutex.Unlock()
+		control.send(kernel.PlatformCallEnded{Owner: call.Owner, Token: call.Token, Result: result})
+	}()
+}
+
+// cancelPlatformCall cancels a call to the platform unless it has ended.
+func (control *control) cancelPlatformCall(call kernel.CancelPlatformCall) {
+	control.mutex.Lock()
+	defer control.mutex.Unlock()
+	if cancel, pending := control.platformCalls[call]; pending {
+		cancel()
+	}
 }
 
 // sendAndWait passes a message with a new token to the kernel and waits for the
--- a/io/platform/codec.go
+++ b/io/platform/codec.go
@@ -30,6 +30,8 @@
 		return newRequest(http.MethodGet, objectPath(call.Name), nil)
 	case kernel.ListObjects:
 		return newRequest(http.MethodGet, "/objects?prefix="+url.QueryEscape(call.Prefix), nil)
+	case kernel.ReadRevision:
+		return newRequest(http.MethodGet, "/revision", nil)
 	case kernel.WatchObjects:
 		path := fmt.Sprintf("/watch?prefix=%s&revision=%d&wait=%s", url.QueryEscape(call.Prefix), call.Revision, call.Wait)
 		return newRequest(http.MethodGet, path, nil)
--- a/io/platform/platform.go
+++ b/io/platform/platform.go
@@ -42,6 +42,10 @@
 // changes.
 const callTimeout = 2 * time.Second
 
+// revisionTimeout limits a kernel.ReadRevision, whose reply is small, so that a
+// platform that does not reply is noticed soon.
+const revisionTimeout = time.Second
+
 // Object is the encoding of an object.
 type Object struct {
 	Name    string          `json:"name"`
@@ -216,10 +220,14 @@
 }
 
 func timeoutOf(call kernel.PlatformCall) time.Duration {
-	if watch, ok := call.(kernel.WatchObjects); ok {
-		return watch.Wait + callTimeout
+	switch call := call.(type) {
+	case kernel.WatchObjects:
+		return call.Wait + callTimeout
+	case kernel.ReadRevision:
+		return revisionTimeout
+	default:
+		return callTimeout
 	}
-	return callTimeout
 }
 
 func (client *Client) codec() Codec {
--- a/standin/fleet/platform.go
+++ b/standin/fleet/platform.go
@@ -15,10 +15,12 @@
 const (
 	platformLatency = 2 * time.Millisecond
 	platformTimeout = 2 * time.Second
+	// revisionTimeout is the timeout of a kernel.ReadRevision.
+	revisionTimeout = time.Second
 )
 
-// Platform keeps the objects of the platform in a map. Down, DropWriteReply and
-// WriteDelay inject faults.
+// Platform keeps the objects of the platform in a map. Down, Refuses, Silent,
+// DropWriteReply and WriteDelay inject faults.
 type Platform struct {
 	Random *rand.Rand
 	// Down makes the platform refuse every call.
@@ -26,6 +28,10 @@
 	// Refuses reports whether the platform refuses the calls of a daemon. It
 	// refuses none if it is nil.
 	Refuses func(caller kernel.Settings) bool
+	// Silent reports whether the platform sends nothing to a daemon. Calls of the
+	// daemon have no effect, and the replies to its waiting watches are lost. It is
+	// silent to none if it is nil.
+	Silent func(caller kernel.Settings) bool
 	// DropWriteReply reports whether the reply to a write is lost although the
 	// write takes effect. No reply is lost if it is nil.
 	DropWriteReply func() bool
@@ -33,10 +39,12 @@
 	// be later than the timeout of the call. Writes are not delayed if it is nil.
 	WriteDelay func() time.Duration
 	// Reads and Writes count the calls, and StaleReads those of the reads that
-	// may be stale.
-	Reads      int
-	StaleReads int
-	Writes     int
+	// may be stale. RevisionReads counts each kernel.ReadRevision, which is none of
+	// these.
+	Reads         int
+	StaleReads    int
+	RevisionReads int
+	Writes        int
 
 	// Era is returned with each reply. Restore raises it.
 	Era uint64
@@ -112,6 +120,10 @@
 		reply(kernel.PlatformResult{Status: kernel.PlatformNotExecuted}, platformLatency)
 		return
 	}
+	if platform.isSilent(caller) {
+		reply(kernel.PlatformResult{Status: kernel.PlatformUnknown}, timeoutOf(call))
+		return
+	}
 	switch call := call.(type) {
 	case kernel.WriteObject:
 		platform.Writes++
@@ -131,7 +143,26 @@
 		reply(platform.list(call.Prefix, 0), platformLatency)
 	case kernel.WatchObjects:
 		platform.Reads++
-		platform.watch(fleet, call, reply)
+		platform.watch(fleet, caller, call, reply)
+	case kernel.ReadRevision:
+		platform.RevisionReads++
+		reply(kernel.PlatformResult{Revision: platform.revision}, platformLatency)
+	}
+}
+
+func (platform *Platform) isSilent(caller kernel.Settings) bool {
+	return platform.Silent != nil && platform.Silent(caller)
+}
+
+// timeoutOf returns when a call without a reply ends.
+func timeoutOf(call kernel.PlatformCall) time.Duration {
+	switch call := call.(type) {
+	case kernel.WatchObjects:
+		return call.Wait + platformTimeout
+	case kernel.ReadRevision:
+		return revisionTimeout
+	default:
+		return platformTimeout
 	}
 }
 
@@ -200,7 +231,7 @@
 
 // watch replies when an object with the prefix has changed, or when the wait is
 // over.
-func (platform *Platform) watch(fleet *Fleet, call kernel.WatchObjects, reply func(kernel.PlatformResult, time.Duration)) {
+func (platform *Platform) watch(fleet *Fleet, caller kernel.Settings, call kernel.WatchObjects, reply func(kernel.PlatformResult, time.Duration)) {
 	if call.Revision > platform.revision {
 		reply(kernel.PlatformResult{Status: kernel.PlatformHistoryLost}, platformLatency)
 		return
@@ -212,6 +243,10 @@
 			return
 		}
 		replied = true
+		if platform.isSilent(caller) {
+			reply(kernel.PlatformResult{Status: kernel.PlatformUnknown}, timeoutOf(call))
+			return
+		}
 		if platform.Down {
 			result = kernel.PlatformResult{Status: kernel.PlatformUnknown}
 		}
--- a/standin/fleet/watchers_test.go
+++ b/standin/fleet/watchers_test.go
@@ -109,7 +109,9 @@
 			t.Logf("start: %d reads, of which %d may be stale, and %d writes", platform.Reads, platform.StaleReads, platform.Writes)
 			is.True(platform.Reads-platform.StaleReads+platform.Writes <= 40)
 			is.True(platform.StaleReads <= 4*daemons)
-			reads := platform.Reads
+			t.Logf("checks of watches: %d", platform.RevisionReads)
+			is.True(platform.RevisionReads <= 6*30*2/3) // six watchers, one in 1.5 s
+			reads, checks := platform.Reads, platform.RevisionReads
 			for version := 2; version < 12; version++ {
 				platform.Set(cluster, "config/main", tableBody(version))
 				cluster.Run(6 * time.Second)
@@ -117,6 +119,7 @@
 			}
 			t.Logf("ten changes in a minute: %d reads", platform.Reads-reads)
 			is.True(platform.Reads-reads <= 10*6+6*6) // two watchers in each of three regions
+			is.True(platform.RevisionReads-checks <= 6*60*2/3)
 		})
 	}
 }
@@ -145,3 +148,53 @@
 		}
 	}
 }
+
+// A platform that sends nothing to its watchers, in place of refusing them, must not
+// keep a change from the other daemons.
+func TestSilentPlatformHidesNoChange(t *testing.T) {
+	silence := func(cluster *fleet.Fleet, isSilent func(watching bool) bool) {
+		silent := map[string]bool{}
+		for name, node := range cluster.Nodes {
+			silent[name] = isSilent(node.View.Watching)
+		}
+		cluster.Platform.Silent = func(caller kernel.Settings) bool { return silent[caller.Self] }
+	}
+	requireInForce := func(t *testing.T, cluster *fleet.Fleet, version uint64) {
+		t.Helper()
+		if late := lagging(cluster, version); len(late) > 0 {
+			t.Fatalf("not in force on %d daemons: %v", len(late), late)
+		}
+	}
+	for seed := range uint64(4) {
+		t.Run(fmt.Sprintf("to all watchers, seed %d", seed), func(t *testing.T) {
+			cluster := newFleet(seed, 27)
+			cluster.Run(40 * time.Second)
+			silence(cluster, func(watching bool) bool { return watching })
+			cluster.Run(time.Duration(seed) * 300 * time.Millisecond)
+			cluster.Platform.Set(cluster, "config/main", tableBody(2))
+			cluster.Run(applyLimit)
+			requireInForce(t, cluster, 2)
+		})
+		t.Run(fmt.Sprintf("to all daemons until the change is written, seed %d", seed), func(t *testing.T) {
+			cluster := newFleet(seed, 27)
+			cluster.Run(40 * time.Second)
+			silence(cluster, func(bool) bool { return true })
+			cluster.Run(time.Duration(1+seed*1300) * time.Millisecond)
+			cluster.Platform.Set(cluster, "config/main", tableBody(2))
+			cluster.Run(100 * time.Millisecond)
+			cluster.Platform.Silent = nil
+			cluster.Run(applyLimit)
+			requireInForce(t, cluster, 2)
+		})
+		t.Run(fmt.Sprintf("to all daemons while they start, seed %d", seed), func(t *testing.T) {
+			cluster := fleet.New(seed)
+			cluster.Platform.Set(cluster, "config/main", tableBody(1))
+			cluster.Platform.Silent = func(kernel.Settings) bool { return true }
+			addDaemons(cluster, 27)
+			cluster.Run(time.Duration(6000+seed*700) * time.Millisecond)
+			cluster.Platform.Silent = nil
+			cluster.Run(applyLimit)
+			requireInForce(t, cluster, 1)
+		})
+	}
+}
--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -84,6 +84,7 @@
 	mux.HandleFunc("PUT /objects/{name...}", store.limit(store.writeLimiter, store.put))
 	mux.HandleFunc("DELETE /objects/{name...}", store.limit(store.writeLimiter, store.remove))
 	mux.HandleFunc("GET /watch", store.limit(store.readLimiter, store.watch))
+	mux.HandleFunc("GET /revision", store.limit(store.readLimiter, store.readRevision))
 	mux.HandleFunc("POST /switches", store.handleSwitches)
 	mux.HandleFunc("GET /counts", store.handleCounts)
 	return mux
@@ -177,6 +178,14 @@
 	writeJSON(writer, list)
 }
 
+// readRevision responds with an empty list at the current revision.
+func (store *Store) readRevision(writer http.ResponseWriter, _ *http.Request) {
+	store.mutex.Lock()
+	list := wire.List{Revision: store.revision, Objects: []wire.Object{}}
+	store.mutex.Unlock()
+	writeJSON(writer, list)
+}
+
 // newerThan returns the objects with the prefix whose version is later than the
 // revision. The caller holds the mutex.
 func (store *Store) newerThan(prefix string, revision uint64) wire.List {
--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -170,7 +170,7 @@
 mutant "the era is compared after the number" core/rollout/version.go \
   'return version.era<<routes.VersionBits | version.number' 'return version.number<<12 | version.era' ./core/rollout
 mutant "a watch goes on over an era" core/rollout/rollout.go \
-  'return before == 0 || ended.Token != watchToken' 'return true' ./core/rollout
+  'return before == 0 || ended.Token < firstWatchToken' 'return true' ./core/rollout
 mutant "a table of the copy counts as written" core/rollout/version.go \
   'return version{era: known.era, number: number}, number > known.number' 'return version{era: eraTracker.era, number: number}, true' ./core/rollout
 mutant "a watch starts from an old revision" core/rollout/rollout.go \
@@ -311,4 +311,16 @@
   'max(minRate, rateLimiter.limit.PerSecond)' 'rateLimiter.limit.PerSecond' ./core/admit
 mutant "an upstream without a known start is taken for leaving by its successors" core/route/tracker.go \
   'if startedAt == 0 {' 'if false {' ./core/pick
+mutant "a waiting watch is not checked" core/rollout/rollout.go \
+  'return plugin.checkWatch(state, at)' 'return nil' ./core/rollout ./standin/fleet
+mutant "a change that a watch has missed is not read" core/rollout/check.go \
+  'result.Revision <= plugin.checkedRevision' 'true' ./core/rollout ./standin/fleet
+mutant "a watch that has missed a change goes on" core/rollout/check.go \
+  'object.Version > plugin.eraTracker.revision' 'false' ./core/rollout
+mutant "a check in a later era leaves the watch" core/rollout/rollout.go \
+  'if era != 0 && plugin.eraTracker.era != era {' 'if era > 1<<60 {' ./core/rollout
+mutant "the result of an abandoned watch counts" core/rollout/rollout.go \
+  'if !plugin.endCall(ended.Token) {' 'if plugin.endCall(ended.Token); false {' ./core/rollout
+mutant "a call that has waited for its timeout is repeated late" core/rollout/rollout.go \
+  'plugin.retryAt = plugin.calledAt.Add(' 'plugin.retryAt = event.At.Add(' ./core/rollout
 exit $living
