beacon: calls that a silent platform did not answer are repeated sooner

A daemon that starts while the platform is silent knew no other daemon until up to 4 s after its return (2 s of timeout and 2 s of pause), and a watcher whose check of its own beacon had no answer wrote it a minute later, so that new daemons found nobody.

Cause: the pause was counted from the end of a call, also if the call had waited, and a failed check was followed by the regular interval.

Ruled out: calls that are refused at once; their pause is as before.

Change: the list is repeated 2 s after its beginning, or at once after its timeout; a check or a write that fails is repeated after 5 s.

Failed first: TestNewDaemonFindsOthers, "soon after the platform has been silent" and "after the platform was silent when a new watcher wrote its beacon".

--- a/core/beacon/beacon.go
+++ b/core/beacon/beacon.go
@@ -31,9 +31,14 @@
 // has the watcher's address.
 const RefreshInterval = time.Minute
 
-// retryDelay is the time before a failed listing of the beacons is retried.
+// retryDelay is the time from the beginning of a failed listing of the beacons until
+// the next one. A listing that ends with its timeout is retried at once.
 const retryDelay = 2 * time.Second
 
+// refreshRetryDelay is the time after which a watcher checks its beacon again if the
+// check, or the write that it needs, has failed.
+const refreshRetryDelay = 5 * time.Second
+
 // startupPeriod is the time from a successful listing until a watcher first checks
 // its own beacon.
 const startupPeriod = 4 * time.Second
@@ -76,7 +81,9 @@
 	// writes one if the next listing holds none either.
 	foundNone bool
 	// calling means that a call to the platform is in progress.
-	calling    bool
+	calling bool
+	// calledAt is when the last call began.
+	calledAt   time.Time
 	nextCallAt time.Time
 }
 
@@ -87,7 +94,7 @@
 func (plugin *plugin) Update(state *kernel.State, event kernel.Event) []kernel.Effect {
 	switch message := event.Message.(type) {
 	case kernel.Started:
-		return plugin.list()
+		return plugin.list(event.At)
 	case kernel.Ticked:
 		return plugin.tick(state, event.At)
 	case kernel.PlatformCallEnded:
@@ -106,10 +113,10 @@
 	case plugin.calling || at.Before(plugin.nextCallAt):
 		return nil
 	case !plugin.listed:
-		return plugin.list()
+		return plugin.list(at)
 	case state.Watching:
 		plugin.nextCallAt = at.Add(RefreshInterval)
-		return plugin.call(readToken, kernel.ReadObject{Name: ownName(state)})
+		return plugin.call(at, readToken, kernel.ReadObject{Name: ownName(state)})
 	default:
 		return nil
 	}
@@ -127,13 +134,14 @@
 }
 
 // list lists the beacons. They are hints, so they may be stale.
-func (plugin *plugin) list() []kernel.Effect {
-	return plugin.call(listToken, kernel.ListObjects{Prefix: Prefix, StaleAllowed: true})
+func (plugin *plugin) list(at time.Time) []kernel.Effect {
+	return plugin.call(at, listToken, kernel.ListObjects{Prefix: Prefix, StaleAllowed: true})
 }
 
 // call starts a call to the platform.
-func (plugin *plugin) call(token uint64, call kernel.PlatformCall) []kernel.Effect {
+func (plugin *plugin) call(at time.Time, token uint64, call kernel.PlatformCall) []kernel.Effect {
 	plugin.calling = true
+	plugin.calledAt = at
 	return []kernel.Effect{kernel.CallPlatform{Owner: pluginName, Token: token, Call: call}}
 }
 
@@ -143,7 +151,7 @@
 	case listToken:
 		return plugin.handleList(state, event, ended.Result)
 	case readToken:
-		return plugin.handleRead(state, ended.Result)
+		return plugin.handleRead(state, event.At, ended.Result)
 	case writeToken:
 		return plugin.handleWrite(state, event.At, ended.Result)
 	}
@@ -154,7 +162,7 @@
 // are none twice, it writes one with this daemon's address.
 func (plugin *plugin) handleList(state *kernel.State, event kernel.Event, result kernel.PlatformResult) []kernel.Effect {
 	if result.Status != kernel.PlatformOK {
-		plugin.nextCallAt = event.At.Add(retryDelay)
+		plugin.nextCallAt = plugin.calledAt.Add(retryDelay)
 		return nil
 	}
 	effects := plugin.addFirstPeers(state, result.Objects)
@@ -174,7 +182,7 @@
 	if err != nil {
 		return effects
 	}
-	return append(effects, plugin.call(writeToken, kernel.WriteObject{Name: dataCentrePrefix(state) + "0", Body: body})...)
+	return append(effects, plugin.call(event.At, writeToken, kernel.WriteObject{Name: dataCentrePrefix(state) + "0", Body: body})...)
 }
 
 // writeDelay returns how long to wait before writing the first beacon, from a random
@@ -210,8 +218,11 @@
 // centres may have been written at the same time. If another daemon has written the
 // same beacon first, the reply may contain its address.
 func (plugin *plugin) handleWrite(state *kernel.State, at time.Time, result kernel.PlatformResult) []kernel.Effect {
-	if !plugin.listed {
+	switch {
+	case !plugin.listed:
 		plugin.nextCallAt = at.Add(relistDelay)
+	case result.Status != kernel.PlatformOK && result.Status != kernel.PlatformConflict:
+		plugin.nextCallAt = at.Add(refreshRetryDelay)
 	}
 	if result.Status != kernel.PlatformConflict {
 		return nil
@@ -222,8 +233,9 @@
 // handleRead writes this watcher's beacon if it does not have this daemon's
 // address. If another daemon writes it at the same time, the next check detects
 // that.
-func (plugin *plugin) handleRead(state *kernel.State, result kernel.PlatformResult) []kernel.Effect {
+func (plugin *plugin) handleRead(state *kernel.State, at time.Time, result kernel.PlatformResult) []kernel.Effect {
 	if result.Status != kernel.PlatformOK && result.Status != kernel.PlatformNotFound {
+		plugin.nextCallAt = at.Add(refreshRetryDelay)
 		return nil
 	}
 	var found beacon
@@ -234,5 +246,5 @@
 	if err != nil {
 		return nil
 	}
-	return plugin.call(writeToken, kernel.WriteObject{Name: ownName(state), BaseVersion: result.Object.Version, Body: body})
+	return plugin.call(at, writeToken, kernel.WriteObject{Name: ownName(state), BaseVersion: result.Object.Version, Body: body})
 }
--- a/core/beacon/beacon_test.go
+++ b/core/beacon/beacon_test.go
@@ -60,6 +60,30 @@
 		daemons.Platform.Down = false
 		is.True(daemons.RunUntil(10*time.Second, hasMembers(started, 7)))
 	})
+	t.Run("soon after the platform has been silent", func(t *testing.T) {
+		for phase := range 10 {
+			daemons := newFleet()
+			daemons.Platform.Silent = func(kernel.Settings) bool { return true }
+			started := start(daemons, "new")
+			daemons.Run(time.Duration(10_000+phase*400) * time.Millisecond)
+			daemons.Platform.Silent = nil
+			is.New(t).True(daemons.RunUntil(3*time.Second, hasMembers(started, 7)))
+		}
+	})
+	t.Run("after the platform was silent when a new watcher wrote its beacon", func(t *testing.T) {
+		daemons := newFleet()
+		for name, node := range daemons.Nodes {
+			if node.View.Watching {
+				daemons.Stop(name)
+			}
+		}
+		daemons.Platform.Silent = func(kernel.Settings) bool { return true }
+		daemons.Run(beacon.RefreshInterval / 4)
+		daemons.Platform.Silent = nil
+		daemons.Run(10 * time.Second)
+		started := start(daemons, "new")
+		is.New(t).True(daemons.RunUntil(10*time.Second, func() bool { return len(started.View.Members) >= 5 }))
+	})
 	t.Run("number of beacons does not grow with the fleet", func(t *testing.T) {
 		daemons := newFleet()
 		daemons.Run(5 * beacon.RefreshInterval)
--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -323,4 +323,9 @@
   'if !plugin.endCall(ended.Token) {' 'if plugin.endCall(ended.Token); false {' ./core/rollout
 mutant "a call that has waited for its timeout is repeated late" core/rollout/rollout.go \
   'plugin.retryAt = plugin.calledAt.Add(' 'plugin.retryAt = event.At.Add(' ./core/rollout
+mutant "a list of beacons that has waited for its timeout is repeated late" core/beacon/beacon.go \
+  'plugin.nextCallAt = plugin.calledAt.Add(retryDelay)' 'plugin.nextCallAt = event.At.Add(retryDelay)' ./core/beacon
+mutant "a beacon that could not be written is written a minute later" core/beacon/beacon.go \
+  'plugin.nextCallAt = at.Add(refreshRetryDelay)
+		return nil' 'return nil' ./core/beacon
 exit $living
