io/platform: silent connections are not used again

Connections that are open may go silent without being closed. After a call had timed out on one, the next call could be sent on another of them and timed out too.

Cause: the transport keeps two idle connections; only the one that timed out was closed.

Change: a call that ends with its timeout closes the idle connections.

Failed first: TestSilentConnectionsAreReplaced ("unknown != ok").

Conclusion: one timeout is enough to reach a platform that accepts new connections.

--- a/io/platform/platform.go
+++ b/io/platform/platform.go
@@ -172,6 +172,10 @@
 	response, err := client.http().Do(request.WithContext(ctx))
 	if err != nil {
 		client.log().Debug("platform did not reply", "method", request.Method, "path", request.URL.Path, "error", err)
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			// Other connections that were opened earlier may be silent too.
+			client.http().CloseIdleConnections()
+		}
 		return kernel.PlatformResult{Status: statusOfError(err)}, ""
 	}
 	defer func() { _ = response.Body.Close() }()
--- a/io/platform/platform_test.go
+++ b/io/platform/platform_test.go
@@ -4,10 +4,13 @@
 	"context"
 	"io"
 	"log/slog"
+	"maps"
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -49,6 +52,47 @@
 	is.Equal(strings.Count(logged.String(), "route-type"), 1)
 }
 
+// Connections may go silent without being closed, while new ones work.
+func TestSilentConnectionsAreReplaced(t *testing.T) {
+	var mutex sync.Mutex
+	silent := map[string]bool{}
+	connections := map[string]bool{}
+	bothArrived := make(chan struct{}, 2)
+	server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		mutex.Lock()
+		connections[request.RemoteAddr] = true
+		isSilent := silent[request.RemoteAddr]
+		mutex.Unlock()
+		if isSilent {
+			<-request.Context().Done()
+			return
+		}
+		if request.URL.Query().Get("prefix") == "both" {
+			bothArrived <- struct{}{}
+			for len(bothArrived) < 2 {
+				time.Sleep(time.Millisecond)
+			}
+		}
+		_, _ = io.WriteString(writer, `{"revision":7}`)
+	}))
+	defer server.Close()
+	client := &platform.Client{Address: strings.TrimPrefix(server.URL, "http://"), Log: slog.New(slog.DiscardHandler)}
+	is := is.New(t)
+	var group sync.WaitGroup
+	for range 2 {
+		group.Go(func() { client.Do(context.Background(), kernel.ListObjects{Prefix: "both"}) })
+	}
+	group.Wait()
+	mutex.Lock()
+	is.Equal(len(connections), 2)
+	maps.Copy(silent, connections)
+	mutex.Unlock()
+	is.Equal(client.Do(context.Background(), kernel.ReadRevision{}).Status, kernel.PlatformUnknown)
+	result := client.Do(context.Background(), kernel.ReadRevision{})
+	is.Equal(result.Status, kernel.PlatformOK)
+	is.Equal(result.Revision, uint64(7))
+}
+
 func TestCallsAreCounted(t *testing.T) {
 	status := http.StatusNotFound
 	server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -328,4 +328,6 @@
 mutant "a beacon that could not be written is written a minute later" core/beacon/beacon.go \
   'plugin.nextCallAt = at.Add(refreshRetryDelay)
 		return nil' 'return nil' ./core/beacon
+mutant "silent connections to the platform are used again" io/platform/platform.go \
+  'client.http().CloseIdleConnections()' '' ./io/platform
 exit $living
