call: an upload is not sent on without a part of its body

Cause: a body over 64 KB is streamed from the commit on, and the ingress keeps only its beginning. After a refusal, which proves that nothing has run, the state machine tried another target, also when the body was used up.

Ruled out: the gate and io/upstream write a request once; a loss after the commit is never followed by another attempt; other attempts are cancelled at the commit.

Change: the state machine knows that a request is streamed, and ends it as notRun if it is refused after its commit. Before the commit another target is tried as before.

--- a/core/call/call_test.go
+++ b/core/call/call_test.go
@@ -25,6 +25,7 @@
 	choosing     int
 	claims       int
 	claimGranted bool
+	commits      int
 	finish       *call.Finish
 	relayed      bool
 	released     bool
@@ -57,6 +58,7 @@
 			simulation.committed[effect.Attempt] = !effect.Reserve
 		case call.Commit:
 			simulation.committed[effect.Attempt] = true
+			simulation.commits++
 		case call.ClaimKey:
 			simulation.claims++
 		case call.Cancel:
@@ -74,16 +76,22 @@
 // runCount returns the number of attempts that the gates have executed.
 func (simulation *simulation) runCount() int { return len(simulation.ran) }
 
+// allEvents are the events of a step.
+var allEvents = []string{
+	"chosen", "none", "grant", "run", "refuse", "lose", "response", "failing",
+	"claim", "claimHeld", "claimFailed", "hedge", "deadline", "left",
+}
+
 // step applies one random event among those that are possible now.
-func (simulation *simulation) step(t *rapid.T) {
+func (simulation *simulation) step(t *rapid.T) { simulation.stepAmong(t, allEvents) }
+
+// stepAmong applies one random event among those that are given and possible now.
+func (simulation *simulation) stepAmong(t *rapid.T, events []string) {
 	attempt := -1
 	if len(simulation.sentAttempts) > 0 {
 		attempt = rapid.SampledFrom(simulation.sentAttempts).Draw(t, "attempt")
 	}
-	switch rapid.SampledFrom([]string{
-		"chosen", "none", "grant", "run", "refuse", "lose", "response", "failing",
-		"claim", "claimHeld", "claimFailed", "hedge", "deadline", "left",
-	}).Draw(t, "event") {
+	switch rapid.SampledFrom(events).Draw(t, "event") {
 	case "chosen":
 		if simulation.choosing > 0 {
 			simulation.choosing--
@@ -168,6 +176,21 @@
 	})
 }
 
+// The body of a streamed request is passed on as it arrives, from the commit on.
+func TestStreamedBodyIsSentOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		simulation := newSimulation(false, rapid.Bool().Draw(t, "keyed"))
+		simulation.machine.Streamed = true
+		simulation.apply(call.RequestArrived{})
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			simulation.stepAmong(t, []string{"chosen", "grant", "run", "refuse", "lose", "claim", "hedge"})
+			if simulation.commits > 1 {
+				t.Fatalf("%d attempts were committed", simulation.commits)
+			}
+		}
+	})
+}
+
 func TestNotRunIsReportedOnlyIfNothingRan(t *testing.T) {
 	for _, repeatable := range []bool{false, true} {
 		checkSequences(t, repeatable, func(t *rapid.T, simulation *simulation) {
@@ -268,6 +291,29 @@
 		simulation.apply(call.AttemptRefused{Attempt: 0})
 		is.New(t).Equal(simulation.choosing, 2)
 	})
+	t.Run("a streamed request refused after the commit is not run", func(t *testing.T) {
+		for _, reached := range []bool{false, true} {
+			simulation := newSimulation(false, true)
+			simulation.machine.Streamed = true
+			simulation.apply(call.RequestArrived{})
+			simulation.apply(call.TargetChosen{Target: "one"})
+			simulation.apply(call.SlotGranted{Attempt: 0})
+			simulation.apply(call.ClaimGranted{})
+			simulation.apply(call.AttemptRefused{Attempt: 0, ReachedUpstream: reached, RetryAfter: time.Second})
+			assertFinish(t, simulation, call.OutcomeNotRun, call.ProblemRefused)
+			is := is.New(t)
+			is.True(simulation.released)
+			is.Equal(simulation.finish.RetryAfter, time.Second)
+		}
+	})
+	t.Run("a streamed request refused before the commit is followed by another", func(t *testing.T) {
+		simulation := newSimulation(false, false)
+		simulation.machine.Streamed = true
+		simulation.apply(call.RequestArrived{})
+		simulation.apply(call.TargetChosen{Target: "one"})
+		simulation.apply(call.AttemptRefused{Attempt: 0})
+		is.New(t).Equal(simulation.choosing, 2)
+	})
 	t.Run("a deadline before the commit reports notRun", func(t *testing.T) {
 		simulation := newSimulation(false, true)
 		simulation.apply(call.RequestArrived{})
--- a/core/call/end.go
+++ b/core/call/end.go
@@ -29,12 +29,17 @@
 	if !call.isOpen(refused.Attempt) {
 		return nil
 	}
+	committed := call.attempts[refused.Attempt] == stageCommitted
 	call.attempts[refused.Attempt] = stageEnded
 	if call.grantedAttempt == refused.Attempt {
 		call.grantedAttempt = -1
 	}
 	call.lastProblem = ProblemRefused
 	call.keepEarliestRetryAfter(refused.RetryAfter)
+	if committed && call.Streamed {
+		// A part of the body is gone, so only the caller can send it again.
+		return call.finish(ProblemRefused)
+	}
 	if !refused.ReachedUpstream {
 		call.unreached++
 		return call.tryNextTarget()
--- a/core/call/machine.go
+++ b/core/call/machine.go
@@ -34,6 +34,9 @@
 type Call struct {
 	// Repeatable says that the request may be executed more than once.
 	Repeatable bool
+	// Streamed says that the body is sent as it arrives, from the commit on, so that it
+	// can be sent only once.
+	Streamed bool
 	// Keyed says that the request carries an idempotency key, which has to be
 	// claimed before the commit unless the request is repeatable.
 	Keyed bool
--- a/daemon/rawupstream_test.go
+++ b/daemon/rawupstream_test.go
@@ -20,6 +20,8 @@
 type rawUpstream struct {
 	listener net.Listener
 	respond  atomic.Value
+	// onBody, if it is set, is called with each body that was received to its end.
+	onBody func(body []byte)
 }
 
 // respondFunc writes the response to a request, and reports whether the connection
@@ -82,7 +84,10 @@
 		if err != nil {
 			return
 		}
-		_, _ = io.Copy(io.Discard, request.Body)
+		body, err := io.ReadAll(request.Body)
+		if err == nil && raw.onBody != nil && len(body) > 0 {
+			raw.onBody(body)
+		}
 		if request.URL.Path == "/health" {
 			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
 			continue
--- a/daemon/uploads_test.go
+++ b/daemon/uploads_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -10,6 +11,7 @@
 	"net/http"
 	"os"
 	"runtime"
+	"sync"
 	"testing"
 	"time"
 
@@ -138,6 +140,58 @@
 	})
 }
 
+// An upload whose first target has crashed is sent on to another one only if its body
+// is still whole.
+func TestUploadsAreRunWhole(t *testing.T) {
+	cluster := newCluster(t, 2)
+	bodies := make(chan []byte, 100)
+	crashed, sound := cluster.replaceUpstream(0), cluster.replaceUpstream(1)
+	for _, raw := range []*rawUpstream{crashed, sound} {
+		raw.onBody = func(body []byte) { bodies <- body }
+		raw.respond.Store(respondFunc(func(conn net.Conn, _ *http.Request) bool {
+			return text(rawHead+"Content-Length: 2\r\n\r\nok")(conn, nil)
+		}))
+	}
+	cluster.await("both raw upstreams serve", func() bool {
+		return cluster.send(0, request{method: "GET", path: "/warm"}).body == "ok" && cluster.targets(cluster.instances[0]) == 2
+	})
+	_ = crashed.listener.Close()
+	var uploads sync.WaitGroup
+	statuses := make(chan int, 100)
+	for number := range 16 {
+		uploads.Go(func() {
+			// The reader hides the length, so that the body is sent in chunks.
+			body := struct{ io.Reader }{bytes.NewReader(bytes.Repeat([]byte{byte('a' + number)}, uploadSize))}
+			upload, err := http.NewRequest(http.MethodPost, "http://"+cluster.instances[number%2].callerAddress()+"/upload", body)
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			upload.Host = "intake"
+			response, err := http.DefaultClient.Do(upload)
+			if err != nil {
+				return
+			}
+			_ = response.Body.Close()
+			statuses <- response.StatusCode
+		})
+	}
+	uploads.Wait()
+	close(statuses)
+	close(bodies)
+	is := is.New(t)
+	for body := range bodies {
+		is.Equal(len(body), uploadSize)
+		is.Equal(bytes.Count(body, body[:1]), uploadSize)
+	}
+	answered := 0
+	for status := range statuses {
+		is.True(status == http.StatusOK || status == http.StatusServiceUnavailable || status == http.StatusBadGateway)
+		answered++
+	}
+	is.True(answered > 0)
+}
+
 // maxUploadHeap bounds what the daemons of a cluster may hold of an upload whose
 // upstream does not read it.
 const maxUploadHeap = 16 << 20
--- a/io/caller/exchange.go
+++ b/io/caller/exchange.go
@@ -55,6 +55,7 @@
 func (exchange *exchange) run() {
 	exchange.machine = call.Call{
 		Repeatable: exchange.request.repeatable && !exchange.request.streamed,
+		Streamed:   exchange.request.streamed,
 		Keyed:      exchange.request.key != "" && !exchange.request.repeatable,
 		Retries:    exchange.service.retries,
 		Hedges:     exchange.service.hedges,
--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -330,4 +330,8 @@
 		return nil' 'return nil' ./core/beacon
 mutant "silent connections to the platform are used again" io/platform/platform.go \
   'client.http().CloseIdleConnections()' '' ./io/platform
+mutant "an upload is sent on without a part of its body" core/call/end.go \
+  'if committed && call.Streamed {' 'if committed && false {' ./core/call
+mutant "an ingress does not tell that a body is streamed" io/caller/exchange.go \
+  'Streamed:   exchange.request.streamed,' '' ./daemon
 exit $living
