member: a restarted daemon learns which upstreams have left

Cause: the acknowledged departure was kept in memory only, and a new process accepted the first heartbeat before it had asked anybody.

Ruled out: the order of heartbeats, for which a new process has nothing to compare with.

Change: a replicated record holds the last departures of a daemon's upstream. A started daemon holds the first heartbeat until it has compared its table with another daemon's (2 s at most, at once if there is none), and asks the upstream with one probe whether it is leaving. A departure that is learnt later drains gate and target.

Failed first, on the code before: TestTargetThatHasLeftDoesNotServeAgainAfterARestartOfItsDaemon with the restarted daemon among the observers, TestDepartureOutlastsARestart in both parts ("intake-1 ran a request that was sent to daemon 0", "intake-0 ran a request ..."). The seven new mutants are caught.

--- a/core/beacon/beacon.go
+++ b/core/beacon/beacon.go
@@ -175,6 +175,9 @@
 	case !plugin.foundNone:
 		plugin.foundNone = true
 		plugin.nextCallAt = event.At.Add(writeDelay(event.Random))
+		if !hasOtherPeer(state.Settings) {
+			effects = append(effects, kernel.Dispatch{Message: kernel.NoPeersFound{}})
+		}
 		return effects
 	}
 	plugin.foundNone = false
@@ -185,6 +188,11 @@
 	return append(effects, plugin.call(event.At, writeToken, kernel.WriteObject{Name: dataCentrePrefix(state) + "0", Body: body})...)
 }
 
+// hasOtherPeer reports whether the first peers include another daemon.
+func hasOtherPeer(settings kernel.Settings) bool {
+	return slices.ContainsFunc(settings.FirstPeers, func(address string) bool { return address != settings.PeerAddress })
+}
+
 // writeDelay returns how long to wait before writing the first beacon, from a random
 // number.
 func writeDelay(random uint64) time.Duration {
--- a/core/kernel/message.go
+++ b/core/kernel/message.go
@@ -68,9 +68,19 @@
 	Retire      bool
 }
 
+// NoPeersFound reports that neither the settings nor the platform name another daemon.
+type NoPeersFound struct{}
+
 // UpstreamAnnounced is the announcement that the local upstream repeats as a
-// heartbeat.
-type UpstreamAnnounced struct{ Target Target }
+// heartbeat. Instance is empty if the upstream does not name its instances.
+type UpstreamAnnounced struct {
+	Target   Target
+	Instance string
+}
+
+// UpstreamDeparted reports that an instance of the local upstream has said that it is
+// leaving.
+type UpstreamDeparted struct{ Departure Departure }
 
 // UpstreamSilent reports that the local upstream has stopped announcing
 // itself.
@@ -126,9 +136,11 @@
 func (PeerFailed) message()        {}
 func (PeerSynced) message()        {}
 func (PeersFound) message()        {}
+func (NoPeersFound) message()      {}
 func (PlatformCallEnded) message() {}
 func (ChangeRequested) message()   {}
 func (UpstreamAnnounced) message() {}
+func (UpstreamDeparted) message()  {}
 func (UpstreamSilent) message()    {}
 func (DrainRequested) message()    {}
 func (StopRequested) message()     {}
--- a/core/kernel/table.go
+++ b/core/kernel/table.go
@@ -17,6 +17,7 @@
 	KindService
 	KindCrash
 	KindRoutes
+	KindDepartures
 )
 
 // Key identifies a replicated record.
--- a/core/kernel/view.go
+++ b/core/kernel/view.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"time"
 
 	"ibislift/core/routes"
@@ -27,6 +28,23 @@
 	StartedAt int64 `json:"since,omitempty"`
 }
 
+// Departure is an instance of an upstream that has said that it is leaving. Its last run
+// started at StartedAt, in Unix milliseconds, or before.
+type Departure struct {
+	// Instance is empty if the upstream does not name its instances.
+	Instance  string `json:"instance,omitempty"`
+	StartedAt int64  `json:"since,omitempty"`
+}
+
+// Covers reports whether the run of an instance that started at startedAt has left.
+// Without a name, it is recognized by its start.
+func (departure Departure) Covers(instance string, startedAt int64) bool {
+	if instance != "" && departure.Instance != "" {
+		return instance == departure.Instance && startedAt <= departure.StartedAt
+	}
+	return startedAt != 0 && startedAt == departure.StartedAt
+}
+
 // MemberState is the state that a daemon is recorded in by its peers.
 type MemberState string
 
@@ -95,6 +113,12 @@
 	ClaimCoordinators [][]string
 	// Neighbours are the daemons to keep control connections to.
 	Neighbours []Neighbour
+	// Joined means that this daemon has received the records of another one, or that
+	// there is none to receive them from.
+	Joined bool
+	// Departures are the instances of the local upstream that have left, as this daemon
+	// or an earlier process of it was told.
+	Departures []Departure
 	// Ready means that this daemon has received its configuration: the profiles
 	// or the route table.
 	Ready bool
@@ -179,6 +203,11 @@
 	return member, known
 }
 
+// HasDeparted reports whether the run of an instance of the local upstream has left.
+func (view *View) HasDeparted(instance string, startedAt int64) bool {
+	return slices.ContainsFunc(view.Departures, func(departure Departure) bool { return departure.Covers(instance, startedAt) })
+}
+
 // Config returns the configuration object in force for a key.
 func (view *View) Config(key Key) (Config, bool) {
 	config, known := view.byConfig[key]
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -78,6 +78,7 @@
 	// platform.
 	platformLostAt time.Time
 	departures     departures
+	ownDepartures  ownDepartures
 }
 
 // record is the replicated form of a member. Died is in Unix milliseconds.
@@ -86,9 +87,13 @@
 	Died int64 `json:"died,omitempty"`
 }
 
-// Accepts reports whether a record may be merged. It rejects malformed member
-// records and those of members that died at least DeadRetention ago.
+// Accepts reports whether a record may be merged. It rejects malformed records of this
+// plug-in and those of members that died at least DeadRetention ago.
 func (plugin *plugin) Accepts(at time.Time, offered kernel.Record) bool {
+	if offered.Kind == kernel.KindDepartures {
+		_, err := decodeDepartures(offered.Body)
+		return err == nil
+	}
 	if offered.Kind != kernel.KindMember {
 		return true
 	}
@@ -114,12 +119,16 @@
 		delete(plugin.failures, message.Peer.ID)
 	case kernel.PeerFailed:
 		return plugin.recordFailure(state, event.At, message.Peer)
+	case kernel.PeerSynced, kernel.NoPeersFound:
+		return plugin.join(state)
 	case kernel.UpstreamAnnounced:
-		return plugin.updateTarget(message.Target)
+		return plugin.announceTarget(state, message)
+	case kernel.UpstreamDeparted:
+		return plugin.recordDeparture(state, message.Departure)
 	case kernel.UpstreamSilent:
-		return plugin.updateTarget(kernel.Target{})
+		return plugin.updateTarget(kernel.Target{}, "")
 	case kernel.DrainRequested:
-		return plugin.drain(message.Leaving)
+		return plugin.requestDrain(state, message.Leaving)
 	case kernel.StopRequested:
 		return plugin.stop(event.At)
 	}
@@ -130,6 +139,7 @@
 	settings := state.Settings
 	plugin.members = map[string]trackedMember{}
 	plugin.departures = departures{}
+	plugin.ownDepartures = ownDepartures{startedAt: event.At}
 	plugin.failures = map[string]int{}
 	plugin.lastFailure = map[string]time.Time{}
 	plugin.lastContact = event.At
@@ -170,6 +180,9 @@
 func (plugin *plugin) applyRecords(state *kernel.State, at time.Time, merged kernel.RecordsMerged) []kernel.Effect {
 	var effects []kernel.Effect
 	for _, replica := range merged.Records {
+		if replica.Kind == kernel.KindDepartures && replica.Name == plugin.self.ID {
+			effects = append(effects, plugin.adoptDepartures(state, replica)...)
+		}
 		if replica.Kind != kernel.KindMember {
 			continue
 		}
@@ -216,11 +229,15 @@
 
 // updateTarget publishes the target that the upstream announced. A draining
 // target stays draining until another incarnation of the upstream announces
-// itself, or for good if the daemon is leaving.
-func (plugin *plugin) updateTarget(target kernel.Target) []kernel.Effect {
+// itself, or for good if the daemon is leaving. One that has left is draining.
+func (plugin *plugin) updateTarget(target kernel.Target, instance string) []kernel.Effect {
 	current := plugin.self.Target
 	draining := current.State == kernel.TargetDraining
-	if draining && (plugin.self.Leaving || target.StartedAt == current.StartedAt) {
+	plugin.ownDepartures.current = instance
+	switch {
+	case draining && (plugin.self.Leaving || target.StartedAt == current.StartedAt):
+		target.State = kernel.TargetDraining
+	case target.Service != "" && plugin.ownDepartures.includes(instance, target.StartedAt):
 		target.State = kernel.TargetDraining
 	}
 	if current == target {
@@ -282,6 +299,7 @@
 
 func (plugin *plugin) tick(state *kernel.State, event kernel.Event) []kernel.Effect {
 	effects := plugin.declareDead(state, event.At)
+	effects = append(effects, plugin.joinAfterTimeout(state, event.At)...)
 	effects = append(effects, plugin.reportPlatformLoss(state, event.At)...)
 	plugin.removeExpired(state, event.At)
 	if plugin.membersChanged {
@@ -340,6 +358,7 @@
 			delete(plugin.failures, id)
 			delete(plugin.departures, id)
 			state.Table.Remove(kernel.Key{Kind: kernel.KindMember, Name: id})
+			state.Table.Remove(kernel.Key{Kind: kernel.KindDepartures, Name: id})
 			plugin.membersChanged = true
 		}
 	}
@@ -389,4 +408,6 @@
 	view.ClaimCoordinators = plugin.coordinators
 	view.Neighbours = plugin.neighbours
 	view.Watching = plugin.watching
+	view.Joined = plugin.ownDepartures.joined
+	view.Departures = plugin.ownDepartures.departed
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -188,6 +188,11 @@
 	daemon.monitor = &upstream.Monitor{
 		Now: time.Now, OnAnnouncement: daemon.handleAnnouncement, OnSilent: daemon.handleSilence, Drain: daemon.drainUpstream,
 		SilenceTimeout: func() time.Duration { return daemon.liveSettings.Load().SilenceTimeout },
+		HasDeparted: func(instance string, startedAt int64) bool {
+			return daemon.control.view.Load().HasDeparted(instance, startedAt)
+		},
+		OnDeparture: daemon.recordDeparture,
+		HoldsFirst:  true,
 	}
 	daemon.rpc = peer.NewRPCServer(counter)
 	peerpb.RegisterPeerServer(daemon.rpc, peerServer)
@@ -360,11 +365,13 @@
 	lastView := &kernel.View{}
 	var health map[string]route.Health
 	proximitiesClearedAt := time.Now()
+	released := false
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
+			released = released || daemon.releaseFirstAnnouncement()
 			daemon.monitor.CheckSilence()
 			health = logHealthChanges(daemon.Log, health, daemon.ingress.AssessHealth())
 			if time.Since(proximitiesClearedAt) > proximityCacheTime {
@@ -379,6 +386,7 @@
 				}
 				lastView = view
 				daemon.resizeGate(daemon.monitor.Current())
+				daemon.drainDeparted(view)
 				daemon.peers.CloseUnused(view)
 			}
 		}
--- a/daemon/upstream.go
+++ b/daemon/upstream.go
@@ -28,7 +28,60 @@
 	}
 	rules := profile.FromView(view, announcement.Service)
 	daemon.gate.Resize(announcement.Slots, rules.QueueBound)
-	daemon.control.send(kernel.UpstreamAnnounced{Target: announcement.Target()})
+	daemon.control.send(kernel.UpstreamAnnounced{Target: announcement.Target(), Instance: announcement.Instance})
+}
+
+// firstProbeTimeout limits the probe before the first announcement is accepted.
+const firstProbeTimeout = 300 * time.Millisecond
+
+// releaseFirstAnnouncement accepts the first announcement of the local upstream once the
+// daemon knows whether the instance has left: an earlier process of this daemon may have
+// acknowledged that. The other daemons remember it, and the upstream says so itself in
+// its responses. It reports whether announcements are accepted from now on.
+func (daemon *Daemon) releaseFirstAnnouncement() bool {
+	announcement, present := daemon.monitor.Held()
+	if !present || !daemon.control.view.Load().Joined {
+		return false
+	}
+	if err := daemon.monitor.Release(daemon.saysLeaving(announcement)); err != nil {
+		daemon.Log.Warn("first announcement not accepted", "error", err)
+	}
+	return true
+}
+
+// saysLeaving asks an upstream that has announced itself whether it is leaving.
+func (daemon *Daemon) saysLeaving(announcement upstream.Announcement) bool {
+	leaving := daemon.client.EffectiveDialect().Leaving
+	if leaving == nil {
+		return false
+	}
+	daemon.client.SetAddress(announcement.Address)
+	daemon.client.SetEchoesRequestID(announcement.EchoesRequestID)
+	daemon.client.SetExpectedInstance(announcement.Instance)
+	ctx, cancel := context.WithTimeout(daemon.background, firstProbeTimeout)
+	defer cancel()
+	result := daemon.client.Probe(ctx, daemon.healthPath(announcement))
+	daemon.meter.Probe(result.Healthy)
+	if !leaving(result.Header) {
+		return false
+	}
+	daemon.Log.Info("upstream says that it is leaving", "target", announcement.Instance)
+	return true
+}
+
+// recordDeparture passes on that an instance of the local upstream is leaving.
+func (daemon *Daemon) recordDeparture(instance string, startedAt int64) {
+	daemon.control.send(kernel.UpstreamDeparted{Departure: kernel.Departure{Instance: instance, StartedAt: startedAt}})
+}
+
+// drainDeparted drains the gate if a view shows that the upstream which is in service
+// has left.
+func (daemon *Daemon) drainDeparted(view *kernel.View) {
+	current := daemon.monitor.Current()
+	if current.Service != "" && view.HasDeparted(current.Instance, current.StartedAt) && !daemon.gate.Load().Draining {
+		daemon.Log.Info("upstream has left, as another daemon remembers", "target", current.Instance)
+		daemon.gate.Drain()
+	}
 }
 
 // handleSilence takes the local upstream out of service until it announces
@@ -52,7 +105,7 @@
 	if daemon.gate.Load().Running > 0 {
 		return
 	}
-	path := daemon.healthPath()
+	path := daemon.healthPath(daemon.monitor.Current())
 	if !daemon.probe(path).Healthy {
 		daemon.Log.Warn("upstream failed its health probe", "path", path)
 	}
@@ -66,7 +119,7 @@
 		return
 	}
 	defer daemon.measuring.Store(false)
-	result := daemon.probe(daemon.healthPath())
+	result := daemon.probe(daemon.healthPath(daemon.monitor.Current()))
 	if result.Load != nil {
 		daemon.gate.RecordSlowness(result.Load.Slowness)
 		daemon.peerServer.Reporter.ReportIfChanged(time.Now())
@@ -84,8 +137,7 @@
 
 // healthPath returns the health path from the route table or, if the table has
 // none, from the upstream's announcement.
-func (daemon *Daemon) healthPath() string {
-	announced := daemon.monitor.Current()
+func (daemon *Daemon) healthPath(announced upstream.Announcement) string {
 	if table := daemon.control.view.Load().Routes; table != nil {
 		if path := table.Services[announced.Service].HealthPath; path != "" {
 			return path
--- a/io/upstream/announce.go
+++ b/io/upstream/announce.go
@@ -95,6 +95,15 @@
 	// Drain starts a drain. It returns a channel that is closed when no request
 	// is running any more.
 	Drain func() <-chan struct{}
+	// HasDeparted reports whether a run of an instance has left, as an earlier process
+	// of this daemon was told. It may be nil.
+	HasDeparted func(instance string, startedAt int64) bool
+	// OnDeparture, if it is set, is called when an instance that the upstream names has
+	// said that it is leaving. It gets the latest time at which its run can have started.
+	OnDeparture func(instance string, startedAt int64)
+	// HoldsFirst is set if the first announcement is held until Release, because the
+	// daemon does not know yet whether the instance has left.
+	HoldsFirst bool
 	// SilenceTimeout returns how long the upstream may send no announcement. If
 	// it is nil or returns 0, DefaultSilenceTimeout applies.
 	SilenceTimeout func() time.Duration
@@ -105,6 +114,7 @@
 	// the upstream counts as gone.
 	announcedAt time.Time
 	departures  departures
+	held        held
 }
 
 // Handler returns the HTTP handler for the requests of the upstream.
@@ -138,7 +148,12 @@
 		return err
 	}
 	monitor.mutex.Lock()
-	if monitor.departures.includes(announcement) || monitor.isOutdated(announcement) {
+	if monitor.hasLeft(announcement) || monitor.isOutdated(announcement) {
+		monitor.mutex.Unlock()
+		return nil
+	}
+	if monitor.HoldsFirst && !monitor.held.released {
+		monitor.held.add(announcement)
 		monitor.mutex.Unlock()
 		return nil
 	}
@@ -168,6 +183,13 @@
 	return announcement.StartedAt < current.StartedAt
 }
 
+// hasLeft reports whether an announcement comes from an instance that has left. The
+// caller holds the mutex.
+func (monitor *Monitor) hasLeft(announcement Announcement) bool {
+	return monitor.departures.includes(announcement) ||
+		monitor.HasDeparted != nil && !announcement.Draining && monitor.HasDeparted(announcement.Instance, announcement.StartedAt)
+}
+
 // RecordDeparture records that an instance has reported that it is leaving. The
 // instance gets no new requests, even if it continues to serve.
 func (monitor *Monitor) RecordDeparture(instance string) {
@@ -179,6 +201,9 @@
 	}
 	monitor.departures.add(instance, startedAt)
 	monitor.mutex.Unlock()
+	if monitor.OnDeparture != nil && instance != "" {
+		monitor.OnDeparture(instance, cmp.Or(startedAt, monitor.Now().UnixMilli()))
+	}
 	if current {
 		monitor.Drain()
 	}
--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -334,4 +334,18 @@
   'if committed && call.Streamed {' 'if committed && false {' ./core/call
 mutant "an ingress does not tell that a body is streamed" io/caller/exchange.go \
   'Streamed:   exchange.request.streamed,' '' ./daemon
+mutant "a restarted daemon does not learn which upstreams have left" core/member/member.go \
+  'if replica.Kind == kernel.KindDepartures && replica.Name == plugin.self.ID {' 'if false {' ./core/member
+mutant "departures are published before those of the earlier process are known" core/member/own_departures.go \
+  'if !plugin.ownDepartures.joined || !plugin.ownDepartures.unpublished {' 'if !plugin.ownDepartures.unpublished {' ./core/member
+mutant "an upstream that has left is published as serving" core/member/member.go \
+  'case target.Service != "" && plugin.ownDepartures.includes(' 'case false && plugin.ownDepartures.includes(' ./core/member
+mutant "the first announcement is not held" io/upstream/announce.go \
+  'if monitor.HoldsFirst && !monitor.held.released {' 'if false {' ./io/upstream
+mutant "an upstream that has left is accepted after a restart" io/upstream/announce.go \
+  'monitor.HasDeparted != nil && !announcement.Draining' 'monitor.HasDeparted != nil && false' ./io/upstream
+mutant "a restarted daemon does not ask its upstream whether it is leaving" daemon/upstream.go \
+  'if !leaving(result.Header) {' 'if true {' ./daemon
+mutant "a departure that is learnt late does not drain the gate" daemon/upstream.go \
+  'if current.Service != "" && view.HasDeparted(' 'if false && view.HasDeparted(' ./daemon
 exit $living
