platform: one odd object no longer hides the others

What callers saw: nothing here; other operators reported machines that stopped following a list. One object of an unknown form left a whole list or watch of the platform unused on all daemons; a heartbeat with a bad port, a start far ahead or a huge sequence replaced a sound one, and outdated the next ones until the target counted as silent.

Cause: a reply was decoded in one step, so that one type error, number or depth failed all of it; announcements were checked for their form only.

Ruled out: records of other daemons, which are decoded one by one (TestOddRecords), and load reports.

Beacons and announcements with ports out of range are refused, also announcements that started over an hour ahead. A claim log with an unreadable object still grants nothing: it may be a segment.

--- a/core/beacon/beacon.go
+++ b/core/beacon/beacon.go
@@ -16,7 +16,10 @@
 	"encoding/json"
 	"fmt"
 	"math"
+	"net"
 	"slices"
+	"strconv"
+	"strings"
 	"time"
 
 	"ibislift/core/kernel"
@@ -207,7 +210,7 @@
 	var added []string
 	for _, object := range objects {
 		var found beacon
-		if json.Unmarshal(object.Body, &found) != nil || found.PeerAddress == "" || len(peers) >= maxFirstPeers {
+		if json.Unmarshal(object.Body, &found) != nil || !isAddress(found.PeerAddress) || len(peers) >= maxFirstPeers {
 			continue
 		}
 		if !slices.Contains(peers, found.PeerAddress) {
@@ -222,6 +225,17 @@
 	return []kernel.Effect{kernel.Dispatch{Message: kernel.PeersFound{Addresses: added}}}
 }
 
+// isAddress reports whether a daemon may be reached at an address. Another writer may
+// have stored anything; a port is checked if there is one.
+func isAddress(address string) bool {
+	if !strings.Contains(address, ":") {
+		return address != ""
+	}
+	host, port, err := net.SplitHostPort(address)
+	number, portErr := strconv.ParseUint(port, 10, 16)
+	return err == nil && portErr == nil && host != "" && number > 0
+}
+
 // handleWrite lists the beacons again some time later, because those of other data
 // centres may have been written at the same time. If another daemon has written the
 // same beacon first, the reply may contain its address.
--- a/core/beacon/beacon_test.go
+++ b/core/beacon/beacon_test.go
@@ -84,6 +84,15 @@
 		started := start(daemons, "new")
 		is.New(t).True(daemons.RunUntil(10*time.Second, func() bool { return len(started.View.Members) >= 5 }))
 	})
+	t.Run("beside beacons that name no peer", func(t *testing.T) {
+		daemons := newFleet()
+		for number := range 150 {
+			odd := []string{`{"peerAddress":"d%d:99999"}`, `{"peerAddress":"d%d:0"}`, `{"peerAddress":"d%d:"}`, `{"peerAddress":%d}`, `[%d]`}[number%5]
+			odd = fmt.Sprintf(odd, number)
+			daemons.Platform.Set(daemons, fmt.Sprintf("%sa/%d", beacon.Prefix, number), []byte(odd))
+		}
+		is.New(t).True(daemons.RunUntil(3*time.Second, hasMembers(start(daemons, "new"), 7)))
+	})
 	t.Run("number of beacons does not grow with the fleet", func(t *testing.T) {
 		daemons := newFleet()
 		daemons.Run(5 * beacon.RefreshInterval)
--- a/core/member/member_test.go
+++ b/core/member/member_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"strings"
 	"testing"
 	"time"
 
@@ -290,3 +291,32 @@
 	}
 	return ""
 }
+
+// A record that cannot be read is left out, and the others of its message are not.
+func TestOddRecords(t *testing.T) {
+	deep := strings.Repeat("[", 20_000) + strings.Repeat("]", 20_000)
+	for name, body := range map[string]string{
+		"nested deeply":      `{"id":"odd","target":` + deep + `}`,
+		"a number too large": `{"id":"odd","epoch":1e400}`,
+		"another type":       `[]`,
+		"another name":       `{"id":"d1"}`,
+		"no JSON":            "\xff",
+	} {
+		t.Run(name, func(t *testing.T) {
+			cluster := newFleet(5, 2, 1)
+			sound := kernel.Record{Key: kernel.Key{Kind: kernel.KindMember, Name: "sound"}, Version: 1, Body: []byte(`{"id":"sound","region":"r0","peerAddress":"sound","state":"alive"}`)}
+			var records []kernel.Record
+			for _, kind := range []kernel.Kind{kernel.KindMember, kernel.KindProfile, kernel.KindCrash, kernel.KindRoutes, kernel.KindDepartures, 200} {
+				records = append(records, kernel.Record{Key: kernel.Key{Kind: kind, Name: "odd"}, Version: 1, Body: []byte(body)})
+			}
+			records = append(records, sound)
+			cluster.Deliver("d0", kernel.EnvelopeReceived{Envelope: kernel.Envelope{From: "d1", Records: records, ComparedBuckets: []int{-1, 1 << 30}}})
+			cluster.Run(100 * time.Millisecond)
+			_, oddKnown := cluster.Nodes["d0"].View.Member("odd")
+			_, soundKnown := cluster.Nodes["d0"].View.Member("sound")
+			is := is.New(t)
+			is.True(!oddKnown)
+			is.True(soundKnown)
+		})
+	}
+}
--- a/core/once/once.go
+++ b/core/once/once.go
@@ -288,6 +288,12 @@
 		log.retryAt = at.Add(retryDelay)
 		return refuse(refused, unavailable("reading the log: "+result.Status.String()))
 	}
+	if result.Invalid > 0 {
+		// The object may be a segment with claims.
+		refused := log.giveUp()
+		log.retryAt = at.Add(retryDelay)
+		return refuse(refused, unavailable("the log holds an object that cannot be read"))
+	}
 	log.replay(result.Objects)
 	effects := log.replyToHeldKeys(at)
 	return append(effects, log.call(at, log.createSegment(at, phaseFence)))
--- a/core/once/once_test.go
+++ b/core/once/once_test.go
@@ -258,6 +258,14 @@
 		other := firstOther(harness.names, coordinator)
 		expectStatus(t, harness, harness.requestClaim("a", other, false), kernel.ClaimOutcomeUnknown)
 	})
+	t.Run("a log with an object that cannot be read grants nothing", func(t *testing.T) {
+		harness := newHarness(3, 3)
+		harness.fleet.Platform.Unreadable = 1
+		expectStatus(t, harness, harness.requestClaim("a", "d0", false), kernel.ClaimUnavailable)
+		harness.fleet.Platform.Unreadable = 0
+		harness.fleet.Run(5 * time.Second)
+		expectStatus(t, harness, harness.requestClaim("b", "d0", false), kernel.ClaimGranted)
+	})
 	t.Run("the next coordinator takes over at once from a stopped one", func(t *testing.T) {
 		harness := newHarness(9, 4)
 		first := harness.requestClaim("a", "d0", false)
--- a/io/platform/codec.go
+++ b/io/platform/codec.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net/http"
 	"net/url"
@@ -59,19 +60,27 @@
 	}
 	var reply struct {
 		Object
-		List
+		Revision uint64            `json:"revision"`
+		Objects  []json.RawMessage `json:"objects"`
 	}
-	if err := json.NewDecoder(response.Body).Decode(&reply); err != nil {
-		return kernel.PlatformResult{}, "", Error.Wrap(err)
+	if err := ReadReply(response.Body, &reply); err != nil {
+		return kernel.PlatformResult{}, "", err
 	}
 	result := kernel.PlatformResult{Object: toKernel(reply.Object), Revision: reply.Revision}
-	for _, object := range reply.Objects {
+	var invalid []error
+	for _, encoded := range reply.Objects {
+		var object Object
+		if err := json.Unmarshal(encoded, &object); err != nil {
+			invalid = append(invalid, err)
+			continue
+		}
 		result.Objects = append(result.Objects, toKernel(object))
 	}
+	result.Invalid = len(invalid)
 	if write, ok := call.(kernel.WriteObject); ok {
 		result.Object.Body = write.Body
 	}
-	return result, "", nil
+	return result, "", InvalidObjectError.Wrap(errors.Join(invalid...))
 }
 
 // toKernel converts an object to the kernel's type.
--- a/io/platform/platform_test.go
+++ b/io/platform/platform_test.go
@@ -52,6 +52,38 @@
 	is.Equal(strings.Count(logged.String(), "route-type"), 1)
 }
 
+// An object that another writer has stored in an unknown form does not hide the others.
+func TestOddObjects(t *testing.T) {
+	deep := strings.Repeat(`{"a":`, 20_000) + `1` + strings.Repeat(`}`, 20_000)
+	for name, odd := range map[string]string{
+		"nested deeply":      `{"name":"config/b","version":2,"body":` + deep + `}`,
+		"a version too high": `{"name":"config/b","version":1e400,"body":1}`,
+		"a version as text":  `{"name":"config/b","version":"2","body":1}`,
+		"no object":          `[]`,
+	} {
+		t.Run(name, func(t *testing.T) {
+			server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+				_, _ = io.WriteString(writer, `{"revision":7,"objects":[{"name":"config/a","version":1,"body":{}},`+odd+`,{"name":"config/c","version":3,"body":{}}]}`)
+			}))
+			defer server.Close()
+			client := &platform.Client{Address: strings.TrimPrefix(server.URL, "http://"), Log: slog.New(slog.DiscardHandler)}
+			is := is.New(t)
+			for _, call := range []kernel.PlatformCall{kernel.ListObjects{Prefix: "config/"}, kernel.WatchObjects{Prefix: "config/"}} {
+				result := client.Do(context.Background(), call)
+				is.Equal(result.Status, kernel.PlatformOK)
+				is.Equal(result.Revision, uint64(7))
+				is.Equal(result.Objects[0].Name, "config/a")
+				is.Equal(result.Objects[len(result.Objects)-1].Name, "config/c")
+			}
+		})
+	}
+}
+
+func TestReplyTooLong(t *testing.T) {
+	var parsed struct{}
+	is.New(t).True(platform.ReadReply(strings.NewReader(`{"a":"`+strings.Repeat("x", 17<<20)+`"}`), &parsed) != nil)
+}
+
 // Connections may go silent without being closed, while new ones work.
 func TestSilentConnectionsAreReplaced(t *testing.T) {
 	var mutex sync.Mutex
--- a/io/upstream/announce.go
+++ b/io/upstream/announce.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -50,17 +51,29 @@
 // maxSlots is the largest number of slots that an upstream may announce.
 const maxSlots = 100_000
 
+// maxSequence is the largest number of an announcement, which all writers of JSON can
+// write exactly.
+const maxSequence = 1 << 53
+
+// maxClockDifference is how far the clock of an upstream may be ahead. An announcement
+// with a later start would outdate all others.
+const maxClockDifference = time.Hour
+
 // Validate returns an error for the first invalid field.
 func (announcement Announcement) Validate() error {
 	if err := profile.ValidateName(announcement.Service); err != nil {
 		return Error.New("service: %v", err)
 	}
-	if _, _, err := net.SplitHostPort(announcement.Address); err != nil {
-		return Error.New("address: %q is not of the form host:port", announcement.Address)
+	host, port, err := net.SplitHostPort(announcement.Address)
+	if number, portErr := strconv.ParseUint(port, 10, 16); err != nil || portErr != nil || host == "" || number == 0 {
+		return Error.New("address: %q is not of the form host:port, with a port from 1 to 65535", announcement.Address)
 	}
 	if announcement.Slots < 1 || announcement.Slots > maxSlots {
 		return Error.New("slots: %d is not between 1 and %d", announcement.Slots, maxSlots)
 	}
+	if announcement.Sequence > maxSequence {
+		return Error.New("sequence: %d is above %d", announcement.Sequence, uint64(maxSequence))
+	}
 	if !strings.HasPrefix(announcement.HealthPath, "/") {
 		return Error.New("healthPath: must start with /")
 	}
@@ -147,6 +160,9 @@
 	if err := announcement.Validate(); err != nil {
 		return err
 	}
+	if latest := monitor.Now().Add(maxClockDifference).UnixMilli(); announcement.StartedAt > latest {
+		return Error.New("started: %d is in the future", announcement.StartedAt)
+	}
 	monitor.mutex.Lock()
 	if monitor.hasLeft(announcement) || monitor.isOutdated(announcement) {
 		monitor.mutex.Unlock()
--- a/standin/fleet/platform.go
+++ b/standin/fleet/platform.go
@@ -32,6 +32,9 @@
 	// daemon have no effect, and the replies to its waiting watches are lost. It is
 	// silent to none if it is nil.
 	Silent func(caller kernel.Settings) bool
+	// Unreadable is the number of objects in each list that cannot be decoded. They are
+	// left out of the reply.
+	Unreadable int
 	// DropWriteReply reports whether the reply to a write is lost although the
 	// write takes effect. No reply is lost if it is nil.
 	DropWriteReply func() bool
@@ -140,7 +143,9 @@
 		if call.StaleAllowed {
 			platform.StaleReads++
 		}
-		reply(platform.list(call.Prefix, 0), platformLatency)
+		result := platform.list(call.Prefix, 0)
+		result.Invalid = platform.Unreadable
+		reply(result, platformLatency)
 	case kernel.WatchObjects:
 		platform.Reads++
 		platform.watch(fleet, caller, call, reply)
--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -348,4 +348,16 @@
   'if !leaving(result.Header) {' 'if true {' ./daemon
 mutant "a departure that is learnt late does not drain the gate" daemon/upstream.go \
   'if current.Service != "" && view.HasDeparted(' 'if false && view.HasDeparted(' ./daemon
+mutant "a value that is nested too deeply hides a whole reply" io/platform/reply.go \
+  'shallow, cutErr := cutDeepValues(text)' 'shallow, cutErr := text, error(nil)' ./io/platform ./platform
+mutant "an object without a name counts" platform/store.go \
+  'err == nil && object.Meta.Name == ""' 'false' ./platform
+mutant "a claim coordinator passes over an object that it cannot read" core/once/once.go \
+  'if result.Invalid > 0 {' 'if false {' ./core/once
+mutant "a beacon with a port out of range is a first peer" core/beacon/beacon.go \
+  'return err == nil && portErr == nil && host != "" && number > 0' 'return err == nil && host != "" && (portErr == nil || number >= 0)' ./core/beacon
+mutant "an announcement with a port out of range is accepted" io/upstream/announce.go \
+  'err != nil || portErr != nil || host == "" || number == 0' 'err != nil || portErr != nil && host == "" && number == 0' ./platform
+mutant "an announcement that started in the future outdates all others" io/upstream/announce.go \
+  'announcement.StartedAt > latest' 'announcement.StartedAt < 0 && latest > 0' ./platform
 exit $living
