io/peer: an error of Accept does not end the daemon

What callers saw: nothing so far. With no descriptor left, the first connection of another daemon that could not be accepted would have ended the process and cut all that it carried.

Cause: ServeForwardConns returned each error of Accept, and the daemon ends with its servers.

Ruled out: the servers for callers, of net/http and of gRPC, which go on after such errors.

Change: only a closed listener ends the loop; other errors are logged, and Accept is called again after 20 ms.

Failed first: TestForwardConnsAreAcceptedAfterAnError ("0 of 1 connections accepted").

--- a/io/peer/forward_server.go
+++ b/io/peer/forward_server.go
@@ -23,15 +23,30 @@
 	server.gateConns.start(listener)
 	for {
 		conn, err := listener.Accept()
-		if err != nil {
+		if errors.Is(err, net.ErrClosed) {
 			return Error.Wrap(err)
 		}
+		if err != nil {
+			// For example, no descriptor is left.
+			server.logAcceptError(err)
+			time.Sleep(acceptRetryDelay)
+			continue
+		}
 		gateConn := newGateConn(newForwardConn(conn, "", server.CountBytes))
 		server.gateConns.add(gateConn)
 		go server.serveConn(gateConn)
 	}
 }
 
+// acceptRetryDelay is the time between a failed Accept and the next one.
+const acceptRetryDelay = 20 * time.Millisecond
+
+func (server *Server) logAcceptError(err error) {
+	if server.Log != nil {
+		server.Log.Warn("cannot accept a connection of another daemon", "error", err)
+	}
+}
+
 // serveConn serves the requests of a connection one after another.
 func (server *Server) serveConn(gateConn *gateConn) {
 	defer server.gateConns.closeAndRemove(gateConn)
--- a/io/peer/forward_server_test.go
+++ b/io/peer/forward_server_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"net"
+	"syscall"
 	"testing"
 	"time"
 
@@ -10,6 +12,7 @@
 	"google.golang.org/protobuf/encoding/protodelim"
 
 	"ibislift/io/peer/peerpb"
+	"ibislift/io/upstream"
 )
 
 // newGateStream returns the stream of a request at a gate, and the ingress's end of
@@ -31,6 +34,47 @@
 	is.New(t).NoErr(err)
 }
 
+// failingListener fails each second Accept, as when no descriptor is left.
+type failingListener struct {
+	net.Listener
+	calls int
+}
+
+func (failingListener *failingListener) Accept() (net.Conn, error) {
+	failingListener.calls++
+	if failingListener.calls%2 == 1 {
+		return nil, &net.OpError{Op: "accept", Err: syscall.EMFILE}
+	}
+	return failingListener.Listener.Accept()
+}
+
+// An error of Accept must not end the daemon.
+func TestForwardConnsAreAcceptedAfterAnError(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	server := &Server{Gate: &upstream.Gate{Now: time.Now}}
+	served := make(chan error, 1)
+	go func() { served <- server.ServeForwardConns(&failingListener{Listener: listener}) }()
+	accepted := func() int {
+		server.gateConns.mutex.Lock()
+		defer server.gateConns.mutex.Unlock()
+		return len(server.gateConns.open)
+	}
+	for count := 1; count <= 3; count++ {
+		conn, err := net.Dial("tcp", listener.Addr().String())
+		is.NoErr(err)
+		t.Cleanup(func() { _ = conn.Close() })
+		for end := time.Now().Add(5 * time.Second); accepted() < count; time.Sleep(time.Millisecond) {
+			if time.Now().After(end) {
+				t.Fatalf("%d of %d connections accepted", accepted(), count)
+			}
+		}
+	}
+	_ = listener.Close()
+	is.True(errors.Is(<-served, net.ErrClosed))
+}
+
 func TestGateStreamEnds(t *testing.T) {
 	head := &peerpb.CallFrame{Frame: &peerpb.CallFrame_Head{Head: &peerpb.CallHead{BodyFollows: true}}}
 	end := &peerpb.CallFrame{Frame: &peerpb.CallFrame_End{End: &peerpb.Trailer{}}}
--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -360,4 +360,6 @@
   'err != nil || portErr != nil || host == "" || number == 0' 'err != nil || portErr != nil && host == "" && number == 0' ./platform
 mutant "an announcement that started in the future outdates all others" io/upstream/announce.go \
   'announcement.StartedAt > latest' 'announcement.StartedAt < 0 && latest > 0' ./platform
+mutant "an error of Accept ends the forward connections" io/peer/forward_server.go \
+  'if errors.Is(err, net.ErrClosed) {' 'if err != nil {' ./io/peer
 exit $living
