io/peer: headers that are not UTF-8 are forwarded

What callers saw: a request with such a header, or whose response had one, ended with 502 or 503; in the second case it had run.

Cause: header values, targets and request IDs were protobuf strings, which hold UTF-8 only, so one odd value made the whole message unsendable.

Ruled out: names, methods and hosts, which net/http restricts to ASCII.

Change: they are bytes, with the same form on the wire. Keys and tenants that are not UTF-8 are refused with 400.

--- a/io/caller/attempt.go
+++ b/io/caller/attempt.go
@@ -76,10 +76,10 @@
 func callHead(exchange *exchange, send call.Send) *peerpb.CallHead {
 	request, original := exchange.request, exchange.original
 	head := &peerpb.CallHead{
-		RequestId:             request.id,
+		RequestId:             []byte(request.id),
 		Service:               request.service,
 		Method:                original.Method,
-		Target:                original.URL.RequestURI(),
+		Target:                []byte(original.URL.RequestURI()),
 		Host:                  original.Host,
 		Headers:               peer.EncodeHeader(exchange.handler.upstreamHeader(original.Header)),
 		ContentLength:         int64(len(request.body)),
@@ -95,7 +95,7 @@
 		RateLimit:             peer.EncodeRateLimit(exchange.service.tracker.RateLimit(send.Target)),
 	}
 	if name := exchange.handler.Dialect.CallerService; name != "" {
-		head.Headers = append(head.Headers, &peerpb.Field{Name: name, Value: exchange.handler.CallerService})
+		head.Headers = append(head.Headers, &peerpb.Field{Name: name, Value: []byte(exchange.handler.CallerService)})
 	}
 	if request.streamed {
 		head.ContentLength = original.ContentLength
--- a/io/caller/request.go
+++ b/io/caller/request.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"time"
+	"unicode/utf8"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -178,8 +179,8 @@
 	if name == "" || len(values) == 0 {
 		return "", nil
 	}
-	if len(values) > 1 || values[0] == "" || len(values[0]) > maxLength {
-		return "", &headerError{header: name, detail: fmt.Sprintf("must be given once, with 1 to %d characters", maxLength)}
+	if len(values) > 1 || values[0] == "" || len(values[0]) > maxLength || !utf8.ValidString(values[0]) {
+		return "", &headerError{header: name, detail: fmt.Sprintf("must be given once, with 1 to %d bytes of UTF-8", maxLength)}
 	}
 	return values[0], nil
 }
--- a/io/peer/codec.go
+++ b/io/peer/codec.go
@@ -15,7 +15,7 @@
 	fields := make([]*peerpb.Field, 0, len(header))
 	for name, values := range header {
 		for _, value := range values {
-			fields = append(fields, &peerpb.Field{Name: name, Value: value})
+			fields = append(fields, &peerpb.Field{Name: name, Value: []byte(value)})
 		}
 	}
 	return fields
@@ -25,7 +25,7 @@
 func DecodeHeader(fields []*peerpb.Field) http.Header {
 	header := make(http.Header, len(fields))
 	for _, field := range fields {
-		header[field.Name] = append(header[field.Name], field.Value)
+		header[field.Name] = append(header[field.Name], string(field.Value))
 	}
 	return header
 }
--- a/io/peer/gate_conn_test.go
+++ b/io/peer/gate_conn_test.go
@@ -103,7 +103,7 @@
 }
 
 func callHead(reserve bool) *peerpb.CallFrame {
-	head := &peerpb.CallHead{Method: "GET", Target: "/", RemainingMicroseconds: time.Minute.Microseconds(), Reserve: reserve}
+	head := &peerpb.CallHead{Method: "GET", Target: []byte("/"), RemainingMicroseconds: time.Minute.Microseconds(), Reserve: reserve}
 	return &peerpb.CallFrame{Frame: &peerpb.CallFrame_Head{Head: head}}
 }
 
--- a/io/peer/run.go
+++ b/io/peer/run.go
@@ -67,11 +67,11 @@
 // upstreamRequest builds the request to the upstream. Its deadline header holds
 // the time that remains now.
 func (server *Server) upstreamRequest(ctx context.Context, stream *requestStream, head *peerpb.CallHead, deadline time.Time) (*http.Request, error) {
-	target, err := url.ParseRequestURI(head.GetTarget())
+	target, err := url.ParseRequestURI(string(head.GetTarget()))
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
-	preserveEscaping(target, head.GetTarget())
+	preserveEscaping(target, string(head.GetTarget()))
 	request := &http.Request{
 		Method:        head.GetMethod(),
 		URL:           target,
@@ -84,7 +84,7 @@
 	remaining := deadline.Sub(server.Gate.Now())
 	dialect := server.Upstream.EffectiveDialect()
 	request.Header.Set(dialect.Deadline, dialect.FormatDeadline(max(time.Millisecond, remaining)))
-	request.Header.Set(dialect.RequestID, head.GetRequestId())
+	request.Header.Set(dialect.RequestID, string(head.GetRequestId()))
 	if instance := server.Upstream.ExpectedInstance(); instance != "" && dialect.Instance != "" {
 		request.Header.Set(dialect.Instance, instance)
 	}
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -121,7 +121,7 @@
 	if head == nil {
 		return Error.New("the first frame is not a request head")
 	}
-	stream := &requestStream{GateStream: gateStream, requestID: head.GetRequestId(), class: head.GetClass()}
+	stream := &requestStream{GateStream: gateStream, requestID: string(head.GetRequestId()), class: head.GetClass()}
 	if !server.Control.Serves(head.GetService()) {
 		return server.refuse(stream, admit.ReasonNoUpstream, 0)
 	}
--- a/io/peer/statements_test.go
+++ b/io/peer/statements_test.go
@@ -58,7 +58,7 @@
 // serve passes a request to the upstream and returns the limit that is known afterwards.
 func serve(t *testing.T, server *peer.Server) admit.RateLimit {
 	t.Helper()
-	stream := &recordingStream{head: &peerpb.CallHead{Service: "shop", Method: "GET", Target: "/", Host: "shop", RemainingMicroseconds: 5_000_000}}
+	stream := &recordingStream{head: &peerpb.CallHead{Service: "shop", Method: "GET", Target: []byte("/"), Host: "shop", RemainingMicroseconds: 5_000_000}}
 	is := is.New(t)
 	is.NoErr(server.ServeStream(stream))
 	is.Equal(stream.sent[0].GetHead().GetStatus(), int32(http.StatusOK))
--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -362,4 +362,6 @@
   'announcement.StartedAt > latest' 'announcement.StartedAt < 0 && latest > 0' ./platform
 mutant "an error of Accept ends the forward connections" io/peer/forward_server.go \
   'if errors.Is(err, net.ErrClosed) {' 'if err != nil {' ./io/peer
+mutant "a key that is not UTF-8 is passed on" io/caller/request.go \
+  '!utf8.ValidString(values[0])' '!utf8.ValidString(name)' ./daemon
 exit $living
