io/upstream: an earlier refusal is not taken for the next response

It can happen here where a request ID comes again: the upstream writes the refusal of the first request once more on a kept connection, and the gate takes it for the response to the second, which runs.

Cause: responses are told apart by the echoed request ID alone. All health probes shared one, too.

Change: the gate remembers the IDs of refused requests for 30 to 60 s and sends a request with such an ID on a new connection; each probe has an ID of its own.

--- a/io/peer/run.go
+++ b/io/peer/run.go
@@ -55,7 +55,11 @@
 		leaving = server.recordStatements(response, handedOverAt)
 	}
 	if kind != responseNormal {
-		response.Abort()
+		if kind == responseNotRun || kind == responseMisdirected {
+			response.Refuse()
+		} else {
+			response.Abort()
+		}
 		return true, server.sendFailure(stream, kind, response.Response)
 	}
 	if response.ContentLength >= 0 && response.ContentLength <= MaxInlineBodySize && len(response.Trailer) == 0 {
--- a/io/upstream/client.go
+++ b/io/upstream/client.go
@@ -26,6 +26,8 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
+	"strings"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -66,6 +68,9 @@
 	pool            pool
 	echoesRequestID atomic.Bool
 	instance        atomic.Pointer[string]
+	refused         refusedRequests
+	// probes is the number of health probes so far.
+	probes atomic.Uint64
 }
 
 var defaultDialect = dialect.Default()
@@ -112,7 +117,7 @@
 }
 
 // Response is a response whose body has not been read yet. The caller ends it
-// with Finish or Abort.
+// with Finish, Refuse or Abort.
 type Response struct {
 	*http.Response
 
@@ -142,7 +147,7 @@
 }
 
 func (client *Client) do(ctx context.Context, request *http.Request, interim func(*http.Response), maxIdle time.Duration) (*Response, error) {
-	connection, err := client.pool.get(ctx, client.minIdle(), maxIdle)
+	connection, err := client.connectionFor(ctx, request, maxIdle)
 	if err != nil {
 		return nil, &notHandedOver{cause: err}
 	}
@@ -163,6 +168,15 @@
 	return response, nil
 }
 
+// connectionFor returns the connection on which to send a request: an idle one if it is
+// safe, or else a new one.
+func (client *Client) connectionFor(ctx context.Context, request *http.Request, maxIdle time.Duration) (*connection, error) {
+	if client.refused.includes(request.Header.Get(client.EffectiveDialect().RequestID), time.Now()) {
+		return client.pool.dial(ctx)
+	}
+	return client.pool.get(ctx, client.minIdle(), maxIdle)
+}
+
 // send writes the request. A request with a body is written in a goroutine of
 // its own, since an upstream may respond before it has read the whole body.
 func send(connection *connection, request *http.Request) (<-chan error, error) {
@@ -254,7 +268,7 @@
 func (client *Client) checkRequestID(request *http.Request, response *http.Response) error {
 	requestID := response.Header.Get(client.EffectiveDialect().RequestID)
 	matches := requestID == request.Header.Get(client.EffectiveDialect().RequestID)
-	isProbe := request.Header.Get(client.EffectiveDialect().RequestID) == probeRequestID
+	isProbe := strings.HasPrefix(request.Header.Get(client.EffectiveDialect().RequestID), probePrefix)
 	if matches || requestID == "" && (isProbe || !client.echoesRequestID.Load()) {
 		return nil
 	}
@@ -284,6 +298,12 @@
 	}
 }
 
+// Refuse is Abort for a response that says that the request has not been executed.
+func (response *Response) Refuse() {
+	response.client.refused.add(response.Request.Header.Get(response.client.EffectiveDialect().RequestID), time.Now())
+	response.Abort()
+}
+
 // Abort closes the connection.
 func (response *Response) Abort() {
 	response.stop()
@@ -322,7 +342,7 @@
 	if err != nil {
 		return ProbeResult{}
 	}
-	request.Header.Set(client.EffectiveDialect().RequestID, probeRequestID)
+	request.Header.Set(client.EffectiveDialect().RequestID, probeRequestID(client.probes.Add(1)))
 	response, err := client.Do(ctx, request, nil)
 	if err != nil {
 		return ProbeResult{}
@@ -347,9 +367,13 @@
 	return result
 }
 
-// probeRequestID is the request ID of health probes. It is random, since callers may
+// probePrefix begins the request IDs of health probes. It is random, since callers may
 // choose the IDs of their requests.
-var probeRequestID = "probe-" + rand.Text()
+var probePrefix = "probe-" + rand.Text() + "-"
+
+// probeRequestID returns the request ID of a health probe. Each has its own, so that the
+// response to an earlier one is recognized.
+func probeRequestID(number uint64) string { return probePrefix + strconv.FormatUint(number, 10) }
 
 const (
 	probeTimeout  = time.Second
--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -364,4 +364,12 @@
   'if errors.Is(err, net.ErrClosed) {' 'if err != nil {' ./io/peer
 mutant "a key that is not UTF-8 is passed on" io/caller/request.go \
   '!utf8.ValidString(values[0])' '!utf8.ValidString(name)' ./daemon
+mutant "a request that was refused comes again on a kept connection" io/upstream/client.go \
+  'if client.refused.includes(' 'if false && client.refused.includes(' ./io/peer
+mutant "a refusal of the upstream is not remembered" io/peer/run.go \
+  'if kind == responseNotRun || kind == responseMisdirected {' 'if false {' ./io/peer
+mutant "refused requests are remembered without end" io/upstream/refused.go \
+  'if len(refusedRequests.recent) >= maxRefused {' 'if false {' ./io/upstream
+mutant "all health probes share a request ID" io/upstream/client.go \
+  'probeRequestID(client.probes.Add(1))' 'probeRequestID(0)' ./io/upstream
 exit $living
