--- a/daemon/upstream.go
+++ b/daemon/upstream.go
@@ -46,6 +46,7 @@
 	if err := daemon.monitor.Release(daemon.saysLeaving(announcement)); err != nil {
 		daemon.Log.Warn("first announcement not accepted", "error", err)
 	}
+	daemon.Log.Info("announcements accepted", "target", announcement.Instance, "uptime", time.Since(daemon.startedAt))
 	return true
 }
 
--- a/io/logs/fields.go
+++ b/io/logs/fields.go
@@ -58,6 +58,7 @@
 	"state":    "current state of the daemon or target",
 	"was":      "previous state, version or count",
 	"leaving":  "whether the daemon is stopping",
+	"uptime":   "time since the daemon started",
 	"since":    "when the current state began",
 	"lostAt":   "when the connection to the platform was lost",
 	"watching": "whether this daemon watches the platform for its region",
