beacon: a daemon that is alone looks for others again

Cause: the list of beacons was read until one was found, whether anybody answered there or not. The beacons that the others wrote then were listed by nobody.

Ruled out: the platform, the first comparison and the reconnection, which use what was listed.

Change: a daemon without neighbours lists the beacons again, every 2 s and after half a minute every 10 s, stale.

--- a/core/beacon/beacon.go
+++ b/core/beacon/beacon.go
@@ -46,6 +46,15 @@
 // its own beacon.
 const startupPeriod = 4 * time.Second
 
+// A daemon without neighbours lists the beacons again: those that it has found may be of
+// machines that are gone, and others that are alone too write theirs. It lists them every
+// shortRelistInterval for relistPeriod after it has become alone, then less often.
+const (
+	shortRelistInterval = 2 * time.Second
+	longRelistInterval  = 10 * time.Second
+	relistPeriod        = 30 * time.Second
+)
+
 // relistDelay is the time from a write to the next listing.
 const relistDelay = 700 * time.Millisecond
 
@@ -88,6 +97,10 @@
 	// calledAt is when the last call began.
 	calledAt   time.Time
 	nextCallAt time.Time
+	// listedAt is when the last listing began, and aloneSince when the daemon last had a
+	// neighbour.
+	listedAt   time.Time
+	aloneSince time.Time
 }
 
 func (plugin *plugin) Accepts(time.Time, kernel.Record) bool { return true }
@@ -109,11 +122,19 @@
 	return nil
 }
 
-// tick lists the beacons until a listing has succeeded. After that, a watcher
-// checks its own beacon at every interval.
+// tick lists the beacons until a listing has succeeded, and again while this daemon is
+// alone. A watcher also checks its own beacon at every interval.
 func (plugin *plugin) tick(state *kernel.State, at time.Time) []kernel.Effect {
+	if len(state.Neighbours) > 0 || plugin.aloneSince.IsZero() {
+		plugin.aloneSince = at
+	}
+	isDue := !at.Before(plugin.nextCallAt)
 	switch {
-	case plugin.calling || at.Before(plugin.nextCallAt):
+	case plugin.calling:
+		return nil
+	case plugin.listed && len(state.Neighbours) == 0 && at.Sub(plugin.listedAt) >= plugin.relistInterval(at):
+		return plugin.list(at)
+	case !isDue:
 		return nil
 	case !plugin.listed:
 		return plugin.list(at)
@@ -125,6 +146,13 @@
 	}
 }
 
+func (plugin *plugin) relistInterval(at time.Time) time.Duration {
+	if at.Sub(plugin.aloneSince) < relistPeriod {
+		return shortRelistInterval
+	}
+	return longRelistInterval
+}
+
 // ownName returns the name of this watcher's beacon.
 func ownName(state *kernel.State) string {
 	return fmt.Sprintf("%s%d", dataCentrePrefix(state), state.WatcherRank)
@@ -138,6 +166,7 @@
 
 // list lists the beacons. They are hints, so they may be stale.
 func (plugin *plugin) list(at time.Time) []kernel.Effect {
+	plugin.listedAt = at
 	return plugin.call(at, listToken, kernel.ListObjects{Prefix: Prefix, StaleAllowed: true})
 }
 
@@ -164,6 +193,9 @@
 // handleList adds the addresses of the listed beacons to the first peers. If there
 // are none twice, it writes one with this daemon's address.
 func (plugin *plugin) handleList(state *kernel.State, event kernel.Event, result kernel.PlatformResult) []kernel.Effect {
+	if plugin.listed {
+		return plugin.addFirstPeers(state, result.Objects)
+	}
 	if result.Status != kernel.PlatformOK {
 		plugin.nextCallAt = plugin.calledAt.Add(retryDelay)
 		return nil
--- a/core/beacon/beacon_test.go
+++ b/core/beacon/beacon_test.go
@@ -84,6 +84,57 @@
 		started := start(daemons, "new")
 		is.New(t).True(daemons.RunUntil(10*time.Second, func() bool { return len(started.View.Members) >= 5 }))
 	})
+	t.Run("after all have been killed and those with beacons do not come back", func(t *testing.T) {
+		for seed := range uint64(5) {
+			daemons := fleet.New(seed)
+			add := func(number int) {
+				region := fmt.Sprintf("r%d", number%3)
+				daemons.Add(kernel.Settings{
+					Self: fmt.Sprintf("d%d", number), PeerAddress: fmt.Sprintf("d%d", number), Region: region, DataCentre: fmt.Sprintf("%s-%d", region, number%2),
+				})
+			}
+			for number := range 18 {
+				add(number)
+			}
+			daemons.Run(20 * time.Second)
+			withBeacon := map[string]bool{}
+			for _, name := range daemons.Platform.Names(beacon.Prefix) {
+				object, _ := daemons.Platform.Object(name)
+				for other := range daemons.Nodes {
+					withBeacon[other] = withBeacon[other] || string(object.Body) == fmt.Sprintf(`{"peerAddress":%q}`, other)
+				}
+			}
+			back := 0
+			for number := range 18 {
+				name := fmt.Sprintf("d%d", number)
+				daemons.Stop(name)
+				if !withBeacon[name] {
+					add(number)
+					back++
+				}
+			}
+			is := is.New(t)
+			is.True(back > 2 && back < 18)
+			daemons.Run(15 * time.Second)
+			for name, node := range daemons.Nodes {
+				alive := 0
+				for _, member := range node.View.Members {
+					if member.State == kernel.MemberAlive && !withBeacon[member.ID] {
+						alive++
+					}
+				}
+				is.True(withBeacon[name] || alive == back)
+			}
+		}
+	})
+	t.Run("a daemon without others lists the beacons ever more seldom", func(t *testing.T) {
+		daemons := fleet.New(1)
+		start(daemons, "d0")
+		daemons.Run(time.Minute)
+		reads := daemons.Platform.StaleReads
+		daemons.Run(time.Minute)
+		is.New(t).True(daemons.Platform.StaleReads-reads <= 8)
+	})
 	t.Run("beside beacons that name no peer", func(t *testing.T) {
 		daemons := newFleet()
 		for number := range 150 {
--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -372,4 +372,8 @@
   'if len(refusedRequests.recent) >= maxRefused {' 'if false {' ./io/upstream
 mutant "all health probes share a request ID" io/upstream/client.go \
   'probeRequestID(client.probes.Add(1))' 'probeRequestID(0)' ./io/upstream
+mutant "a daemon that is alone does not look for others again" core/beacon/beacon.go \
+  'case plugin.listed && len(state.Neighbours) == 0 &&' 'case false && len(state.Neighbours) == 0 &&' ./core/beacon
+mutant "a daemon that is alone lists the beacons as often for ever" core/beacon/beacon.go \
+  'if at.Sub(plugin.aloneSince) < relistPeriod {' 'if true {' ./core/beacon
 exit $living
