rollout: a lost table that is written again does not replace a later one

Cause: in a new era of the platform any table that had changed replaced the known one, also with a lower number; a lost table that is written again looked like a new one.

Ruled out: the copy, which replaces nothing, and the spread between daemons.

Change: a daemon remembers the last 64 tables that were in force, by number and hash; in a new era, one of these does not replace a table with a higher number.

The code runs only where the platform has eras and begins a new one.

--- a/core/rollout/rollout.go
+++ b/core/rollout/rollout.go
@@ -20,6 +20,8 @@
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"ibislift/core/kernel"
 	"ibislift/core/routes"
 )
@@ -84,6 +86,9 @@
 	// lastParsed is the result of the last call of parse, and lastBody its input.
 	lastParsed *routes.Table
 	lastBody   []byte
+	// lastDigest is a hash of lastBody before its compression.
+	lastDigest uint64
+	pastTables pastTables
 	source     string
 	eraTracker eraTracker
 	// revision is the revision from which the next watch starts, and checkedRevision
@@ -141,7 +146,7 @@
 	}
 	table, err := routes.Parse(plain)
 	if err == nil {
-		plugin.lastParsed, plugin.lastBody = table, body
+		plugin.lastParsed, plugin.lastBody, plugin.lastDigest = table, body, xxhash.Sum64(plain)
 	}
 	return table, err
 }
@@ -181,6 +186,7 @@
 		}
 		if table, err := plugin.parse(record.Body); err == nil {
 			plugin.table = table
+			plugin.pastTables = plugin.pastTables.with(pastTable{number: table.Version, digest: plugin.lastDigest})
 			plugin.source = merged.From
 			state.ViewDirty = true
 		}
@@ -366,7 +372,8 @@
 			continue
 		}
 		known, _ := state.Table.Get(routeKey(state))
-		version, mayReplace := plugin.eraTracker.read(table.Version, object.Version, decodeVersion(known.Version), isCurrent)
+		wasInForce := plugin.pastTables.includes(pastTable{number: table.Version, digest: plugin.lastDigest})
+		version, mayReplace := plugin.eraTracker.read(table.Version, object.Version, decodeVersion(known.Version), isCurrent, wasInForce)
 		if mayReplace {
 			records = append(records, kernel.Record{Key: routeKey(state), Version: version.encode(), Body: body})
 		}
--- a/core/rollout/version.go
+++ b/core/rollout/version.go
@@ -1,6 +1,10 @@
 package rollout
 
-import "ibislift/core/routes"
+import (
+	"slices"
+
+	"ibislift/core/routes"
+)
 
 // version orders route tables: first by the era of the platform in which the table
 // was written, then by the number that the operators gave it, their version of it. A platform without
@@ -43,13 +47,15 @@
 // changed since an earlier read was written in this era. Any other may be from the
 // copy: it replaces only one with a lower number, and only where no daemon knows a
 // later one. isCurrent is false for a result that may be some seconds old, which does
-// not show what was written when.
-func (eraTracker *eraTracker) read(number, revision uint64, known version, isCurrent bool) (version, bool) {
+// not show what was written when. wasInForce says that this daemon has had the table:
+// operators who write again what the platform has lost do so in its order, and must not
+// take the fleet back to an earlier table meanwhile.
+func (eraTracker *eraTracker) read(number, revision uint64, known version, isCurrent, wasInForce bool) (version, bool) {
 	changed := eraTracker.seen && eraTracker.revision != revision
 	if isCurrent {
 		eraTracker.record(number, revision)
 	}
-	if isCurrent && changed {
+	if isCurrent && changed && (number >= known.number || !wasInForce) {
 		return version{era: eraTracker.era, number: number}, true
 	}
 	return version{era: known.era, number: number}, number > known.number
@@ -68,3 +74,29 @@
 	holds := eraTracker.seen && eraTracker.number == known.number
 	return version{era: eraTracker.era, number: known.number}, holds && known.era < eraTracker.era
 }
+
+// maxPastTables is how many tables are remembered after they have been replaced.
+const maxPastTables = 64
+
+// pastTable identifies a table that was in force.
+type pastTable struct {
+	number uint64
+	// digest is a hash of the whole table.
+	digest uint64
+}
+
+// pastTables holds the tables that were in force on this daemon, oldest first.
+type pastTables []pastTable
+
+func (pastTables pastTables) includes(table pastTable) bool {
+	return slices.Contains(pastTables, table)
+}
+
+// with returns the tables with a further one, without the oldest if there are too many.
+func (pastTables pastTables) with(table pastTable) pastTables {
+	if pastTables.includes(table) {
+		return pastTables
+	}
+	all := append(slices.Clone(pastTables), table)
+	return all[max(0, len(all)-maxPastTables):]
+}
--- a/standin/fleet/restore_test.go
+++ b/standin/fleet/restore_test.go
@@ -194,3 +194,40 @@
 		}
 	}
 }
+
+// Operators who write again what the platform has lost begin with the earliest.
+func TestLostTablesAreWrittenAgainInTheirOrder(t *testing.T) {
+	for seed := range uint64(6) {
+		cluster := fleet.New(seed)
+		cluster.Platform.Era = 1
+		operators := &operators{cluster: cluster}
+		operators.write(3)
+		addDaemons(cluster, drillDaemons)
+		cluster.Run(20 * time.Second)
+		var lost [][]byte
+		for _, number := range []int{5, 9} {
+			operators.write(number)
+			lost = append(lost, operators.last)
+			cluster.Run(applyLimit)
+		}
+		requireAll := func(what string) {
+			t.Helper()
+			if behind := operators.behind(); len(behind) > 0 {
+				t.Fatalf("seed %d, %s: the last table is not in force on %d daemons: %v", seed, what, len(behind), behind)
+			}
+		}
+		requireAll("before the drill")
+		cluster.Platform.Restore(cluster, 10*time.Second)
+		cluster.Run(2 * time.Second)
+		for _, body := range lost {
+			cluster.Platform.Set(cluster, "config/main", body)
+			for range 20 {
+				cluster.Run(100 * time.Millisecond)
+				requireAll("while the tables are written again")
+			}
+		}
+		operators.write(12)
+		cluster.Run(applyLimit)
+		requireAll("after the next change")
+	}
+}
--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -376,4 +376,8 @@
   'case plugin.listed && len(state.Neighbours) == 0 &&' 'case false && len(state.Neighbours) == 0 &&' ./core/beacon
 mutant "a daemon that is alone lists the beacons as often for ever" core/beacon/beacon.go \
   'if at.Sub(plugin.aloneSince) < relistPeriod {' 'if true {' ./core/beacon
+mutant "a lost table that is written again replaces a later one" core/rollout/version.go \
+  'if isCurrent && changed && (number >= known.number || !wasInForce) {' 'if isCurrent && changed {' ./core/rollout ./standin/fleet
+mutant "a new table with a lower number counts as written again" core/rollout/version.go \
+  'return slices.Contains(pastTables, table)' 'return len(pastTables) > 0' ./core/rollout
 exit $living
