call: the shared retry budget leaves room for repeated calls

Cause: each service spends 0.7 of its budget on retries of its own, but a retry of a service also repeats the calls that its upstream makes to another, where they count. Both together are over the budget, mostly where most requests of a service are such calls.

Ruled out: refusals of gates (they reach no target), hedges (the same budget).

Change: 0.53 of the budget stays unspent, which covers one level of calls at worst.

Conclusion: deeper calls than one level are not covered; a daemon cannot tell which calls of its upstream belong to a repeated run.

--- a/core/call/shared.go
+++ b/core/call/shared.go
@@ -11,8 +11,10 @@
 
 // unspentFraction is the part of a shared budget that stays unspent. It covers
 // daemons that this one does not know yet, and repeated calls: if a retry makes an
-// upstream execute a request twice, that upstream also calls this service twice.
-const unspentFraction = 0.3
+// upstream execute a request twice, that upstream also calls this service twice. At
+// worst all requests of a service are such calls, and the retries of both services add
+// up there.
+const unspentFraction = 0.53
 
 // AssignShare sets the budget of one daemon to its share among the given number
 // of daemons.
--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -380,4 +380,6 @@
   'if isCurrent && changed && (number >= known.number || !wasInForce) {' 'if isCurrent && changed {' ./core/rollout ./standin/fleet
 mutant "a new table with a lower number counts as written again" core/rollout/version.go \
   'return slices.Contains(pastTables, table)' 'return len(pastTables) > 0' ./core/rollout
+mutant "the shared budget leaves nothing for repeated calls" core/call/shared.go \
+  'const unspentFraction = 0.53' 'const unspentFraction = 0.3' ./core/call
 exit $living
