io/http1: connections that wait at a starved daemon are not reset at its stop

Cause: Shutdown accepted the waiting connections for 500 ms by the clock. When Serve got to run only after that, it accepted none, and the listener's end reset them. It fits the daemon's log (2.3 s between "draining" and "no longer accepted"); the moment itself was not seen.

Change: connections that wait are accepted also after that time, 4,096 at most.

Failed first: TestShutdownAnswersWhatHasArrived, "on connections that wait for longer than any limit, as on a starved machine".

Conclusion: a limit by the clock does not bound what a process can do in it.

--- a/io/http1/server.go
+++ b/io/http1/server.go
@@ -87,10 +87,13 @@
 	// is served.
 	closed bool
 	cut    bool
-	// backlogEnd is when Shutdown stops accepting connections at the latest, and
+	// backlogEnd is when Shutdown stops waiting for connections at the latest, and
 	// ended is closed when Serve returns.
 	backlogEnd time.Time
 	ended      chan struct{}
+	// lateAccepts is the number of connections accepted after backlogEnd. Only Serve
+	// uses it.
+	lateAccepts int
 	// gapPassed is set when Accept has had backlogGap and no connection has come. Only
 	// Serve uses it.
 	gapPassed bool
@@ -185,11 +188,13 @@
 // Closing a listener resets the connections that were opened and not accepted yet.
 // Shutdown therefore accepts until none has come for backlogGap, for maxBacklogTime at
 // most. An Accept for a connection that waits returns at once; maxAcceptTime ends it if
-// the connection is gone.
+// the connection is gone. Connections that wait after maxBacklogTime are still accepted,
+// up to maxLateAccepts: the process may have got no processor time until then.
 const (
 	backlogGap     = time.Millisecond
 	maxBacklogTime = 500 * time.Millisecond
 	maxAcceptTime  = time.Second
+	maxLateAccepts = 4096
 )
 
 // finishAccepting makes Serve accept the waiting connections and end.
@@ -217,8 +222,10 @@
 	server.mutex.Unlock()
 	waiting := tcp.HasWaiting(listener)
 	switch {
-	case !inTime:
+	case !inTime && (!waiting || server.lateAccepts >= maxLateAccepts):
 		return false
+	case !inTime:
+		server.lateAccepts++
 	case acceptErr == nil:
 		server.gapPassed = false
 	case !errors.Is(acceptErr, os.ErrDeadlineExceeded):
--- a/io/http1/shutdown_test.go
+++ b/io/http1/shutdown_test.go
@@ -142,6 +142,23 @@
 		stopping.stop()
 		expectResponse(t, bufio.NewReader(waiting), http.StatusOK, "/1")
 	})
+	t.Run("on connections that wait for longer than any limit, as on a starved machine", func(t *testing.T) {
+		late := &lateListener{wakeLate: 700 * time.Millisecond}
+		stopping := serveLate(t, late, slowEcho)
+		late.accepted = make(chan struct{}, 10)
+		var readers []*bufio.Reader
+		for range 3 {
+			waiting, err := net.Dial("tcp", late.Addr().String())
+			is.New(t).NoErr(err)
+			t.Cleanup(func() { _ = waiting.Close() })
+			send(t, waiting, get("/1"))
+			readers = append(readers, bufio.NewReader(waiting))
+		}
+		stopping.stop()
+		for _, reader := range readers {
+			expectResponse(t, reader, http.StatusOK, "/1")
+		}
+	})
 	t.Run("on a kept connection whose goroutine runs late", func(t *testing.T) {
 		stopping := serveLate(t, &lateListener{readLate: lateness}, slowEcho)
 		send(t, stopping.conn, get("/1"))
--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -382,4 +382,6 @@
   'return slices.Contains(pastTables, table)' 'return len(pastTables) > 0' ./core/rollout
 mutant "the shared budget leaves nothing for repeated calls" core/call/shared.go \
   'const unspentFraction = 0.53' 'const unspentFraction = 0.3' ./core/call
+mutant "connections that wait at a starved server are reset" io/http1/server.go \
+  'case !inTime && (!waiting || server.lateAccepts >= maxLateAccepts):' 'case !inTime:' ./io/http1
 exit $living
