--- a/core/beacon/beacon.go
+++ b/core/beacon/beacon.go
@@ -190,8 +190,8 @@
 	return nil
 }
 
-// handleList adds the addresses of the listed beacons to the first peers. If there
-// are none twice, it writes one with this daemon's address.
+// handleList adds the addresses of the listed beacons to the first peers. If the first
+// listings hold none twice, it writes one with this daemon's address.
 func (plugin *plugin) handleList(state *kernel.State, event kernel.Event, result kernel.PlatformResult) []kernel.Effect {
 	if plugin.listed {
 		return plugin.addFirstPeers(state, result.Objects)
--- a/core/kernel/platform.go
+++ b/core/kernel/platform.go
@@ -32,9 +32,9 @@
 	Wait     time.Duration
 }
 
-// ReadRevision reads the platform's revision without any object. It costs a platform
-// less than a list that offers stale results, and may be some seconds old too. Prefix
-// is that of the objects which the caller watches.
+// ReadRevision reads the platform's revision without any object. It may be some seconds
+// old, which costs a platform less that offers it. Prefix is that of the objects which the
+// caller watches.
 type ReadRevision struct{ Prefix string }
 
 // DeleteObject removes an object.
