--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -213,8 +213,8 @@
 mutant "a request waits for the slowness without end" core/admit/measure.go \
   'case !reported && at.Sub(request.started) < measurementTimeout:' 'case !reported:' ./core/admit
 mutant "an invalid object hides the others" platform/store.go \
-  'invalid = platform.InvalidObjectError.Wrap(err)' 'invalid = platform.InvalidObjectError.Wrap(err)
-			return kernel.PlatformResult{}, "", invalid' ./platform
+  'invalid = append(invalid, err)
+			continue' 'return kernel.PlatformResult{}, "", err' ./platform
 mutant "an invalid object is logged at each read" io/platform/platform.go \
   'if last := client.lastInvalid.Swap(&text); last == nil || *last != text {' 'client.lastInvalid.Store(&text)
 	{' ./io/platform
