io/upstream: a drain that is requested while the first announcement is held counts

An upstream of ibislift's own form that asks to drain in the first moments after a restart of its daemon would have been put into service when its announcement was no longer held.

Cause: the drain closes the gate, and the accepted announcement opens it again, since the kernel knows no target yet.

Change: a drain marks the held announcement.

Failed first: TestFirstAnnouncementIsHeld, "an upstream that asks to drain meanwhile drains".

--- a/io/upstream/announce.go
+++ b/io/upstream/announce.go
@@ -237,6 +237,9 @@
 // handleDrain starts a drain and responds when no request is running on the
 // upstream any more.
 func (monitor *Monitor) handleDrain(writer http.ResponseWriter, request *http.Request) {
+	monitor.mutex.Lock()
+	monitor.held.announcement.Draining = monitor.held.present
+	monitor.mutex.Unlock()
 	select {
 	case <-monitor.Drain():
 		writer.WriteHeader(http.StatusNoContent)
--- a/io/upstream/announce_test.go
+++ b/io/upstream/announce_test.go
@@ -1,6 +1,9 @@
 package upstream_test
 
 import (
+	"context"
+	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -82,6 +85,19 @@
 		is.NoErr(monitored.Release(false))
 		is.Equal(len(monitored.announced), 0)
 	})
+	t.Run("an upstream that asks to drain meanwhile drains", func(t *testing.T) {
+		is := is.New(t)
+		monitored := newHolding()
+		is.NoErr(monitored.ReceiveAnnouncement(announcement(4, false)))
+		ctx, cancel := context.WithCancel(t.Context())
+		cancel() // the response waits for the drain
+		request := httptest.NewRequestWithContext(ctx, http.MethodPost, "/drain", nil)
+		monitored.Handler().ServeHTTP(httptest.NewRecorder(), request)
+		is.NoErr(monitored.ReceiveAnnouncement(announcement(5, false)))
+		is.NoErr(monitored.Release(false))
+		is.Equal(len(monitored.announced), 1)
+		is.True(monitored.announced[0].Draining)
+	})
 	t.Run("an invalid one is refused at once", func(t *testing.T) {
 		invalid := announcement(4, false)
 		invalid.Slots = 0
--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -384,4 +384,6 @@
   'const unspentFraction = 0.53' 'const unspentFraction = 0.3' ./core/call
 mutant "connections that wait at a starved server are reset" io/http1/server.go \
   'case !inTime && (!waiting || server.lateAccepts >= maxLateAccepts):' 'case !inTime:' ./io/http1
+mutant "a drain that is requested while the first announcement is held is forgotten" io/upstream/announce.go \
+  'monitor.held.announcement.Draining = monitor.held.present' '' ./io/upstream
 exit $living
