--- a/core/rollout/rollout.go
+++ b/core/rollout/rollout.go
@@ -61,8 +61,8 @@
 	// daemon considers itself disconnected. A single one may be restarting.
 	minFailedNeighbours = 2
 	// retryDelay is the time from the beginning of a failed call until it is repeated,
-	// to which up to retryJitter is added. A call that ends with its timeout is
-	// repeated at once. The sum stays well below the 4 s within which a change must
+	// to which up to retryJitter is added. A call that has lasted longer, as until its
+	// timeout or until a watch was cut off, is repeated at once. The sum stays well below the 4 s within which a change must
 	// be in force.
 	retryDelay  = 700 * time.Millisecond
 	retryJitter = 600 * time.Millisecond
