routes: workspaces with API keys, allowed regions and warm-up rates

The platform's configuration names workspaces (tenants on the wire) with their API keys, rank, rate, burst and allowed regions, routes that need no key, and how many requests a second a cold target takes. The route table now carries them. Keys are replaced by digests before the table is stored, since tables are replicated and shown to operators. A table with a shared, empty or malformed key is rejected as a whole.

--- a/core/routes/routes.go
+++ b/core/routes/routes.go
@@ -53,6 +53,11 @@
 	// target; 0 means the default.
 	MaxAttempts  int           `json:"maxAttempts"`
 	Destinations []Destination `json:"parts"`
+	// Regions are the regions whose targets may get the requests and their bodies. An
+	// empty list allows all regions.
+	Regions []string `json:"regions,omitempty"`
+	// Anonymous requests need no API key.
+	Anonymous bool `json:"anonymous,omitempty"`
 }
 
 // Service holds the settings of a service.
@@ -61,6 +66,11 @@
 	// MaxConnections limits the connections to one target for all callers
 	// together.
 	MaxConnections int `json:"maxConnections"`
+	// WarmupRate is the number of requests a second that a cold target takes from all
+	// daemons together. 0 means that there is no limit. WarmupTime is how long a target
+	// stays cold after its start.
+	WarmupRate float64       `json:"warmupRate,omitempty"`
+	WarmupTime time.Duration `json:"warmupTime,omitempty"`
 }
 
 // Limits restricts what callers may send. A zero field sets no limit.
@@ -77,8 +87,12 @@
 	Routes   []Route            `json:"routes"`
 	Services map[string]Service `json:"services"`
 	Limits   Limits             `json:"limits"`
+	// Workspaces are the organisations that may send requests. Without any, requests
+	// need no API key.
+	Workspaces []Workspace `json:"workspaces,omitempty"`
 
 	byHost map[string][]*Route
+	byKey  map[KeyDigest]*Workspace
 }
 
 // Parse decodes a table from JSON and validates it.
@@ -91,6 +105,7 @@
 		return nil, err
 	}
 	table.indexByHost()
+	table.indexByKey()
 	return table, nil
 }
 
@@ -119,7 +134,7 @@
 			return Error.New("route %q: parts must include a service with a weight above 0", route.Name)
 		}
 	}
-	return nil
+	return table.validateWorkspaces()
 }
 
 func (route *Route) totalWeight() float64 {
--- a/io/peer/report.go
+++ b/io/peer/report.go
@@ -103,7 +103,7 @@
 			continue
 		}
 		reporter.CountBytes.count("in", BytesReport, from.String(), count+datagramOverhead)
-		report := &peerpb.LoadReport{}
+		report := &peerpb.Datagram{}
 		if proto.Unmarshal(buffer[:count], report) == nil {
 			reporter.OnReport(report.GetFrom(), report.GetService(), DecodeLoad(report.GetLoad()))
 		}
@@ -168,7 +168,7 @@
 			continue
 		}
 		if datagram == nil {
-			report := &peerpb.LoadReport{From: reporter.Self, Service: reporter.Service(), Load: encodeLoad(load)}
+			report := &peerpb.Datagram{From: reporter.Self, Service: reporter.Service(), Load: encodeLoad(load)}
 			encoded, err := proto.Marshal(report)
 			if err != nil {
 				return
