io: a long body of a reserved request is sent with the commit

Callers saw nothing of it, but links did: a request that may not be repeated was sent with its whole body (up to 64 KiB) to each gate that it asked for a slot, and a busy service refuses it at several gates in turn. Bodies above 8 KiB now follow the grant, in the commit frame, so that a refusal costs the head only. Shorter ones still come with the head.

--- a/daemon/uploads_test.go
+++ b/daemon/uploads_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/matryer/is"
 
+	"ibislift/io/peer"
 	"ibislift/io/tcp"
 	"ibislift/standin/upstream"
 )
@@ -109,6 +110,13 @@
 		}
 		is.Equal(bodies(), before+4)
 	})
+	t.Run("a body that is sent when a gate has granted a slot arrives whole", func(t *testing.T) {
+		before := bodies()
+		for index := range 8 {
+			checkServed(t, cluster.send(index%2, request{method: "POST", path: "/enrol", body: bytes.NewReader(make([]byte, 2*peer.MaxEagerBodySize))}))
+		}
+		is.New(t).Equal(bodies(), before+8)
+	})
 	t.Run("an early response leaves nothing of the body behind", func(t *testing.T) {
 		setSwitches(upstream.Switches{FailFast: true})
 		for range 4 {
--- a/io/caller/attempt.go
+++ b/io/caller/attempt.go
@@ -29,6 +29,8 @@
 	interim     []*peerpb.AnswerHead
 	ctx         context.Context
 	recordEnd   func()
+	// bodyWithCommit is set if the head was sent without the body.
+	bodyWithCommit bool
 }
 
 // newAttempt creates an attempt and records its start in the tracker.
@@ -45,6 +47,8 @@
 		stop:        stop,
 		ctx:         ctx,
 		recordEnd:   func() { tracker.RecordEnd(member.ID, started) },
+
+		bodyWithCommit: exchange.sendsBodyWithCommit(send),
 	}
 }
 
@@ -102,10 +106,18 @@
 		head.BodyFollows = true
 		return head
 	}
-	head.Body = request.body
+	if !exchange.sendsBodyWithCommit(send) {
+		head.Body = request.body
+	}
 	return head
 }
 
+// sendsBodyWithCommit reports whether the body of a reserved request is sent only when
+// a gate has granted a slot.
+func (exchange *exchange) sendsBodyWithCommit(send call.Send) bool {
+	return send.Reserve && !exchange.request.streamed && len(exchange.request.body) > peer.MaxEagerBodySize
+}
+
 // cancel ends the attempt. Closing the stream notifies the gate. The tracker
 // records the time waited so far, less the round trip on the link, as a lower bound
 // of the response time of the target.
@@ -265,7 +277,11 @@
 // commit allows the gate to execute the request, starts sending a streamed
 // body, and starts reading the response.
 func (attempt *attempt) commit(exchange *exchange) {
-	err := attempt.stream.Send(&peerpb.CallFrame{Frame: &peerpb.CallFrame_Commit{Commit: &peerpb.Nothing{}}})
+	commit := &peerpb.Commit{}
+	if attempt.bodyWithCommit {
+		commit.Body = exchange.request.body
+	}
+	err := attempt.stream.Send(&peerpb.CallFrame{Frame: &peerpb.CallFrame_Commit{Commit: commit}})
 	if err == nil && exchange.request.streamed {
 		go attempt.sendBody(exchange)
 	}
--- a/io/peer/gate_conn_test.go
+++ b/io/peer/gate_conn_test.go
@@ -108,7 +108,7 @@
 }
 
 func commit() *peerpb.CallFrame {
-	return &peerpb.CallFrame{Frame: &peerpb.CallFrame_Commit{Commit: &peerpb.Nothing{}}}
+	return &peerpb.CallFrame{Frame: &peerpb.CallFrame_Commit{Commit: &peerpb.Commit{}}}
 }
 
 func checkGranted(t *testing.T, stream IngressStream) {
--- a/io/peer/run.go
+++ b/io/peer/run.go
@@ -23,6 +23,10 @@
 	// MaxInlineBodySize is the maximum size of a body that is sent in the same
 	// frame as its head.
 	MaxInlineBodySize = 64 << 10
+	// MaxEagerBodySize is the maximum size of a body that is sent before a gate has
+	// granted a slot. Most requests that a busy service refuses are refused by several
+	// gates, and each of them would otherwise get a longer body in vain.
+	MaxEagerBodySize = 8 << 10
 )
 
 // execute sends an admitted request to the upstream and its response to the
@@ -98,6 +102,8 @@
 	switch {
 	case head.GetBodyFollows():
 		request.Body = &frameReader{stream: stream, request: request}
+	case len(stream.committedBody) > 0:
+		request.Body = inlineBody(stream.committedBody)
 	case len(head.GetBody()) > 0:
 		request.Body = inlineBody(head.GetBody())
 	}
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -108,6 +108,8 @@
 	GateStream
 	requestID string
 	class     string
+	// committedBody is the body that arrived with the commit.
+	committedBody []byte
 }
 
 // ServeStream admits one request and sends it to the upstream. It returns an error
@@ -179,6 +181,7 @@
 		admission.Cancel()
 		return upstream.Decision{}, Error.Wrap(err)
 	}
+	stream.committedBody = frame.GetCommit().GetBody()
 	return admission.Commit(), nil
 }
 
