upstream: refuse responses with a status above 599

An upstream in trouble may send any three digits as its status. Statuses below 100 and 101 were refused already, but 600 to 999 were relayed to callers, and a health probe took the header of such a response for a report of the upstream.

Responses and probes now accept 100 to 599 only, without 101. The tests also cover words, signs and other numbers of digits, which the parser refuses. Before the change the cases 600 and 999 fail.

--- a/io/upstream/client.go
+++ b/io/upstream/client.go
@@ -35,6 +35,7 @@
 	"github.com/zeebo/errs"
 
 	"ibislift/io/dialect"
+	"ibislift/io/http1"
 )
 
 // Error is the class of all errors of this package.
@@ -234,7 +235,7 @@
 // Requests are sent without the Upgrade header, so an upstream has no reason to switch
 // protocols.
 func isResponseStatus(status int) bool {
-	return status >= http.StatusContinue && status != http.StatusSwitchingProtocols
+	return http1.IsInterimStatus(status) || http1.IsFinalStatus(status)
 }
 
 // isStray reports whether a response has the ID of another request, as a late
--- a/io/upstream/status_test.go
+++ b/io/upstream/status_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -50,4 +51,40 @@
 	t.Run("the status 000 is an error", func(t *testing.T) {
 		checkNotRelayed(t, "HTTP/1.1 000 None\r\n\r\n"+response)
 	})
+	for name, status := range oddStatuses {
+		t.Run(name+" is an error", func(t *testing.T) {
+			checkNotRelayed(t, "HTTP/1.1 "+status+" Odd\r\nContent-Length: 3\r\n\r\none")
+		})
+		t.Run(name+" after an interim response is an error", func(t *testing.T) {
+			checkNotRelayed(t, "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 "+status+" Odd\r\nContent-Length: 3\r\n\r\none")
+		})
+	}
+}
+
+// oddStatuses are the statuses of responses that are none, by description.
+var oddStatuses = map[string]string{
+	"the status 001":           "001",
+	"a status above 599":       "600",
+	"the highest three digits": "999",
+	"a word":                   "odd",
+	"one digit":                "2",
+	"four digits":              "2000",
+	"a status with a plus":     "+20",
+	"a status with a minus":    "-20",
+	"a minus before zero":      "-00",
+	"no status":                "",
+}
+
+// An upstream that is healthy by a response that is none would keep getting requests.
+func TestProbeWithAStatusThatIsNoResponse(t *testing.T) {
+	for name, status := range oddStatuses {
+		t.Run(name, func(t *testing.T) {
+			const header = " Odd\r\nIbislift-Leaving: 1\r\nContent-Length: 3\r\n\r\none"
+			client := newClient(newScriptedServer(t, respond("HTTP/1.1 "+status+header)))
+			result := client.Probe(context.Background(), "/health")
+			is := is.New(t)
+			is.True(!result.Healthy)
+			is.True(result.Header == nil) // what such bytes say of the upstream does not count
+		})
+	}
 }
