caller: a response of another daemon needs a valid status

A faulty or older gate may send the head of a response with the status 0 or another one outside 200 to 599. The ingress relayed it: the server for callers sent 200 for 0 and for interim statuses, and wrote other numbers as they were. An interim response with the status 200 became the final response, and the claim of the request's idempotency key was recorded as run.

The ingress now treats such a head as a lost attempt, so that a repeatable request gets another attempt and any other one 502. The claim of its key stays as it is: the request may have run. Interim responses with any other status than 102 to 199 are left out.

--- a/daemon/rawupstream_test.go
+++ b/daemon/rawupstream_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -130,6 +131,8 @@
 		"a short body that is reset":  reset(rawHead + "Content-Length: 50\r\n\r\ncut"),
 		"a switch of the protocol":    text("HTTP/1.1 101 Switching Protocols\r\nUpgrade: other\r\nConnection: Upgrade\r\n\r\n"),
 		"a status below 100":          text("HTTP/1.1 099 Odd\r\n\r\n" + rawHead + "Content-Length: 2\r\n\r\nok"),
+		"the status 000":              text("HTTP/1.1 000 None\r\nContent-Length: 2\r\n\r\nok"),
+		"a status above 599":          text("HTTP/1.1 600 Odd\r\nContent-Length: 2\r\n\r\nok"),
 		"two lengths":                 text(rawHead + "Content-Length: 2\r\nContent-Length: 3\r\n\r\nok"),
 		"bytes that are no response":  text("ok\r\n\r\n"),
 		"a head that is cut":          text(rawHead + "Content-Length: 0\r\n"),
@@ -171,4 +174,13 @@
 		is.Equal(response.status, http.StatusNoContent)
 		is.Equal(response.header.Get("Content-Length"), "") // a caller would wait for the bytes
 	})
+	t.Run("a key whose request got no valid response is neither run nor free", func(t *testing.T) {
+		raw.respond.Store(text("HTTP/1.1 000 None\r\nContent-Length: 2\r\n\r\nok"))
+		keyed := request{method: "POST", path: "/enrol", header: map[string]string{"Idempotency-Key": "none"}}
+		checkProblem(t, cluster.send(0, keyed), http.StatusBadGateway, "unknown", "lost")
+		raw.respond.Store(text(rawHead + "Content-Length: 2\r\n\r\nok"))
+		response := cluster.send(0, keyed)
+		checkProblem(t, response, http.StatusConflict, "notRun", "claimHeld")
+		is.New(t).True(strings.Contains(response.body, `"known":"unknown"`))
+	})
 }
--- a/io/caller/attempt.go
+++ b/io/caller/attempt.go
@@ -11,6 +11,7 @@
 
 	"ibislift/core/call"
 	"ibislift/core/kernel"
+	"ibislift/io/http1"
 	"ibislift/io/peer"
 	"ibislift/io/peer/peerpb"
 )
@@ -189,7 +190,7 @@
 		attempt.recordFailure(exchange)
 		return call.AttemptLost{Attempt: attempt.index, Crashed: frame.Lost.GetCrashed()}
 	case *peerpb.AnswerFrame_Interim:
-		attempt.interim = append(attempt.interim, frame.Interim)
+		attempt.receiveInterim(frame.Interim)
 		return nil
 	case *peerpb.AnswerFrame_Head:
 		return attempt.receiveHead(exchange, frame.Head)
@@ -198,13 +199,25 @@
 	}
 }
 
+// receiveInterim keeps an interim response for the caller. One with a status that no
+// interim response has is left out, since it could be taken for the final response. A
+// caller that asks for 100 Continue gets it from the server when its body is read.
+func (attempt *attempt) receiveInterim(interim *peerpb.AnswerHead) {
+	if status := int(interim.GetStatus()); http1.IsInterimStatus(status) && status != http.StatusContinue {
+		attempt.interim = append(attempt.interim, interim)
+	}
+}
+
 func (attempt *attempt) receiveHead(exchange *exchange, head *peerpb.AnswerHead) call.Event {
 	attempt.recordLoad(exchange, head.GetLoad())
+	if !http1.IsFinalStatus(int(head.GetStatus())) {
+		return attempt.loseResponse(exchange, head, "answer with a status that no response has")
+	}
 	if head.GetLeaving() {
 		attempt.recordLeaving(exchange)
 	}
 	if promises := exchange.handler.Dialect.PromisesNotRun; promises != nil && promises(int(head.GetStatus())) {
-		return attempt.loseResponse(exchange, head)
+		return attempt.loseResponse(exchange, head, "answer without a statement that the request was not executed")
 	}
 	attempt.head = head
 	if head.GetStatus() >= http.StatusInternalServerError {
@@ -226,11 +239,11 @@
 	return call.ResponseStarted{Attempt: attempt.index}
 }
 
-// loseResponse ends an attempt whose response can't be relayed: its status would tell
-// the caller that the request was not executed, which the upstream has not stated. The
-// gate reports those with the statement as refusals.
-func (attempt *attempt) loseResponse(exchange *exchange, head *peerpb.AnswerHead) call.Event {
-	exchange.handler.Log.Warn("answer without a statement that the request was not executed", "request", exchange.request.id,
+// loseResponse ends an attempt whose response can't be relayed, because its status is
+// none, or because it would tell the caller that the request was not executed, which the
+// upstream has not stated. The gate reports those with the statement as refusals.
+func (attempt *attempt) loseResponse(exchange *exchange, head *peerpb.AnswerHead, reason string) call.Event {
+	exchange.handler.Log.Warn(reason, "request", exchange.request.id,
 		"service", exchange.request.service, "target", attempt.member.ID, "status", head.GetStatus())
 	attempt.recordFailure(exchange)
 	if !head.GetComplete() {
