http1: send 502 instead of a status that no response has

A handler that set the status 0 sent 200, and one that set 1000 sent a status line that callers cannot read. The ingress no longer relays such a status; this guards against other handlers.

--- a/io/http1/response.go
+++ b/io/http1/response.go
@@ -53,13 +53,17 @@
 // Header returns the header that will be sent.
 func (response *response) Header() http.Header { return response.header }
 
-// WriteHeader sets the status. An interim response is sent immediately.
+// WriteHeader sets the status. An interim response is sent immediately. A status that no
+// response has becomes 502, as for any other response that cannot be relayed.
 func (response *response) WriteHeader(status int) {
 	switch {
 	case status >= 100 && status < 200:
 		response.sendInterim(status)
-	case response.status == 0:
+	case response.status != 0:
+	case IsFinalStatus(status):
 		response.status = status
+	default:
+		response.status = http.StatusBadGateway
 	}
 }
 
