platform: only the statuses that a call expects are a success

A list, watch or read that the store answered with 204 ended as a success without objects, 201 and 409 counted for reads too, and a write that it answered with 204 was accepted without its new version. In the users' platform's form a write that was refused with 412 counted as accepted. The codec took any other status for a success; the client in front of it refused these already.

200 is a success for all calls, 201 for writes, 204 for deletes; 409 and 412 are conflicts of writes and deletes. Any other status leaves the result unknown, as before.

--- a/io/platform/platform.go
+++ b/io/platform/platform.go
@@ -180,7 +180,7 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	era := client.codec().Era(response)
-	if status, ended := statusOfReply(response); ended {
+	if status, ended := statusOfReply(call, response); ended {
 		if status == kernel.PlatformNotExecuted || status == kernel.PlatformUnknown {
 			client.log().Debug("platform refused a call", "method", request.Method, "path", request.URL.Path, "status", response.StatusCode)
 		}
@@ -266,13 +266,24 @@
 }
 
 // statusOfReply returns the result of a reply whose HTTP status means the same
-// for every codec. It reports false if the codec has to decode the body.
-func statusOfReply(response *http.Response) (kernel.PlatformStatus, bool) {
+// for every codec. It reports false if the codec has to decode the body. A status that
+// the call does not expect proves nothing: a list without a body would seem empty, and a
+// write without one would have no version.
+func statusOfReply(call kernel.PlatformCall, response *http.Response) (kernel.PlatformStatus, bool) {
+	_, isWrite := call.(kernel.WriteObject)
+	_, isDelete := call.(kernel.DeleteObject)
 	switch response.StatusCode {
-	case http.StatusOK, http.StatusCreated, http.StatusConflict, http.StatusPreconditionFailed:
+	case http.StatusOK:
 		return kernel.PlatformOK, false
+	case http.StatusCreated:
+		return kernel.PlatformUnknown, !isWrite
+	case http.StatusConflict, http.StatusPreconditionFailed:
+		return kernel.PlatformUnknown, !isWrite && !isDelete
 	case http.StatusNoContent:
-		return kernel.PlatformOK, true
+		if isDelete {
+			return kernel.PlatformOK, true
+		}
+		return kernel.PlatformUnknown, true
 	case http.StatusNotFound:
 		return kernel.PlatformNotFound, true
 	case http.StatusGone:
