ibislift: a reply to an operator needs a valid status

Commands took every status below 400 for a success, also 000, 099 and 304, and a change whose first read failed with 503 was made as if there were no such object, which a daemon refuses only if there is one.

Only 200 to 299 is a success. With any other status that is no error a read ends with exit code 4 and a change with 5, since it is not known whether it was accepted. A failed read of the current version ends the change.

--- a/cmd/ibislift/client.go
+++ b/cmd/ibislift/client.go
@@ -15,6 +15,7 @@
 
 	"github.com/alecthomas/kingpin/v2"
 
+	"ibislift/io/http1"
 	"ibislift/io/operator"
 )
 
@@ -59,12 +60,28 @@
 	if err != nil {
 		return nil, nil, &exitError{code: exitUnavailable, cause: err}
 	}
-	if response.StatusCode >= http.StatusBadRequest {
-		return nil, nil, responseError(response.StatusCode, responseBody)
+	if failure := statusError(method, response.StatusCode, responseBody); failure != nil {
+		return nil, nil, failure
 	}
 	return responseBody, response.Header, nil
 }
 
+// statusError returns the error that the status of a response means, or nil for a
+// success. A status that is neither a success nor an error leaves unknown whether a change
+// was accepted.
+func statusError(method string, status int, body []byte) error {
+	switch {
+	case status >= http.StatusOK && status < http.StatusMultipleChoices:
+		return nil
+	case status >= http.StatusBadRequest && http1.IsFinalStatus(status):
+		return responseError(status, body)
+	case method == http.MethodGet:
+		return &exitError{code: exitUnavailable, cause: fmt.Errorf("the daemon replied with the unexpected status %03d", status)}
+	default:
+		return &exitError{code: exitUnknown, cause: fmt.Errorf("it is not known whether the change was accepted: the daemon replied with the unexpected status %03d", status)}
+	}
+}
+
 // responseError turns an error response into an error with an exit code.
 func responseError(status int, body []byte) error {
 	var problem operator.Problem
@@ -152,8 +169,15 @@
 	if response.StatusCode == http.StatusNotFound {
 		return 0, nil
 	}
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		return 0, &exitError{code: exitUnavailable, cause: err}
+	}
+	if failure := statusError(http.MethodGet, response.StatusCode, body); failure != nil {
+		return 0, failure
+	}
 	var object operator.Object
-	if err := json.NewDecoder(response.Body).Decode(&object); err != nil {
+	if err := json.Unmarshal(body, &object); err != nil {
 		return 0, &exitError{code: exitUnavailable, cause: err}
 	}
 	return object.Version, nil
