--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -386,4 +386,18 @@
   'case !inTime && (!waiting || server.lateAccepts >= maxLateAccepts):' 'case !inTime:' ./io/http1
 mutant "a drain that is requested while the first announcement is held is forgotten" io/upstream/announce.go \
   'monitor.held.announcement.Draining = monitor.held.present' '' ./io/upstream
+mutant "a status above 599 is a response" io/upstream/client.go \
+  'http1.IsInterimStatus(status) || http1.IsFinalStatus(status)' 'http1.IsInterimStatus(status) || status >= http.StatusOK' ./io/upstream
+mutant "a response of a gate without a status is relayed" io/caller/attempt.go \
+  'if !http1.IsFinalStatus(int(head.GetStatus())) {' 'if false {' ./io/caller
+mutant "an interim response of a gate becomes the final one" io/caller/attempt.go \
+  'http1.IsInterimStatus(status) && status != http.StatusContinue' 'status != http.StatusContinue' ./io/caller
+mutant "a response without a status becomes 200" io/http1/response.go \
+  'response.status = http.StatusBadGateway' '' ./io/http1
+mutant "a list of the platform without a body is empty" io/platform/platform.go \
+  'return kernel.PlatformUnknown, true' 'return kernel.PlatformOK, true' ./io/platform
+mutant "a write that the platform refused with 412 is accepted" platform/store.go \
+  'case http.StatusConflict, http.StatusPreconditionFailed:' 'case http.StatusConflict:' ./platform
+mutant "a reply to an operator without a status is a success" cmd/ibislift/client.go \
+  'case status >= http.StatusOK && status < http.StatusMultipleChoices:' 'case status < http.StatusBadRequest:' ./cmd/ibislift
 exit $living
