--- a/cmd/ibislift/main.go
+++ b/cmd/ibislift/main.go
@@ -3,7 +3,7 @@
 //
 // Exit codes: 0 success, 1 failure, 2 wrong usage or settings, 3 conflict with
 // another change, 4 the platform or the daemon is unavailable, 5 it is unknown
-// whether the change was accepted.
+// whether the change was accepted. check-config has exit codes of its own.
 //
 // # Usage
 //
@@ -52,6 +52,7 @@
 	registerPlatform(app, commands)
 	registerClient(app, commands)
 	registerCheck(app, commands)
+	registerCheckConfig(app, commands)
 	commands[app.Command("version", "Print the version.").FullCommand()] = func() error {
 		_, err := fmt.Println("ibislift " + version)
 		return err
--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -400,4 +400,14 @@
   'case http.StatusConflict, http.StatusPreconditionFailed:' 'case http.StatusConflict:' ./platform
 mutant "a reply to an operator without a status is a success" cmd/ibislift/client.go \
   'case status >= http.StatusOK && status < http.StatusMultipleChoices:' 'case status < http.StatusBadRequest:' ./cmd/ibislift
+mutant "a route without a host has no finding" core/check/fields.go \
+  'if route.Host == "" {' 'if false {' ./core/check ./platform
+mutant "a key of two workspaces has no finding" core/check/fields.go \
+  'holders[digest] = keyHolder{workspace: index, key: key}' '' ./core/check ./platform
+mutant "a finding has the value instead of its type" core/check/value.go \
+  'want, typeName(value.node))' 'want, value.node)' ./platform
+mutant "an older version may replace the one in force" core/check/compare.go \
+  'if checker.Version < inForce.Version ||' 'if' ./core/check
+mutant "a number of another type is read as 0" core/check/value.go \
+  'if value.node != nil && (!isNumber || err != nil) {' 'if false && (!isNumber || err != nil) {' ./core/check ./platform
 exit $living
