soak: upstreams that respond with the status 000 or 600

A third each of the truncating upstreams of the soak now truncates, or responds with one of the two statuses after it has run the request.

--- a/cmd/soak/faults.go
+++ b/cmd/soak/faults.go
@@ -171,10 +171,17 @@
 }
 
 func (trial *trial) upstreamSwitchFault(instance *deployment.Instance, variant int) fault {
-	kinds := []struct {
+	type kind struct {
 		name     string
 		switches upstream.Switches
-	}{
+	}
+	// The other faults of a seed stay as they were without the invalid statuses.
+	brokenKinds := []kind{
+		{"truncates", upstream.Switches{Truncate: true}},
+		{"responds with the status 000", upstream.Switches{InvalidStatus: "000"}},
+		{"responds with the status 600", upstream.Switches{InvalidStatus: "600"}},
+	}
+	kinds := []kind{
 		{"slow", upstream.Switches{SlowFactor: 10}},
 		{"fails", upstream.Switches{FailFast: true}},
 		{"sheds", upstream.Switches{Shed: true}},
@@ -183,11 +190,14 @@
 		{"responds twice", upstream.Switches{DuplicateResponses: true}},
 		{"hangs", upstream.Switches{Hang: true}},
 	}
-	kind := kinds[variant%len(kinds)]
+	chosen := kinds[variant%len(kinds)]
+	if chosen.switches.Truncate {
+		chosen = brokenKinds[variant/len(kinds)%len(brokenKinds)]
+	}
 	setSwitches := func(switches upstream.Switches) func() {
 		return func() { _ = trial.running.SetUpstreamSwitches(instance, switches) }
 	}
-	return fault{"upstream " + instance.Name + " " + kind.name, "upstream " + instance.Name, setSwitches(kind.switches), setSwitches(upstream.Switches{})}
+	return fault{"upstream " + instance.Name + " " + chosen.name, "upstream " + instance.Name, setSwitches(chosen.switches), setSwitches(upstream.Switches{})}
 }
 
 func (trial *trial) regionFault(variant int) fault {
--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -129,6 +129,19 @@
 		response := cluster.send(0, request{method: "GET", path: "/archive?size=5000000"})
 		is.New(t).True(response.err != nil)
 	})
+	for _, status := range []string{"000", "600"} {
+		t.Run("a response with the status "+status+" is refused", func(t *testing.T) {
+			setSwitches(upstream.Switches{InvalidStatus: status})
+			checkProblem(t, cluster.send(0, request{method: "POST", path: "/enrol"}), http.StatusBadGateway, "unknown", "lost")
+		})
+		t.Run("a repeatable request is retried after a response with the status "+status, func(t *testing.T) {
+			setSwitches(upstream.Switches{})
+			cluster.instances[0].upstream.SetSwitches(upstream.Switches{InvalidStatus: status})
+			for range 10 {
+				checkServed(t, cluster.send(0, request{method: "GET", path: "/logs/17"}))
+			}
+		})
+	}
 	t.Run("a duplicate response never reaches another caller", func(t *testing.T) {
 		setSwitches(upstream.Switches{DuplicateResponses: true})
 		for number := range 60 {
--- a/standin/upstream/upstream.go
+++ b/standin/upstream/upstream.go
@@ -1,7 +1,8 @@
 // Package upstream implements a stand-in for an upstream: an HTTP server with a
 // number of slots and a random service time, which announces itself to the
 // daemon beside it. Its switches make it respond slowly, fail or shed every
-// request, fail its health probes, truncate or duplicate responses, or hang. A
+// request, fail its health probes, truncate or duplicate responses, send invalid
+// statuses, or hang. A
 // request with CrashHeader makes it crash.
 //
 // # Usage
@@ -44,6 +45,9 @@
 	DuplicateResponses bool `json:"twice"`
 	// DuplicateDelay is the time between a response and its duplicate.
 	DuplicateDelay time.Duration `json:"duplicateDelay"`
+	// InvalidStatus is a status that no response has, with which all requests are
+	// responded to after they have run. An empty one switches this off.
+	InvalidStatus string `json:"invalidStatus,omitempty"`
 	// Hang holds requests, and their slots, until it is switched off.
 	Hang bool `json:"hang"`
 	// RateLimit is the number of requests a second that all responses name as the limit
@@ -256,6 +260,10 @@
 		truncate(writer)
 		return
 	}
+	if switches.InvalidStatus != "" {
+		respondWithStatus(writer, switches.InvalidStatus)
+		return
+	}
 	// The JSON name of the attempt ID is trial.
 	text := fmt.Sprintf(`{"service":%q,"path":%q,"trial":%q,"received":%d}`+"\n",
 		server.Service, request.URL.Path, request.Header.Get(AttemptIDHeader), received)
@@ -292,6 +300,20 @@
 	panic(http.ErrAbortHandler)
 }
 
+// respondWithStatus sends a response with a status that net/http does not send, and
+// closes the connection.
+func respondWithStatus(writer http.ResponseWriter, status string) {
+	conn, buffer, err := http.NewResponseController(writer).Hijack()
+	if err != nil {
+		return
+	}
+	_, _ = buffer.WriteString("HTTP/1.1 " + status + " None\r\n")
+	_ = writer.Header().Write(buffer)
+	_, _ = buffer.WriteString("Content-Length: 3\r\n\r\nok\n")
+	_ = buffer.Flush()
+	_ = conn.Close()
+}
+
 // respondAgain sends the response once more on the same connection after a delay,
 // as a faulty server might. The connection then takes no further request.
 func respondAgain(writer http.ResponseWriter, text string, delay time.Duration) {
