daemon: an empty reply to a claim is not a grant

The status of a granted claim is 0 between daemons, which an empty reply has too, and a status of 256 became 0. The ingress took both for a grant, so two requests with the same key could run.

A grant has to name the request, as coordinators do already, and a status out of range is an error, after which the next coordinator is asked.

--- a/daemon/claims.go
+++ b/daemon/claims.go
@@ -97,7 +97,20 @@
 	if err != nil {
 		return kernel.ClaimResult{}, Error.Wrap(err)
 	}
-	return kernel.ClaimResult{Status: kernel.ClaimStatus(reply.GetStatus()), Holder: reply.GetHolder()}, nil
+	return decodeClaimReply(reply, request.RequestID)
+}
+
+// decodeClaimReply converts a coordinator's reply to the claim of a request. An empty reply
+// has the status of a grant, so a grant has to name the request.
+func decodeClaimReply(reply *peerpb.ClaimReply, requestID string) (kernel.ClaimResult, error) {
+	if reply.GetStatus() > uint32(kernel.ClaimNotCoordinator) {
+		return kernel.ClaimResult{}, Error.New("a claim ended with the unknown status %d", reply.GetStatus())
+	}
+	result := kernel.ClaimResult{Status: kernel.ClaimStatus(reply.GetStatus()), Holder: reply.GetHolder()}
+	if result.Status == kernel.ClaimGranted && result.Holder != requestID {
+		return kernel.ClaimResult{}, Error.New("a claim was granted to another request")
+	}
+	return result, nil
 }
 
 // CloseClaim notifies all coordinators of a partition that a claimed request
--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -410,4 +410,6 @@
   'if checker.Version < inForce.Version ||' 'if' ./core/check
 mutant "a number of another type is read as 0" core/check/value.go \
   'if value.node != nil && (!isNumber || err != nil) {' 'if false && (!isNumber || err != nil) {' ./core/check ./platform
+mutant "an empty reply to a claim is a grant" daemon/claims.go \
+  'result.Status == kernel.ClaimGranted && result.Holder != requestID' 'false' ./daemon
 exit $living
