pick: members outside the allowed regions are no candidates

Picker.Regions leaves out members in other regions for first attempts, retries, hedges and targets whose response was lost. Exclusions name the regions.

--- a/core/pick/exclusion.go
+++ b/core/pick/exclusion.go
@@ -23,6 +23,9 @@
 	ExcludedDead     Exclusion = "dead"
 	ExcludedLeaving  Exclusion = "leaving"
 	ExcludedDraining Exclusion = "draining"
+	// ExcludedRegion means that the target is outside the regions that the request's
+	// route and workspace allow.
+	ExcludedRegion Exclusion = "otherRegion"
 	// ExcludedUnused means that this daemon does not use the target, since it
 	// uses only some of the service's targets.
 	ExcludedUnused Exclusion = "unused"
@@ -33,7 +36,8 @@
 
 // DescribeExclusions says why none of the members of a service was chosen, as
 // one line: each exclusion with the number of targets and the names of the first
-// few. usable are the members that were passed to Choose.
+// few, and the regions that the request is restricted to. usable are the members that
+// were passed to Choose.
 func (picker *Picker) DescribeExclusions(members, usable []kernel.Member) string {
 	if len(members) == 0 {
 		return "the service has no targets"
@@ -52,6 +56,9 @@
 		named := names[reason][:min(maxNamedTargets, len(names[reason]))]
 		parts = append(parts, fmt.Sprintf("%d %s: %s", len(names[reason]), reason, strings.Join(named, " ")))
 	}
+	if picker.Regions != nil {
+		parts = append(parts, "allowed regions: "+strings.Join(picker.Regions, " "))
+	}
 	return strings.Join(parts, ", ")
 }
 
@@ -59,6 +66,8 @@
 	switch {
 	case slices.Contains(picker.targets, member.ID):
 		return ExcludedTried
+	case !IsAllowed(picker.Regions, member):
+		return ExcludedRegion
 	case member.State == kernel.MemberDead:
 		return ExcludedDead
 	case member.Leaving || picker.Tracker.IsLeaving(member.ID, member.Target.StartedAt):
--- a/core/pick/pick.go
+++ b/core/pick/pick.go
@@ -42,6 +42,8 @@
 	// the whole time that the objective allows.
 	Objective       time.Time
 	ObjectiveLength time.Duration
+	// Regions are the regions whose members are candidates. nil allows all regions.
+	Regions []string
 	// Random is the seed of the request's random numbers. It must not be 0.
 	Random uint64
 
@@ -116,12 +118,14 @@
 }
 
 // untried returns the members that the request may be sent to: those that it has
-// not been sent to or, if there are none, those whose response was lost. Upstreams that
-// have said that they are leaving are left out.
+// not been sent to or, if there are none, those whose response was lost. Members outside
+// the allowed regions and upstreams that have said that they are leaving are left out.
 func (picker *Picker) untried(members []kernel.Member) []kernel.Member {
 	var untried, lost []kernel.Member
 	for _, member := range members {
 		switch {
+		case !IsAllowed(picker.Regions, member):
+			// It must get neither the request nor its body.
 		case picker.Tracker.IsLeaving(member.ID, member.Target.StartedAt):
 			// It gets nothing new.
 		case !picker.tried[member.ID]:
