http1: requests behind an unread body that has arrived are served

A request that is refused before its body is read, such as one with an unknown key, ended its connection, and valid requests that were pipelined behind it got no response. A body that has arrived with its header is now skipped once the handler has returned. Any other unread body still ends the connection, and no byte of it is taken for a request.

--- a/io/http1/response.go
+++ b/io/http1/response.go
@@ -146,6 +146,9 @@
 		}
 	}
 	response.setFraming(head, whole)
+	if whole && response.body != nil {
+		response.body.skipArrived()
+	}
 	response.closes = response.conn.closesAfter(response) || response.closes
 	if response.closes {
 		head.Set("Connection", "close")
@@ -284,6 +287,20 @@
 	}
 }
 
+// skipArrived skips a body that the handler has not begun to read, if all of it has
+// arrived together with the header. The requests behind it are then served; otherwise
+// the connection ends with the response, since reading the rest could take any time. The
+// handler must have returned.
+func (bodyReader *bodyReader) skipArrived() {
+	length := bodyReader.response.request.ContentLength
+	if bodyReader.started || length <= 0 || length > int64(bodyReader.response.conn.reader.Buffered()) {
+		return
+	}
+	bodyReader.started = true
+	_, err := io.Copy(io.Discard, bodyReader)
+	bodyReader.response.recordError(err)
+}
+
 func (bodyReader *bodyReader) isRead() bool {
 	select {
 	case <-bodyReader.read:
--- a/io/http1/server_test.go
+++ b/io/http1/server_test.go
@@ -123,6 +123,40 @@
 		send(t, conn, "POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 30\r\n\r\nabc")
 		is.New(t).True(expectResponse(t, reader, http.StatusTeapot, "").Close)
 	})
+	// A request with an unknown API key is answered without a look at its body.
+	ignore := http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		if request.URL.Path == "/ignored" {
+			writer.WriteHeader(http.StatusTeapot)
+			return
+		}
+		echo(writer, request)
+	})
+	const ignored = "POST /ignored HTTP/1.1\r\nHost: h\r\n"
+	t.Run("requests behind an unread body that has arrived are served", func(t *testing.T) {
+		conn, reader := serve(t, &http1.Server{Handler: ignore, AllowConcurrent: always})
+		smuggled := get("/smuggled")
+		send(t, conn, get("/1"), fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", ignored, len(smuggled), smuggled),
+			"POST /2 HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc", get("/3"))
+		expectResponse(t, reader, http.StatusOK, "/1")
+		is.New(t).True(!expectResponse(t, reader, http.StatusTeapot, "").Close)
+		expectResponse(t, reader, http.StatusOK, "abc/2")
+		expectResponse(t, reader, http.StatusOK, "/3")
+	})
+	for name, body := range map[string]string{
+		"which is longer than what has arrived": fmt.Sprintf("Content-Length: %d\r\n\r\n%s", 64<<10, get("/smuggled")),
+		"which is sent in chunks":               "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n" + get("/smuggled"),
+		"which the caller has not sent yet":     "Expect: 100-continue\r\nContent-Length: 90\r\n\r\n" + get("/smuggled"),
+	} {
+		t.Run("no request is read behind an unread body "+name, func(t *testing.T) {
+			conn, reader := serve(t, &http1.Server{Handler: ignore, AllowConcurrent: always})
+			send(t, conn, get("/1"), ignored+body)
+			expectResponse(t, reader, http.StatusOK, "/1")
+			is := is.New(t)
+			is.True(expectResponse(t, reader, http.StatusTeapot, "").Close)
+			_, err := reader.ReadByte()
+			is.Equal(err, io.EOF)
+		})
+	}
 	t.Run("a truncated response is not mistaken for a complete one", func(t *testing.T) {
 		conn, reader := serve(t, &http1.Server{Handler: http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
 			_, _ = io.WriteString(writer, "part")
