caller, daemon: tests of keys and regions, with mutants; lines about changed keys

A new route table logs how many keys of which workspaces it adds and removes, so that a 401 can be traced to a removed key. explain names the reason and the allowed regions. A request of a table with workspaces and none of its own has a rank below 1024, like all others.

--- a/cmd/ibislift/explainlog.go
+++ b/cmd/ibislift/explainlog.go
@@ -27,6 +27,7 @@
 	Problem   string        `json:"problem"`
 	Steps     string        `json:"steps"`
 	Reason    string        `json:"reason"`
+	Regions   string        `json:"regions"`
 	Error     string        `json:"error"`
 	Crashed   bool          `json:"crashed"`
 
@@ -124,9 +125,9 @@
 var earlyCauses = map[string]string{
 	"notReady":          "the daemon had no configuration yet",
 	"unknownRoute":      "no route of the table in force matched; see the line \"route table in force\"",
-	"unknownKey":        "no API key of the table in force; see the line \"route table in force\"",
+	"unknownKey":        "no API key of the table in force; see the lines \"API keys changed\"",
 	"noAllowedRegion":   "the route and the workspace allow no common region",
-	"noTargetInRegions": "the service has no serving target in the allowed regions",
+	"noTargetInRegions": "the service has no target for the request",
 	"unknownService":    "no target, operator or route names the service",
 	"crashSuspect":      "targets have crashed on requests like it, which are blocked for a time",
 	"badHeader":         "a header of the request was missing or wrong",
@@ -150,6 +151,9 @@
 		reason := strings.TrimSuffix(strings.SplitN(strings.SplitN(last, ": ", 2)[1], ";", 2)[0], ")")
 		parts = append(parts, fmt.Sprintf("refusals by gates: %d, the last as %q", refusals, reason))
 	}
+	if ended.Regions != "" && ended.Status >= 500 && len(parts) > 0 {
+		parts = append(parts, "only these regions are allowed: "+ended.Regions)
+	}
 	for _, line := range lines {
 		if line.RequestID == ended.RequestID && line.Error != "" {
 			parts = append(parts, "the gate reported "+line.Error)
--- a/cmd/ibislift/explainlog_test.go
+++ b/cmd/ibislift/explainlog_test.go
@@ -53,7 +53,16 @@
 			[]string{endedLine("r", "run", "500", "9 failing (attempt 0)"), endedLine("r.1", "notRun", "503", "1 refused (attempt 0: late); 1 noTargetLeft")},
 			"The target responded with 500 after a call that it made ended with 503",
 		},
-		"no route":         {[]string{refusedLine("r", "404", "unknownRoute")}, "no route of the table in force matched"},
+		"no route": {[]string{refusedLine("r", "404", "unknownRoute")}, "no route of the table in force matched"},
+		"unknown key": {
+			[]string{strings.Replace(refusedLine("r", "401", "unknownKey"), `"steps"`, `"reason":"the request has no API key, version 7","steps"`, 1)},
+			`no API key of the table in force; see the lines "API keys changed": the request has no API key, version 7`,
+		},
+		"no common region": {[]string{refusedLine("r", "503", "noAllowedRegion")}, "the route and the workspace allow no common region"},
+		"no capacity in the allowed regions": {
+			[]string{strings.Replace(endedLine("r", "notRun", "503", "1 refused (attempt 0: busy); 3 noTargetLeft"), `"steps"`, `"regions":"north","steps"`, 1)},
+			`the last as "busy"; only these regions are allowed: north`,
+		},
 		"no configuration": {[]string{refusedLine("r", "503", "notReady")}, "the daemon had no configuration yet"},
 		"suspect":          {[]string{refusedLine("r", "503", "crashSuspect")}, "targets have crashed on requests like it"},
 		"end not logged":   {[]string{`{"msg":"upstream failed","request":"r"}`}, "the daemon that received it may have been killed"},
--- a/daemon/changes.go
+++ b/daemon/changes.go
@@ -2,9 +2,12 @@
 
 import (
 	"log/slog"
+	"maps"
+	"slices"
 
 	"ibislift/core/kernel"
 	"ibislift/core/route"
+	"ibislift/core/routes"
 )
 
 // logChanges logs what differs between two views: members and their targets,
@@ -49,9 +52,61 @@
 	}
 	if now.Routes != nil && now.Routes.Version != old {
 		log.Info("route table in force", "version", now.Routes.Version, "was", old, "routes", len(now.Routes.Routes), "from", now.RoutesSource)
+		logKeys(log, before.Routes, now.Routes)
 	}
 }
 
+// maxKeyLines limits the lines about changed API keys of one route table, since a table
+// may have 10,000 workspaces.
+const maxKeyLines = 10
+
+// logKeys logs how many API keys of which workspaces a new route table adds and removes,
+// so that a request with an unknown key can be traced to a removed one. The keys
+// themselves, and their digests, are not logged.
+func logKeys(log *slog.Logger, before, now *routes.Table) {
+	old := map[string][]routes.KeyDigest{}
+	if before != nil {
+		for _, workspace := range before.Workspaces {
+			old[workspace.Name] = workspace.Keys
+		}
+	}
+	lines := 0
+	logLine := func(workspace string, oldKeys, newKeys []routes.KeyDigest) {
+		added, removed := countMissing(newKeys, oldKeys), countMissing(oldKeys, newKeys)
+		if lines < maxKeyLines && added+removed > 0 {
+			lines++
+			log.Info("API keys changed", "workspace", workspace, "version", now.Version, "added", added, "removed", removed)
+		}
+	}
+	for _, workspace := range now.Workspaces {
+		if before != nil {
+			logLine(workspace.Name, old[workspace.Name], workspace.Keys)
+		}
+		delete(old, workspace.Name)
+	}
+	for _, name := range slices.Sorted(maps.Keys(old)) {
+		logLine(name, old[name], nil)
+	}
+}
+
+// countMissing returns how many of the keys the others lack.
+func countMissing(keys, others []routes.KeyDigest) int {
+	if slices.Equal(keys, others) {
+		return 0
+	}
+	known := make(map[routes.KeyDigest]bool, len(others))
+	for _, key := range others {
+		known[key] = true
+	}
+	count := 0
+	for _, key := range keys {
+		if !known[key] {
+			count++
+		}
+	}
+	return count
+}
+
 // logHealthChanges logs each target whose health, as seen by the daemon's own
 // requests, has changed, and returns now.
 func logHealthChanges(log *slog.Logger, before, now map[string]route.Health) map[string]route.Health {
--- a/io/caller/access_test.go
+++ b/io/caller/access_test.go
@@ -210,10 +210,11 @@
 	table := routes.Table{Workspaces: workspaces, Routes: []routes.Route{
 		newRoute("closed", 2, one), newRoute("urgent", 0, one), newRoute("open", 2, one), newRoute("north", 1, one),
 		newRoute("south", 1, one), newRoute("nowhere", 1, one), newRoute("split", 1, split), newRoute("keyed", 1, one),
+		newRoute("last", 5000, one),
 	}}
 	for index := range table.Routes {
 		switch route := &table.Routes[index]; route.Name {
-		case "open":
+		case "open", "last":
 			route.Anonymous = true
 		case "north", "south", "nowhere":
 			route.Regions = []string{route.Name}
@@ -425,6 +426,8 @@
 	is.Equal(ingress.ledger.tenants, []string{"claimed"})
 	head, _ = ingress.forwarded("/urgent/", nil)
 	is.True(head.GetImportant())
+	head, _ = ingress.forwarded("/last/", nil)
+	is.Equal(head.GetRank(), int32(5000))
 }
 
 func TestRankOfTheWorkspace(t *testing.T) {
@@ -440,6 +443,7 @@
 	check("/urgent/", bearer(secretKey), 1024, false)
 	check("/urgent/", bearer("northern"), 0, true)
 	check("/open/", nil, 2, false)
+	check("/last/", nil, 1023, false) // not behind the requests of a less urgent workspace
 }
 
 // Neither a further attempt nor a hedge may disclose a request outside its regions.
@@ -493,6 +497,27 @@
 	})
 }
 
+// A daemon uses only some targets of a large service. One outside the allowed regions
+// must not be left with the few of them that it would use otherwise, or with none.
+func TestSubsetIsTakenInTheAllowedRegions(t *testing.T) {
+	members := []kernel.Member{newMember("north", 0, "other")}
+	members[0].ID = "n0"
+	for number := range 40 {
+		members = append(members, newMember("north", number, "one"), newMember("south", number, "one"))
+	}
+	view := newView(t, members, routes.Table{})
+	services := &services{}
+	service := services.get(view, "one", &call.SharedBudget{})
+	is := is.New(t)
+	is.Equal(len(service.membersIn(nil)), 18)
+	is.Equal(len(service.membersIn([]string{"south"})), 18)
+	is.Equal(len(service.membersIn([]string{"south", "north"})), 18)
+	is.Equal(len(service.membersIn([]string{"west"})), 0)
+	for _, member := range service.membersIn([]string{"south"}) { // from the cache
+		is.Equal(member.Region, "south")
+	}
+}
+
 // A destination without targets in the allowed regions gets no share.
 func TestSharesInTheAllowedRegions(t *testing.T) {
 	ingress := withKeys(t)
--- a/io/caller/workspace.go
+++ b/io/caller/workspace.go
@@ -41,7 +41,7 @@
 		request.workspace = workspace
 	}
 	request.rank, request.important = request.route.Rank, request.route.Rank == 0
-	if request.workspace != nil {
+	if table.HasWorkspaces() {
 		request.rank, request.important = routes.CombineRanks(request.route, request.workspace)
 	}
 	regions, possible := routes.AllowedRegions(request.route, request.workspace)
--- a/io/logs/fields.go
+++ b/io/logs/fields.go
@@ -69,6 +69,8 @@
 	"ejected":  "whether the target temporarily receives no requests",
 	"version":  "version of the route table",
 	"routes":   "number of routes",
+	"added":    "number of API keys that the route table adds to the workspace",
+	"removed":  "number of API keys that the route table removes from the workspace",
 	"from":     "daemon that sent the table; empty if it came from the platform",
 	"count":    "number of items",
 
--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -386,4 +386,20 @@
   'case !inTime && (!waiting || server.lateAccepts >= maxLateAccepts):' 'case !inTime:' ./io/http1
 mutant "a drain that is requested while the first announcement is held is forgotten" io/upstream/announce.go \
   'monitor.held.announcement.Draining = monitor.held.present' '' ./io/upstream
+mutant "a request with an unknown key is served" io/caller/workspace.go \
+  'if workspace == nil && !request.route.Anonymous {' 'if false {' ./io/caller ./daemon
+mutant "the key of a caller is forwarded" io/caller/workspace.go \
+  'if !request.hidesKey {' 'if true {' ./io/caller
+mutant "workspaces share their idempotency keys" io/caller/workspace.go \
+  'sha256.Sum256([]byte(request.workspaceName() + ' 'sha256.Sum256([]byte("" + ' ./io/caller
+mutant "the rank of the route goes before that of the workspace" core/routes/access.go \
+  'first*ranksPerWorkspaceRank + second' 'second*ranksPerWorkspaceRank + first' ./core/routes
+mutant "attempts leave the allowed regions" core/pick/pick.go \
+  'case !IsAllowed(picker.Regions, member):' 'case false:' ./core/pick
+mutant "a daemon outside the allowed regions has few targets in them" io/caller/services.go \
+  'pick.Subset(self, pick.InRegions(regions, serving))' 'pick.InRegions(regions, pick.Subset(self, serving))' ./io/caller
+mutant "a destination without targets in the allowed regions has a share" core/routes/splitter.go \
+  'if destination.Weight > 0 && serves(destination.Service) {' 'if destination.Weight > 0 {' ./core/routes
+mutant "a server waits for a body that the handler has not read" io/http1/response.go \
+  'length > int64(bodyReader.response.conn.reader.Buffered())' 'length > 1<<30' ./io/http1
 exit $living
