kernel: a daemon without its route table is not ready

Where the settings name a route table and the platform also holds profiles, a daemon was ready as soon as it had the profiles, and served requests by their host without a key until the table came (TestNoRequestIsServedWithoutTheTable: 200 in place of 503). The view is now ready only with the table.

--- a/core/kernel/kernel.go
+++ b/core/kernel/kernel.go
@@ -157,6 +157,10 @@
 	for _, plugin := range kernel.plugins {
 		plugin.FillView(view)
 	}
+	if kernel.state.Settings.RouteObject != "" && view.Routes == nil {
+		// Only the route table says which requests need an API key.
+		view.Ready = false
+	}
 	view.index()
 	return view
 }
--- a/core/kernel/view.go
+++ b/core/kernel/view.go
@@ -119,8 +119,8 @@
 	// Departures are the instances of the local upstream that have left, as this daemon
 	// or an earlier process of it was told.
 	Departures []Departure
-	// Ready means that this daemon has received its configuration: the profiles
-	// or the route table.
+	// Ready means that this daemon has received its configuration: the profiles or,
+	// where Settings.RouteObject names one, the route table.
 	Ready bool
 	// Watching means that this daemon is one of the watchers of its region.
 	Watching bool
