admit: a warm-up limit for cold upstreams

A cold upstream crashes when it gets clearly more than its warm-up rate. A token bucket in the gate, which is empty when the upstream becomes cold or the daemon restarts, keeps the requests and health probes of any second within rate x overshoot + slack. A reservation that was granted before, or is committed late, needs another token.

--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -173,9 +173,12 @@
 	// speed. 0 means that it is unknown.
 	ClassServiceTime time.Duration `json:"work,omitempty"`
 	// RateLimit is what the upstream has said of its rate limit, and RateDelay the time
-	// until it lets a further request through.
+	// until that and the warm-up limit let a further request through.
 	RateLimit RateLimit     `json:"rateLimit,omitzero"`
 	RateDelay time.Duration `json:"rateDelay,omitempty"`
+	// WarmupLeft is how much longer the warm-up limit is in force. It stays on this
+	// daemon.
+	WarmupLeft time.Duration `json:"warmupLeft,omitempty"`
 }
 
 type stage uint8
@@ -194,8 +197,10 @@
 	started time.Time
 	// slowness is the slowness of the upstream at started.
 	slowness float64
-	// token is what the request has taken of the rate limit at started.
-	token token
+	// token is what the request has taken of the rate limit at started, and warmupToken
+	// what it has taken of the warm-up limit.
+	token       token
+	warmupToken warmupToken
 }
 
 // Gate is the admission control of one upstream. Set the exported fields before
@@ -212,7 +217,8 @@
 	MaxSlownessAge time.Duration
 
 	estimator
-	rateLimiter rateLimiter
+	rateLimiter   rateLimiter
+	warmupLimiter warmupLimiter
 	// lastArrivalAt is when the last request arrived, measureRequestedAt when
 	// the gate last emitted MeasureSlowness.
 	lastArrivalAt      time.Time
@@ -267,6 +273,18 @@
 		return nil
 	case UpstreamStarted:
 		gate.rateLimiter.start(event)
+		gate.warmupLimiter.start(event)
+		return nil
+	case WarmupLimitSet:
+		gate.warmupLimiter.set(event)
+		return gate.fillSlots(event.At)
+	case WarmupReported:
+		gate.warmupLimiter.report(event)
+		return gate.fillSlots(event.At)
+	case ProbeDue:
+		if gate.warmupLimiter.allowsProbe(event.At) {
+			return []Effect{AllowProbe{}}
+		}
 		return nil
 	case Resized:
 		gate.Slots = event.Slots
@@ -281,7 +299,7 @@
 }
 
 // Load returns the load of the gate without SlotInterval, ClassServiceTime,
-// RateDelay and Slowness.
+// RateDelay, WarmupLeft and Slowness.
 func (gate *Gate) Load() Load {
 	return Load{
 		Running:     gate.slotsInUse,
@@ -294,11 +312,14 @@
 }
 
 // LoadForClass returns the load of the gate at a time, including SlotInterval, RateDelay,
-// the ClassServiceTime of a class of requests, and Slowness if the upstream reports it.
+// WarmupLeft, the ClassServiceTime of a class of requests, and Slowness if the upstream reports it.
 func (gate *Gate) LoadForClass(at time.Time, class string) Load {
 	load := gate.Load()
 	load.SlotInterval = gate.slotInterval(at)
-	load.RateDelay = gate.rateLimiter.delay(at, len(gate.queue)+1)
+	load.RateDelay = gate.limitDelay(at, len(gate.queue)+1)
+	if gate.warmupLimiter.isLimited(at) {
+		load.WarmupLeft = gate.warmupLimiter.left(at)
+	}
 	load.ClassServiceTime = gate.meanOfClass[class]
 	if gate.slowness > 0 {
 		load.Slowness = gate.slownessAt(at)
@@ -362,7 +383,8 @@
 }
 
 // commit hands over a reserved request, unless its reservation or its deadline
-// has passed, or the upstream has named a rate limit since that has no room for it.
+// has passed, or the upstream has named a rate limit or become cold since and there is no
+// room for it.
 func (gate *Gate) commit(committed Committed) []Effect {
 	reserved, known := gate.requests[committed.ID]
 	switch {
@@ -374,12 +396,17 @@
 		return gate.revoke(committed.ID, ReasonReservationExpired, committed.At)
 	case gate.rateLimiter.isVoid(reserved.token) && gate.rateLimiter.delay(committed.At, 1) > 0:
 		return gate.revoke(committed.ID, ReasonBusy, committed.At)
+	case gate.warmupLimiter.isVoid(reserved.warmupToken, committed.At) && gate.warmupLimiter.delay(committed.At, 1) > 0:
+		return gate.revoke(committed.ID, ReasonBusy, committed.At)
 	case !committed.At.Before(reserved.arrived.Deadline):
 		return gate.revoke(committed.ID, ReasonDeadline, committed.At)
 	}
 	if gate.rateLimiter.isVoid(reserved.token) {
 		reserved.token = gate.rateLimiter.take()
 	}
+	if gate.warmupLimiter.isVoid(reserved.warmupToken, committed.At) {
+		reserved.warmupToken = gate.warmupLimiter.take(committed.At)
+	}
 	reserved.stage = stageRunning
 	reserved.started = committed.At
 	reserved.slowness = gate.slownessAt(committed.At)
@@ -391,7 +418,7 @@
 	gate.rateLimiter.giveBack(gate.requests[id].token)
 	delete(gate.requests, id)
 	gate.slotsInUse--
-	return append(refuse(id, reason, gate.rateLimiter.delay(at, 1)), gate.fillSlots(at)...)
+	return append(refuse(id, reason, gate.limitDelay(at, 1)), gate.fillSlots(at)...)
 }
 
 // cancel refuses a request that has not run. A running request keeps its slot
--- a/core/admit/measure.go
+++ b/core/admit/measure.go
@@ -29,7 +29,7 @@
 // are rare, no response shows that the upstream has become slow, and a run takes
 // much longer than a measurement.
 func (gate *Gate) shouldMeasureFirst(arrived Arrived) bool {
-	if gate.MaxSlownessAge <= 0 || gate.slowness <= 0 || arrived.MaxDelay <= 0 {
+	if gate.MaxSlownessAge <= 0 || gate.slowness <= 0 || arrived.MaxDelay <= 0 || gate.warmupLimiter.isLimited(arrived.At) {
 		return false
 	}
 	if arrived.At.Sub(gate.slownessReportedAt) < gate.MaxSlownessAge {
@@ -71,7 +71,7 @@
 	reportsSlowness := gate.slowness > 0
 	wanted := gate.Slots > 0 && !gate.draining && at.Sub(gate.lastArrivalAt) <= SubscriptionTime
 	stale := at.Sub(gate.slownessReportedAt) >= gate.MaxSlownessAge && at.Sub(gate.measureRequestedAt) >= gate.MaxSlownessAge
-	if gate.MaxSlownessAge <= 0 || !reportsSlowness || !wanted || !stale || gate.measurementCredit < 1 {
+	if gate.MaxSlownessAge <= 0 || !reportsSlowness || !wanted || !stale || gate.measurementCredit < 1 || !gate.warmupLimiter.allowsProbe(at) {
 		return nil
 	}
 	gate.measureRequestedAt = at
--- a/core/admit/queue.go
+++ b/core/admit/queue.go
@@ -89,16 +89,16 @@
 }
 
 // startDelay returns the expected time until the request at a position of the queue, the
-// first being 1, gets a slot and the rate limit lets it through.
+// first being 1, gets a slot and the limits let it through.
 func (gate *Gate) startDelay(at time.Time, position int) time.Duration {
 	freeSlots := gate.capacity() - gate.slotsInUse
 	waitForSlot := gate.slotInterval(at) * time.Duration(max(0, position-freeSlots))
-	return max(waitForSlot, gate.rateLimiter.delay(at, position))
+	return max(waitForSlot, gate.limitDelay(at, position))
 }
 
-// canStart reports whether a slot is free and the rate limit lets a request through.
+// canStart reports whether a slot is free and the limits let a request through.
 func (gate *Gate) canStart(at time.Time) bool {
-	return gate.slotsInUse < gate.capacity() && gate.rateLimiter.delay(at, 1) == 0
+	return gate.slotsInUse < gate.capacity() && gate.limitDelay(at, 1) == 0
 }
 
 // expectedWait returns the expected time until an arriving request gets a slot.
@@ -165,7 +165,7 @@
 
 // fillSlots gives free slots to queued requests in the order of sortedQueue. It
 // refuses requests that have less than half of their service time left until their
-// deadline. If only the rate limit holds requests back, it asks to be woken.
+// deadline. If only a limit holds requests back, it asks to be woken.
 func (gate *Gate) fillSlots(at time.Time) []Effect {
 	var effects []Effect
 	for gate.canStart(at) && len(gate.queue) > 0 {
@@ -178,7 +178,7 @@
 		gate.dequeue(next.ID)
 		effects = append(effects, gate.start(next, at))
 	}
-	switch wait := gate.rateLimiter.delay(at, 1); {
+	switch wait := gate.limitDelay(at, 1); {
 	case len(gate.queue) == 0:
 		gate.lastEmptyAt = at
 	case wait > 0 && gate.slotsInUse < gate.capacity():
@@ -192,6 +192,7 @@
 	request := gate.requests[arrived.ID]
 	gate.slotsInUse++
 	request.token = gate.rateLimiter.take()
+	request.warmupToken = gate.warmupLimiter.take(at)
 	request.started = at
 	request.slowness = gate.slownessAt(at)
 	if arrived.Reserve {
--- a/core/admit/ratelimit.go
+++ b/core/admit/ratelimit.go
@@ -43,15 +43,20 @@
 }
 
 // UpstreamStarted announces the upstream that requests are handed over to. StartedAt is
-// when it started, in Unix milliseconds.
-type UpstreamStarted struct{ StartedAt int64 }
+// when it started, in Unix milliseconds. Instance is empty if the upstream does not name
+// its instances.
+type UpstreamStarted struct {
+	At        time.Time
+	StartedAt int64
+	Instance  string
+}
 
 func (RateLimitReported) event() {}
 func (RateLimitHinted) event()   {}
 func (UpstreamStarted) event()   {}
 
-// Wake asks for a Ticked event after a time, when the rate limit lets the next request
-// through.
+// Wake asks for a Ticked event after a time, when the rate limit or the warm-up limit lets
+// the next request through.
 type Wake struct{ After time.Duration }
 
 func (Wake) effect() {}
