daemon: cold upstreams get no more than their warm-up rate

A target that starts during traffic, or comes back with its data centre, crashed when it got as many requests as a warm one. The warm-up time comes from its heartbeats and responses, the rate from the route table, the bound from the settings warmup-overshoot and warmup-slack. An ingress without a report of a target that has just started expects its requests to wait there, so that other targets are used first. Log lines, a gauge and explain name it.

--- a/core/pick/pick.go
+++ b/core/pick/pick.go
@@ -28,6 +28,8 @@
 	Tracker *route.Tracker
 	Profile profile.Profile
 	Policy  route.Policy
+	// Warmup is what targets take that have just started.
+	Warmup route.Warmup
 	// Class is the name of the request's class, for which the tracker holds the
 	// service time.
 	Class string
@@ -89,6 +91,7 @@
 		return Choice{}, false
 	}
 	choice := Choice{Candidates: picker.Tracker.Candidates(now, picker.Profile, untried, linkTo)}
+	picker.Warmup.MarkCold(now, untried, choice.Candidates)
 	class := picker.Tracker.Class(picker.Class)
 	request := route.Request{Random: picker.nextRandom(), Weights: picker.Profile.Weights, ServiceTime: class.ServiceTime, Bytes: picker.BodyBytes + class.ResponseBytes + headBytes}
 	request.MeanUtilization, request.MeanSlowness = picker.Tracker.Means()
--- a/core/route/leasttime.go
+++ b/core/route/leasttime.go
@@ -121,12 +121,6 @@
 	return seconds
 }
 
-// rateDelaySeconds returns how much longer the rate limit of the target delays a
-// request, as of its last report.
-func rateDelaySeconds(candidate Candidate) float64 {
-	return max(0, candidate.Load.RateDelay-candidate.ReportAge).Seconds()
-}
-
 // nearTripFraction is the part of the service time that a trip to a target and back
 // may take so that a target that has never reported is tried.
 const nearTripFraction = 0.1
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -57,6 +57,9 @@
 	FailureRate float64
 	// Warmth rises from 0 to 1 during the slow start of a new target.
 	Warmth float64
+	// WarmupRate is the number of requests a second that the target takes from all
+	// daemons together because it has just started; 0 if it has started earlier.
+	WarmupRate float64
 	// Ejected targets are used only if no other target is left.
 	Ejected bool
 }
--- a/daemon/changes.go
+++ b/daemon/changes.go
@@ -3,6 +3,7 @@
 import (
 	"log/slog"
 
+	"ibislift/core/admit"
 	"ibislift/core/kernel"
 	"ibislift/core/route"
 )
@@ -52,6 +53,16 @@
 	}
 }
 
+// logWarmup logs that the local target has become cold or warm, and reports whether it is
+// cold.
+func logWarmup(log *slog.Logger, wasCold bool, load admit.Load) (cold bool) {
+	cold = load.WarmupLeft > 0
+	if cold != wasCold {
+		log.Info("warm-up of the target changed", "cold", cold, "left", load.WarmupLeft, "running", load.Running, "queued", load.Queued)
+	}
+	return cold
+}
+
 // logHealthChanges logs each target whose health, as seen by the daemon's own
 // requests, has changed, and returns now.
 func logHealthChanges(log *slog.Logger, before, now map[string]route.Health) map[string]route.Health {
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -365,7 +365,7 @@
 	lastView := &kernel.View{}
 	var health map[string]route.Health
 	proximitiesClearedAt := time.Now()
-	released := false
+	released, cold := false, false
 	for {
 		select {
 		case <-ctx.Done():
@@ -373,6 +373,7 @@
 		case <-ticker.C:
 			released = released || daemon.releaseFirstAnnouncement()
 			daemon.monitor.CheckSilence()
+			cold = logWarmup(daemon.Log, cold, daemon.gate.Load())
 			health = logHealthChanges(daemon.Log, health, daemon.ingress.AssessHealth())
 			if time.Since(proximitiesClearedAt) > proximityCacheTime {
 				daemon.proximities.Clear()
@@ -402,5 +403,6 @@
 		return
 	}
 	rules := profile.FromView(view, announcement.Service)
+	daemon.gate.SetWarmupLimit(daemon.warmupLimit(view, announcement.Service))
 	daemon.gate.Resize(announcement.Slots, rules.QueueBound)
 }
--- a/daemon/flags.go
+++ b/daemon/flags.go
@@ -67,6 +67,10 @@
 		Default("0").Float64Var(&settings.SharedRetryRatio)
 	command.Flag("shared-retry-slack", "Extra attempts for a service in addition to the ratio, over all daemons.").
 		Default("0").Float64Var(&settings.SharedRetrySlack)
+	command.Flag("warmup-overshoot", "Requests that a cold upstream may get in any second, as a multiple of its warm-up rate; with 0 there is no limit.").
+		Default("0").Float64Var(&settings.WarmupOvershoot)
+	command.Flag("warmup-slack", "Requests that a cold upstream may get in any second in addition.").
+		Default("0").Float64Var(&settings.WarmupSlack)
 	command.Flag("log-format", "Format of the logs.").Default("text").EnumVar(&flags.logFormat, "text", "json")
 	command.Flag("log-level", "Minimum level that is logged.").Default("info").EnumVar(&flags.logLevel, "debug", "info", "warn", "error")
 }
--- a/daemon/gauges.go
+++ b/daemon/gauges.go
@@ -46,6 +46,8 @@
 		group.Add(daemon.meter.AddGauge(gauge.name, gauge.description, gauge.value))
 	}
 	group.Add(daemon.meter.AddFloatGauge("ibislift.gate.rate.limit", "Requests a second that the upstream beside takes; -1 without a limit.", daemon.rateLimit))
+	group.Add(daemon.meter.AddFloatGauge("ibislift.gate.warmup.left.seconds", "How much longer the upstream beside is cold; 0 while it is warm.",
+		func() float64 { return daemon.gate.Load().WarmupLeft.Seconds() }))
 	if daemon.DroppedLogLines != nil {
 		group.Add(daemon.meter.AddCounter("ibislift.log.dropped", "Log lines left out.",
 			func() int64 { return int64(daemon.DroppedLogLines()) }))
--- a/daemon/reload.go
+++ b/daemon/reload.go
@@ -1,7 +1,8 @@
 package daemon
 
 // Reload applies the settings that may change while the daemon runs: the drain
-// and linger times, the silence timeout, and the shared retry budget. The other
+// and linger times, the silence timeout, the shared retry budget, and the bound for cold
+// upstreams. The other
 // settings keep their values from the start. The log line's needsRestart field
 // says whether the name, the service, or the address for callers, peers or the
 // platform has changed.
@@ -17,6 +18,8 @@
 	next.SilenceTimeout = settings.SilenceTimeout
 	next.SharedRetryRatio = settings.SharedRetryRatio
 	next.SharedRetrySlack = settings.SharedRetrySlack
+	next.WarmupOvershoot = settings.WarmupOvershoot
+	next.WarmupSlack = settings.WarmupSlack
 	daemon.liveSettings.Store(&next)
 	needsRestart := settings.Name != current.Name || settings.CallerAddress != current.CallerAddress ||
 		settings.PeerAddress != current.PeerAddress || settings.Service != current.Service ||
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"net"
 	"net/netip"
 	"regexp"
@@ -94,6 +95,11 @@
 	// the profiles apply.
 	SharedRetryRatio float64
 	SharedRetrySlack float64
+	// A cold upstream gets at most the warm-up rate of the route table times
+	// WarmupOvershoot plus WarmupSlack requests in any second. With an overshoot of 0 it
+	// gets as many as a warm one.
+	WarmupOvershoot float64
+	WarmupSlack     float64
 }
 
 // Link describes the network link to another region: its one-way latency and
@@ -173,6 +179,11 @@
 			add(flag, "%g must be at least 0", price)
 		}
 	}
+	for flag, number := range map[string]float64{"warmup-overshoot": settings.WarmupOvershoot, "warmup-slack": settings.WarmupSlack} {
+		if isBound := number >= 0 && !math.IsInf(number, 0); !isBound {
+			add(flag, "%g must be at least 0", number)
+		}
+	}
 	if settings.SharedRetryRatio < 0 || settings.SharedRetryRatio > 1 {
 		add("shared-retry-ratio", "%g is not in the range 0 to 1", settings.SharedRetryRatio)
 	}
--- a/daemon/upstream.go
+++ b/daemon/upstream.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"ibislift/core/admit"
 	"ibislift/core/kernel"
 	"ibislift/core/profile"
 	"ibislift/io/upstream"
@@ -19,7 +20,11 @@
 	daemon.client.SetAddress(announcement.Address)
 	daemon.client.SetEchoesRequestID(announcement.EchoesRequestID)
 	daemon.client.SetExpectedInstance(announcement.Instance)
-	daemon.gate.SetUpstream(announcement.StartedAt)
+	daemon.gate.SetWarmupLimit(daemon.warmupLimit(view, announcement.Service))
+	daemon.gate.SetUpstream(announcement.StartedAt, announcement.Instance)
+	if announcement.ReportsWarmup {
+		daemon.gate.RecordWarmup(announcement.WarmupLeft, time.Time{})
+	}
 	switch {
 	case announcement.Draining:
 		daemon.gate.Drain()
@@ -31,6 +36,17 @@
 	daemon.control.send(kernel.UpstreamAnnounced{Target: announcement.Target(), Instance: announcement.Instance})
 }
 
+// warmupLimit returns how many requests a second a target of the service takes while it is
+// cold, as the route table in force and the settings say.
+func (daemon *Daemon) warmupLimit(view *kernel.View, name string) admit.WarmupLimit {
+	settings := daemon.liveSettings.Load()
+	if settings == nil || view.Routes == nil {
+		return admit.WarmupLimit{}
+	}
+	service := view.Routes.Services[name]
+	return admit.NewWarmupLimit(service.WarmupRate, settings.WarmupOvershoot, settings.WarmupSlack, service.WarmupTime)
+}
+
 // firstProbeTimeout limits the probe before the first announcement is accepted.
 const firstProbeTimeout = 300 * time.Millisecond
 
@@ -40,7 +56,8 @@
 // its responses. It reports whether announcements are accepted from now on.
 func (daemon *Daemon) releaseFirstAnnouncement() bool {
 	announcement, present := daemon.monitor.Held()
-	if !present || !daemon.control.view.Load().Joined {
+	view := daemon.control.view.Load()
+	if !present || !view.Joined || daemon.needsConfiguration() && !view.Ready {
 		return false
 	}
 	if err := daemon.monitor.Release(daemon.saysLeaving(announcement)); err != nil {
@@ -50,6 +67,12 @@
 	return true
 }
 
+// needsConfiguration reports whether the target must get nothing before this daemon has
+// the route table, which says how little a cold target takes.
+func (daemon *Daemon) needsConfiguration() bool {
+	return daemon.Settings.RouteObject != "" && daemon.Settings.WarmupOvershoot > 0
+}
+
 // saysLeaving asks an upstream that has announced itself whether it is leaving.
 func (daemon *Daemon) saysLeaving(announcement upstream.Announcement) bool {
 	leaving := daemon.client.EffectiveDialect().Leaving
@@ -103,7 +126,7 @@
 // probeUpstream sends a health probe to the local upstream, unless requests are
 // running there: their responses show its health as well.
 func (daemon *Daemon) probeUpstream() {
-	if daemon.gate.Load().Running > 0 {
+	if daemon.gate.Load().Running > 0 || !daemon.gate.AllowProbe() {
 		return
 	}
 	path := daemon.healthPath(daemon.monitor.Current())
--- a/io/caller/record.go
+++ b/io/caller/record.go
@@ -62,7 +62,10 @@
 				age = candidate.ReportAge.Round(time.Millisecond).String()
 			}
 			limit := ""
-			if candidate.RateLimit.InForce {
+			switch {
+			case candidate.Cold:
+				limit = fmt.Sprintf(", cold, next in %s", candidate.RateDelay.Round(time.Millisecond))
+			case candidate.RateLimit.InForce:
 				limit = fmt.Sprintf(", limit %g/s, next in %s", candidate.RateLimit.PerSecond, candidate.RateDelay.Round(time.Millisecond))
 			}
 			return fmt.Sprintf(" %d, %s: running %d of %d, queued %d, slowness %.2f%s, failing %.2f, age %s", len(step.Candidates),
@@ -94,6 +97,8 @@
 	// let a further request through when the target reported it.
 	RateLimit admit.RateLimit `json:"rateLimit,omitzero"`
 	RateDelay time.Duration   `json:"rateDelay,omitempty"`
+	// Cold is set if the target was limited by its warm-up.
+	Cold bool `json:"cold,omitempty"`
 }
 
 // maxRecords is the number of records that a daemon keeps.
@@ -184,6 +189,7 @@
 			ReportAge: candidate.ReportAge, HasReport: candidate.HasReport, Latency: candidate.Latency, LinkLatency: candidate.LinkLatency,
 			Slowness: candidate.Load.Slowness, FailureRate: candidate.FailureRate, Warmth: candidate.Warmth, Ejected: candidate.Ejected, Draining: candidate.Load.Draining,
 			RateLimit: candidate.Load.RateLimit, RateDelay: candidate.Load.RateDelay,
+			Cold: candidate.WarmupRate > 0 || candidate.Load.RateDelay > 0 && !candidate.Load.RateLimit.InForce,
 		})
 	}
 	exchange.addStep(step)
--- a/io/caller/request.go
+++ b/io/caller/request.go
@@ -129,7 +129,7 @@
 // picker returns the picker that chooses targets for the request.
 func (request *request) picker(service *service, random uint64) *pick.Picker {
 	return &pick.Picker{
-		Tracker: service.tracker, Profile: service.profile, Policy: service.policy, Class: request.class,
+		Tracker: service.tracker, Profile: service.profile, Policy: service.policy, Warmup: service.warmup, Class: request.class,
 		BodyBytes: request.bodyBytes, HasObjective: request.route != nil, Objective: request.objective,
 		ObjectiveLength: request.objectiveLength(), Random: random,
 	}
--- a/io/caller/services.go
+++ b/io/caller/services.go
@@ -23,6 +23,8 @@
 	profile profile.Profile
 	members []kernel.Member
 	known   bool
+	// warmup is what the route table says of targets that have just started.
+	warmup route.Warmup
 }
 
 // services holds the state of each service and updates it when the view
@@ -57,6 +59,10 @@
 	}
 	updated := services.update(name, profile.FromView(view, name), shared, max(1, len(view.Members)))
 	updated.members = servingMembers(view, members)
+	if view.Routes != nil {
+		settings := view.Routes.Services[name]
+		updated.warmup = route.Warmup{PerSecond: settings.WarmupRate, Time: settings.WarmupTime}
+	}
 	current.services.Store(name, updated)
 	return updated
 }
--- a/io/dialect/dialect.go
+++ b/io/dialect/dialect.go
@@ -80,6 +80,10 @@
 	// the upstream takes from all daemons together. named is false if the response
 	// names no limit. It may be nil.
 	ParseRateLimit func(http.Header) (perSecond float64, named bool, err error)
+	// ParseWarmup reads from the headers of a response how much longer the upstream
+	// stays cold. reported is false if the response does not say so in a form that can
+	// be read. It may be nil.
+	ParseWarmup func(http.Header) (left time.Duration, reported bool)
 	// Leaving reports whether the headers of a response say that the upstream is
 	// leaving. It may be nil.
 	Leaving func(http.Header) bool
@@ -100,6 +104,7 @@
 		Tenant:           "Ibislift-Tenant",
 		FormatRetryAfter: FormatSeconds,
 		ParseRateLimit:   RateLimitHeader("Ibislift-Rate-Limit"),
+		ParseWarmup:      WarmupHeader("Ibislift-Warmup-Remaining"),
 		Leaving:          LeavingHeader("Ibislift-Leaving"),
 		ReadyPath:        "/ready",
 	}
@@ -121,6 +126,30 @@
 	}
 }
 
+// MaxWarmup is the longest time that an upstream may say it stays cold. A longer one is
+// taken for a mistake, since it would limit the upstream for as long.
+const MaxWarmup = time.Hour
+
+// WarmupHeader returns a Dialect.ParseWarmup for a header that holds decimal seconds.
+func WarmupHeader(name string) func(http.Header) (time.Duration, bool) {
+	return func(header http.Header) (time.Duration, bool) {
+		seconds, err := strconv.ParseFloat(strings.TrimSpace(header.Get(name)), 64)
+		if err != nil {
+			return 0, false
+		}
+		return WarmupSeconds(seconds)
+	}
+}
+
+// WarmupSeconds converts the seconds for which an upstream stays cold. It reports false
+// for a number that is out of range.
+func WarmupSeconds(seconds float64) (left time.Duration, valid bool) {
+	if inRange := seconds >= 0 && seconds <= MaxWarmup.Seconds(); !inRange {
+		return 0, false
+	}
+	return time.Duration(seconds * float64(time.Second)), true
+}
+
 // LeavingHeader returns a Dialect.Leaving for a header that is set to 1 by an upstream
 // that is leaving.
 func LeavingHeader(name string) func(http.Header) bool {
--- a/io/peer/server_test.go
+++ b/io/peer/server_test.go
@@ -73,7 +73,7 @@
 func TestGateLearnsTheRateLimitThatAnIngressKnows(t *testing.T) {
 	is := is.New(t)
 	gate := &upstream.Gate{Now: time.Now}
-	gate.SetUpstream(7)
+	gate.SetUpstream(7, "")
 	server := &peer.Server{Gate: gate, Upstream: &upstream.Client{}, Control: stubControl{service: "shop"}}
 	limit := &peerpb.RateLimit{InForce: true, PerSecond: 3, UpstreamStarted: 7}
 	is.NoErr(server.ServeStream(&recordingStream{head: &peerpb.CallHead{Service: "shop", RemainingMicroseconds: 1_000_000, RateLimit: limit}}))
--- a/io/peer/statements.go
+++ b/io/peer/statements.go
@@ -11,7 +11,8 @@
 )
 
 // recordStatements records what a response to a request says of the upstream's own
-// state: its rate limit, and whether it is leaving. It reports whether it is.
+// state: its rate limit, how long it stays cold, and whether it is leaving. It reports
+// whether it is.
 func (server *Server) recordStatements(response *upstream.Response, handedOverAt time.Time) (leaving bool) {
 	dialect := server.Upstream.EffectiveDialect()
 	if dialect.ParseRateLimit != nil {
@@ -22,6 +23,7 @@
 			server.logRateLimit(server.Gate.RecordRateLimit(admit.RateLimitReported{HandedOverAt: handedOverAt, Named: named, PerSecond: perSecond}))
 		}
 	}
+	server.recordWarmup(response.Header, handedOverAt)
 	return server.recordLeaving(response.Header, response.Request.Header.Get(dialect.Instance))
 }
 
@@ -35,9 +37,22 @@
 			server.logRateLimit(server.Gate.RecordRateLimit(admit.RateLimitReported{Named: true, PerSecond: perSecond}))
 		}
 	}
+	server.recordWarmup(result.Header, result.SentAt)
 	server.recordLeaving(result.Header, result.Instance)
 }
 
+// recordWarmup records what a response to a request that was handed over at askedAt says
+// of how much longer the upstream stays cold.
+func (server *Server) recordWarmup(header http.Header, askedAt time.Time) {
+	parse := server.Upstream.EffectiveDialect().ParseWarmup
+	if parse == nil {
+		return
+	}
+	if left, reported := parse(header); reported {
+		server.Gate.RecordWarmup(left, askedAt)
+	}
+}
+
 // logRateLimit writes a line if the known rate limit of the upstream has changed.
 func (server *Server) logRateLimit(before, after admit.RateLimit) {
 	if before != after {
--- a/io/upstream/announce.go
+++ b/io/upstream/announce.go
@@ -12,6 +12,7 @@
 
 	"ibislift/core/kernel"
 	"ibislift/core/profile"
+	"ibislift/io/dialect"
 )
 
 // DefaultSilenceTimeout is how long an upstream may send no announcement before
@@ -46,6 +47,11 @@
 	Sequence uint64 `json:"sequence,omitempty"`
 	// Draining reports whether the upstream accepts no new requests.
 	Draining bool `json:"draining,omitempty"`
+	// WarmupLeft is how much longer the upstream stays cold, in nanoseconds. It counts
+	// only if ReportsWarmup is set; an upstream that does not report it counts as cold
+	// for a time after its start.
+	WarmupLeft    time.Duration `json:"warmupLeft,omitempty"`
+	ReportsWarmup bool          `json:"reportsWarmup,omitempty"`
 }
 
 // maxSlots is the largest number of slots that an upstream may announce.
@@ -74,6 +80,9 @@
 	if announcement.Sequence > maxSequence {
 		return Error.New("sequence: %d is above %d", announcement.Sequence, uint64(maxSequence))
 	}
+	if announcement.WarmupLeft < 0 || announcement.WarmupLeft > dialect.MaxWarmup {
+		return Error.New("warmupLeft: %s is not between 0 and %s", announcement.WarmupLeft, dialect.MaxWarmup)
+	}
 	if !strings.HasPrefix(announcement.HealthPath, "/") {
 		return Error.New("healthPath: must start with /")
 	}
--- a/io/upstream/client.go
+++ b/io/upstream/client.go
@@ -329,13 +329,14 @@
 	// Load is the load that the upstream reported, or nil if it reported none.
 	Load   *dialect.Load
 	Header http.Header
-	// Instance is the instance that the probe was meant for.
+	// Instance is the instance that the probe was meant for, and SentAt when it was sent.
 	Instance string
+	SentAt   time.Time
 }
 
 // Probe requests the upstream's health path.
 func (client *Client) Probe(ctx context.Context, path string) ProbeResult {
-	instance := client.ExpectedInstance()
+	instance, sentAt := client.ExpectedInstance(), time.Now()
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://upstream"+path, nil)
@@ -358,7 +359,7 @@
 		// The rest of the body would be read as the response to the next request.
 		response.Abort()
 	}
-	result := ProbeResult{Healthy: response.StatusCode < http.StatusMultipleChoices, Header: response.Header, Instance: instance}
+	result := ProbeResult{Healthy: response.StatusCode < http.StatusMultipleChoices, Header: response.Header, Instance: instance, SentAt: sentAt}
 	if parse := client.EffectiveDialect().ParseLoad; parse != nil {
 		if reported, found := parse(response.Header); found {
 			result.Load = &reported
--- a/io/upstream/gate.go
+++ b/io/upstream/gate.go
@@ -49,7 +49,8 @@
 	crashReported map[uint64]bool
 	lastID        atomic.Uint64
 	drained       chan struct{}
-	// woken is set while a Ticked event is due because of the rate limit.
+	// woken is set while a Ticked event is due because of the rate limit or the warm-up
+	// limit.
 	woken bool
 	// closed is set when a drain can no longer be ended.
 	closed     bool
@@ -297,10 +298,40 @@
 	return before, after
 }
 
-// SetUpstream sets when the upstream started that requests are handed over to, in Unix
-// milliseconds. What the previous upstream has said no longer counts.
-func (gate *Gate) SetUpstream(startedAt int64) {
-	gate.apply(func() []admit.Effect { return gate.machine.Update(admit.UpstreamStarted{StartedAt: startedAt}) })
+// SetUpstream sets the instance of the upstream that requests are handed over to, and when
+// it started, in Unix milliseconds. What the previous upstream has said no longer counts.
+func (gate *Gate) SetUpstream(startedAt int64, instance string) {
+	gate.apply(func() []admit.Effect {
+		return gate.machine.Update(admit.UpstreamStarted{At: gate.Now(), StartedAt: startedAt, Instance: instance})
+	})
+}
+
+// SetWarmupLimit sets how many requests a second the upstream takes while it is cold.
+func (gate *Gate) SetWarmupLimit(limit admit.WarmupLimit) {
+	gate.apply(func() []admit.Effect { return gate.machine.Update(admit.WarmupLimitSet{At: gate.Now(), Limit: limit}) })
+}
+
+// RecordWarmup records how much longer the upstream stays cold, as it has said in a
+// heartbeat or in the response to a request that was handed over at askedAt.
+func (gate *Gate) RecordWarmup(left time.Duration, askedAt time.Time) {
+	gate.apply(func() []admit.Effect {
+		return gate.machine.Update(admit.WarmupReported{At: gate.Now(), Left: left, AskedAt: askedAt})
+	})
+}
+
+// AllowProbe reports whether a health probe may be sent now. While the upstream is cold,
+// probes are rare and count towards the warm-up limit.
+func (gate *Gate) AllowProbe() bool {
+	allowed := false
+	gate.apply(func() []admit.Effect {
+		for _, effect := range gate.machine.Update(admit.ProbeDue{At: gate.Now()}) {
+			if _, isAllowed := effect.(admit.AllowProbe); isAllowed {
+				allowed = true
+			}
+		}
+		return nil
+	})
+	return allowed
 }
 
 // HandedOverCount returns the number of requests handed over so far.
