--- a/core/admit/queue.go
+++ b/core/admit/queue.go
@@ -125,9 +125,10 @@
 const standingQueueTime = 250 * time.Millisecond
 
 // hasStandingQueue reports whether the queue has been non-empty for longer than
-// standingQueueTime.
+// standingQueueTime, or waits for a cold upstream, which takes no more than its rate for
+// seconds.
 func (gate *Gate) hasStandingQueue(at time.Time) bool {
-	return len(gate.queue) > 0 && at.Sub(gate.lastEmptyAt) > standingQueueTime
+	return len(gate.queue) > 0 && (at.Sub(gate.lastEmptyAt) > standingQueueTime || gate.warmupLimiter.isLimited(at))
 }
 
 // isTooBusy reports whether the gate refuses a request because of a standing queue.
--- a/daemon/announcement_test.go
+++ b/daemon/announcement_test.go
@@ -10,6 +10,7 @@
 
 	"ibislift/core/admit"
 	"ibislift/core/kernel"
+	"ibislift/core/routes"
 	"ibislift/io/upstream"
 )
 
@@ -38,6 +39,43 @@
 	})
 }
 
+// The gate must know how little a cold target takes before the first request arrives.
+func TestColdTargetIsLimitedFromItsFirstAnnouncement(t *testing.T) {
+	routesWith := func(service string) *routes.Table {
+		table, err := routes.Parse([]byte(`{"version":1,"services":{"intake":` + service + `}}`))
+		is.New(t).NoErr(err)
+		return table
+	}
+	announced := upstream.Announcement{Service: "intake", Address: "127.0.0.1:9000", Slots: 4, HealthPath: "/health", StartedAt: 1000, WarmupLeft: 2 * time.Second, ReportsWarmup: true}
+	newDaemon := func(table *routes.Table) *Daemon {
+		daemon := &Daemon{Log: slog.New(slog.DiscardHandler), gate: &upstream.Gate{Now: time.Now}, client: &upstream.Client{}, control: newControl(kernel.Settings{Self: "intake-1"})}
+		daemon.Settings = Settings{WarmupOvershoot: 1.5, WarmupSlack: 8, RouteObject: "config/main"}
+		daemon.liveSettings.Store(&daemon.Settings)
+		daemon.control.view.Store(&kernel.View{Self: "intake-1", Joined: true, Routes: table})
+		daemon.monitor = &upstream.Monitor{Now: time.Now, OnAnnouncement: daemon.handleAnnouncement, HoldsFirst: true, Drain: func() <-chan struct{} { return nil }}
+		return daemon
+	}
+	t.Run("with the rate of the route table", func(t *testing.T) {
+		is := is.New(t)
+		daemon := newDaemon(routesWith(`{"warmupRate":12,"warmupTime":3000000000}`))
+		daemon.handleAnnouncement(announced)
+		load := daemon.gate.Load()
+		is.True(load.WarmupLeft > time.Second && load.RateDelay > 50*time.Millisecond)
+		is.True(!daemon.gate.AllowProbe())
+	})
+	t.Run("without a rate it is not limited", func(t *testing.T) {
+		daemon := newDaemon(routesWith(`{}`))
+		daemon.handleAnnouncement(announced)
+		is.New(t).Equal(daemon.gate.Load().RateDelay, time.Duration(0))
+	})
+	t.Run("without a route table the announcement is held", func(t *testing.T) {
+		is := is.New(t)
+		daemon := newDaemon(nil)
+		is.NoErr(daemon.monitor.ReceiveAnnouncement(announced))
+		is.True(!daemon.releaseFirstAnnouncement())
+	})
+}
+
 // The daemon may hear from another one only later that its upstream has left.
 func TestGateDrainsWhenADepartureIsLearnt(t *testing.T) {
 	announced := upstream.Announcement{Service: "intake", Address: "127.0.0.1:9000", Slots: 4, HealthPath: "/health", StartedAt: 1000}
--- a/daemon/changes.go
+++ b/daemon/changes.go
@@ -58,7 +58,7 @@
 func logWarmup(log *slog.Logger, wasCold bool, load admit.Load) (cold bool) {
 	cold = load.WarmupLeft > 0
 	if cold != wasCold {
-		log.Info("warm-up of the target changed", "cold", cold, "left", load.WarmupLeft, "running", load.Running, "queued", load.Queued)
+		log.Info("warm-up of the target changed", "cold", cold, "warmupLeft", load.WarmupLeft, "running", load.Running, "queued", load.Queued)
 	}
 	return cold
 }
--- a/io/peer/statements_test.go
+++ b/io/peer/statements_test.go
@@ -92,6 +92,20 @@
 		server.RecordProbe(upstream.ProbeResult{Healthy: true})
 		is.True(server.Gate.Load().RateLimit.InForce)
 	})
+	t.Run("a response or a health check says how long the upstream stays cold", func(t *testing.T) {
+		is := is.New(t)
+		header := http.Header{"Ibislift-Warmup-Remaining": {"2.5"}}
+		server, _ := newStatingServer(t, &header)
+		server.Gate.SetWarmupLimit(admit.NewWarmupLimit(12, 1.5, 8, time.Second))
+		serve(t, server)
+		is.True(server.Gate.Load().WarmupLeft > 2*time.Second)
+		server.RecordProbe(upstream.ProbeResult{Healthy: true, Header: http.Header{"Ibislift-Warmup-Remaining": {"few"}}, SentAt: time.Now()})
+		is.True(server.Gate.Load().WarmupLeft > 2*time.Second)
+		server.RecordProbe(upstream.ProbeResult{Healthy: true, Header: http.Header{"Ibislift-Warmup-Remaining": {"0"}}, SentAt: time.Now()})
+		is.Equal(server.Gate.Load().WarmupLeft, time.Duration(0))
+		server.RecordProbe(upstream.ProbeResult{Healthy: true, Header: header, SentAt: time.Now()})
+		is.True(server.Gate.Load().WarmupLeft > 2*time.Second)
+	})
 	t.Run("a response or a health check says that the upstream is leaving", func(t *testing.T) {
 		is := is.New(t)
 		header := http.Header{"Ibislift-Leaving": {"1"}}
--- a/standin/play/daemon.go
+++ b/standin/play/daemon.go
@@ -65,6 +65,7 @@
 	daemon.gate.MaxSlownessAge = simulation.policy.MaxSlownessAge
 	daemon.update(admit.Resized{At: simulation.clock.now, Slots: service.Slots, QueueBound: simulation.policy.QueueBound})
 	daemon.upstream.start()
+	daemon.sendHeartbeats()
 	daemon.tick()
 	return daemon
 }
@@ -158,6 +159,7 @@
 	if daemon.upstream.down {
 		return
 	}
+	daemon.upstream.countCold()
 	daemon.simulation.clock.runAfter(milliseconds(daemon.upstream.service.ProbeTime), func() {
 		daemon.update(admit.SlownessReported{At: daemon.simulation.clock.now, Slowness: daemon.upstream.slowness()})
 		daemon.sendReports()
--- a/standin/play/exchange.go
+++ b/standin/play/exchange.go
@@ -28,6 +28,7 @@
 	class          *Class
 	deadline       time.Time
 	objective      time.Time
+	arrivedAt      time.Time
 	callerDeadline time.Time
 	picker         *pick.Picker
 	stateMachine   call.Call
@@ -56,7 +57,7 @@
 // caller's deadline.
 func (simulation *simulation) startExchange(ingress *daemon, class *Class, remaining time.Duration, onFinish func(response)) *exchange {
 	now := simulation.clock.now
-	exchange := &exchange{simulation: simulation, ingress: ingress, class: class, onFinish: onFinish, callerDeadline: now.Add(remaining), deadline: now.Add(remaining)}
+	exchange := &exchange{simulation: simulation, ingress: ingress, class: class, onFinish: onFinish, arrivedAt: now, callerDeadline: now.Add(remaining), deadline: now.Add(remaining)}
 	timeout := milliseconds(class.Timeout)
 	age := ingress.ageEstimator.Estimate(class.Name, timeout, remaining)
 	if timeout > 0 {
@@ -66,7 +67,7 @@
 	defaults := profile.Default()
 	// The seed of a picker must not be 0, so its lowest bit is set.
 	exchange.picker = &pick.Picker{
-		Tracker: ingress.tracker(class.Service), Profile: defaults, Policy: ingress.routePolicy, Class: class.Name,
+		Tracker: ingress.tracker(class.Service), Profile: defaults, Policy: ingress.routePolicy, Class: class.Name, Warmup: simulation.serviceNamed(class.Service).warmup(),
 		BodyBytes: class.RequestBytes, HasObjective: simulation.policy.UseObjectives, Objective: exchange.objective,
 		ObjectiveLength: milliseconds(class.Objective), Random: simulation.modelRandom.Uint64() | 1,
 	}
@@ -245,6 +246,9 @@
 	for _, attempt := range exchange.attempts {
 		attempt.cancel()
 	}
+	if finish.Outcome == call.OutcomeNotRun {
+		exchange.simulation.report.recordRefusal(exchange.simulation.clock.now.Sub(exchange.arrivedAt))
+	}
 	result := response{refused: finish.Outcome == call.OutcomeNotRun, retryAfter: call.DefaultRetryAfter}
 	if exchange.simulation.policy.EstimateRetryAfter {
 		now := exchange.simulation.clock.now
--- a/standin/play/fault.go
+++ b/standin/play/fault.go
@@ -85,6 +85,7 @@
 		return func() {
 			for _, daemon := range affected {
 				daemon.upstream.restart()
+				daemon.receiveHeartbeat()
 				simulation.clock.runAfter(membershipDelay, func() { simulation.updateMembership(daemon, true) })
 			}
 		}
--- a/standin/play/report.go
+++ b/standin/play/report.go
@@ -78,6 +78,11 @@
 	// OverLimit counts the requests that targets got above the rate limit that they
 	// named.
 	OverLimit int
+	// OverWarmup counts the requests and health probes that cold targets got above the
+	// bound of a second.
+	OverWarmup int
+	// refusalTimes holds how long callers waited for each refusal.
+	refusalTimes []time.Duration
 	// Probes counts the probes for a target's slowness.
 	Probes int
 	// Steps holds the results over time, in steps of StepTime.
@@ -128,12 +133,25 @@
 	}
 }
 
+func (report *Report) recordRefusal(took time.Duration) {
+	report.refusalTimes = append(report.refusalTimes, took)
+}
+
+// RefusalTime returns a quantile of the times that callers waited for a refusal.
+func (report *Report) RefusalTime(fraction float64) time.Duration {
+	if len(report.refusalTimes) == 0 {
+		return 0
+	}
+	return report.refusalTimes[int(fraction*float64(len(report.refusalTimes)-1))]
+}
+
 // sortLatencies sorts the collected latencies and sets the quantiles of the
 // steps.
 func (report *Report) sortLatencies() {
 	for _, tally := range report.Classes {
 		slices.Sort(tally.latencies)
 	}
+	slices.Sort(report.refusalTimes)
 	for index := range report.Steps {
 		step := &report.Steps[index]
 		slices.Sort(step.latencies)
@@ -214,3 +232,6 @@
 	}
 	_ = table.Flush()
 }
+
+// Refusals returns the number of refusals that callers got.
+func (report *Report) Refusals() int { return len(report.refusalTimes) }
--- a/standin/play/scenario.go
+++ b/standin/play/scenario.go
@@ -77,6 +77,13 @@
 	// For ColdSeconds after its start a target is ColdFactor times slower.
 	ColdSeconds float64 `json:"coldSeconds,omitempty"`
 	ColdFactor  float64 `json:"coldFactor,omitempty"`
+	// For WarmupSeconds after its start a target takes WarmupPerSecond requests a second,
+	// and in any second at most as many times WarmupOvershoot plus WarmupSlack. Without
+	// the rate it takes as many as later.
+	WarmupSeconds   float64 `json:"warmupSeconds,omitempty"`
+	WarmupPerSecond float64 `json:"warmupPerSecond,omitempty"`
+	WarmupOvershoot float64 `json:"warmupOvershoot,omitempty"`
+	WarmupSlack     float64 `json:"warmupSlack,omitempty"`
 	// A target slows down when more than the fraction Knee of its slots is in
 	// use. It is KneeFactor times slower when all of them are.
 	Knee       float64 `json:"knee,omitempty"`
--- a/standin/play/simulation.go
+++ b/standin/play/simulation.go
@@ -83,6 +83,7 @@
 	simulation.clock.runUntil(simulation.startedAt.Add(seconds(scenario.Seconds) + settleTime))
 	for _, daemon := range simulation.daemons {
 		simulation.report.OverLimit += daemon.upstream.overLimit
+		simulation.report.OverWarmup += daemon.upstream.cold.aboveBound
 		simulation.report.SlotSeconds += daemon.upstream.slotTime.Seconds()
 		simulation.report.Slots += daemon.upstream.service.Slots
 	}
@@ -107,6 +108,15 @@
 	}
 }
 
+func (simulation *simulation) serviceNamed(name string) *Service {
+	for index := range simulation.scenario.Services {
+		if service := &simulation.scenario.Services[index]; service.Name == name {
+			return service
+		}
+	}
+	return &Service{}
+}
+
 // latency returns the one-way latency between two daemons.
 func (simulation *simulation) latency(from, to *daemon) time.Duration {
 	links := simulation.scenario.Links
--- a/standin/play/upstream.go
+++ b/standin/play/upstream.go
@@ -64,6 +64,7 @@
 	arrivals []time.Time
 	// overLimit counts the requests that came above the limit.
 	overLimit int
+	cold      coldCounter
 	// slotTime is the total time for which runs held slots.
 	slotTime time.Duration
 }
@@ -185,6 +186,7 @@
 func (upstream *upstreamModel) accept(run *run) {
 	run.arrivedAt = upstream.clock.now
 	upstream.countLimited()
+	upstream.countCold()
 	drawn := upstream.random.Float64()
 	switch {
 	case upstream.down:
--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -386,4 +386,25 @@
   'case !inTime && (!waiting || server.lateAccepts >= maxLateAccepts):' 'case !inTime:' ./io/http1
 mutant "a drain that is requested while the first announcement is held is forgotten" io/upstream/announce.go \
   'monitor.held.announcement.Draining = monitor.held.present' '' ./io/upstream
+mutant "a cold upstream gets as many requests as a warm one" core/admit/warmup.go \
+  'func (limit WarmupLimit) isSet() bool { return limit.PerSecond > 0 && limit.Bound > 0 }' 'func (limit WarmupLimit) isSet() bool { return false }' ./core/admit
+mutant "tokens of a cold upstream accumulate" core/admit/warmup.go \
+  'limiter.tokens = min(limiter.limit.burst(), limiter.tokens+elapsed' 'limiter.tokens = min(100, limiter.tokens+elapsed' ./core/admit
+mutant "the bucket is full when an upstream becomes cold" core/admit/warmup.go \
+  'limiter.empty(at, 0)' 'limiter.periods++' ./core/admit
+mutant "a restarted gate begins with a full bucket for a cold upstream" core/admit/warmup.go \
+  'limiter.empty(started.At, tokens)' 'limiter.empty(started.At, limiter.limit.burst()+tokens)' ./core/admit
+mutant "late commits come on top of the warm-up rate" core/admit/warmup.go \
+  '|| at.Sub(token.takenAt) > limiter.limit.commitTime())' ')' ./core/admit
+mutant "health probes of a cold upstream do not count" core/admit/warmup.go \
+  'limiter.probedAt = at
+	limiter.take(at)' 'limiter.probedAt = at' ./core/admit
+mutant "a late heartbeat ends the warm-up" core/admit/warmup.go \
+  '!limiter.replaces(reported, source)' 'false' ./core/admit
+mutant "a target that has just started is taken for idle" core/route/warmup.go \
+  'if candidate.WarmupRate <= 0 {' 'if true {' ./core/pick
+mutant "a heartbeat does not tell that the target is cold" platform/checkin.go \
+  'ReportsWarmup:   reportsWarmup,' 'ReportsWarmup:   reportsWarmup && false,' ./platform
+mutant "a cold target is accepted before its rate is known" daemon/upstream.go \
+  'daemon.needsConfiguration() && !view.Ready' 'false && !view.Ready' ./daemon
 exit $living
