--- a/core/rollout/check.go
+++ b/core/rollout/check.go
@@ -16,7 +16,7 @@
 // stay open, and the watch ends only with its timeout.
 func (plugin *plugin) checkWatch(state *kernel.State, at time.Time) []kernel.Effect {
 	interval := checkInterval
-	if !state.Watching && plugin.isConnected(at) {
+	if !state.Watching && plugin.contact.IsConnected(at) {
 		if plugin.platformDownSince.IsZero() {
 			return nil
 		}
--- a/core/rollout/rollout.go
+++ b/core/rollout/rollout.go
@@ -22,25 +22,19 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"ibislift/core/contact"
 	"ibislift/core/kernel"
 	"ibislift/core/routes"
 )
 
 const pluginName = "rollout"
 
-// Timing of the reads and watches, and limits for the loss of contact.
+// Timing of the reads and watches.
 const (
 	// watchTimeout is how long the platform holds a watch open. It is long
 	// because each watch costs a call, and keep-alives detect a dead
 	// connection earlier.
 	watchTimeout = 25 * time.Second
-	// settlingTime is how long a daemon waits after its start before it watches,
-	// since it learns only then who the watchers of its region are. While new
-	// records still arrive it waits for longer: until none has arrived for
-	// recordsQuietTime, but no longer than maxSettlingTime.
-	settlingTime     = 3500 * time.Millisecond
-	recordsQuietTime = time.Second
-	maxSettlingTime  = 8 * time.Second
 	// recheckInterval is the time between two reads of a daemon that does not
 	// watch and whose last call has failed.
 	recheckInterval = 20 * time.Second
@@ -51,15 +45,6 @@
 	// confirmTime is how long a watcher has been connected before it confirms a
 	// table in a new era. Neighbours compare their tables once a second.
 	confirmTime = 3 * time.Second
-	// contactTimeout is how long a daemon considers itself connected after its
-	// last exchange with a neighbour. Exchanges happen once a second.
-	contactTimeout = 2500 * time.Millisecond
-	// failureRetention is how long a neighbour counts as failed after an
-	// exchange with it has failed.
-	failureRetention = 3 * time.Second
-	// minFailedNeighbours is the number of failed neighbours from which a
-	// daemon considers itself disconnected. A single one may be restarting.
-	minFailedNeighbours = 2
 	// retryDelay is the time from the beginning of a failed call until it is repeated,
 	// to which up to retryJitter is added. A call that has lasted longer, as until its
 	// timeout or until a watch was cut off, is repeated at once. The sum stays well below the 4 s within which a change must
@@ -107,21 +92,13 @@
 	revisionAt time.Time
 	// hasRead is true after the first read. That one may be stale, since
 	// neighbours bring what is newer. The others must be current.
-	hasRead   bool
-	startedAt time.Time
-	// recordCount is the number of replicated records, and recordsChangedAt when it
-	// last changed.
-	recordCount      int
-	recordsChangedAt time.Time
+	hasRead bool
+	contact contact.Contact
 	// connectedSince is when this daemon was last not connected to its
 	// neighbours.
 	connectedSince    time.Time
 	retryAt           time.Time
 	platformDownSince time.Time
-	// lastContact is the time of the last successful exchange with a neighbour,
-	// and failedPeers the time of the last failed one by the peer's address.
-	lastContact time.Time
-	failedPeers map[string]time.Time
 }
 
 // Accepts reports whether a record may be merged. It rejects route tables that
@@ -155,17 +132,11 @@
 	if state.Settings.RouteObject == "" {
 		return nil
 	}
+	plugin.contact.Update(event)
 	switch message := event.Message.(type) {
 	case kernel.Started:
-		plugin.startedAt = event.At
 		plugin.connectedSince = event.At
-		plugin.failedPeers = map[string]time.Time{}
 		return plugin.read(state, event.At)
-	case kernel.PeerReplied:
-		plugin.lastContact = event.At
-		delete(plugin.failedPeers, message.Peer.Address)
-	case kernel.PeerFailed:
-		plugin.failedPeers[message.Peer.Address] = event.At
 	case kernel.Ticked:
 		return append(plugin.confirmEra(state, event.At), plugin.tick(state, event.At)...)
 	case kernel.RecordsMerged:
@@ -201,13 +172,13 @@
 	if plugin.watchToken != 0 {
 		return plugin.checkWatch(state, at)
 	}
-	if !state.Watching && plugin.isConnected(at) {
+	if !state.Watching && plugin.contact.IsConnected(at) {
 		return plugin.recheck(state, at)
 	}
 	if plugin.revision == 0 {
 		return plugin.read(state, at)
 	}
-	if plugin.isSettling(state, at) {
+	if plugin.contact.IsSettling(state, at) {
 		return nil
 	}
 	if at.Sub(plugin.revisionAt) > maxRevisionAge {
@@ -225,35 +196,6 @@
 	return plugin.read(state, at)
 }
 
-// isSettling reports whether this daemon has started too recently to watch.
-func (plugin *plugin) isSettling(state *kernel.State, at time.Time) bool {
-	if count := state.Table.Len(); count != plugin.recordCount {
-		plugin.recordCount, plugin.recordsChangedAt = count, at
-	}
-	switch age := at.Sub(plugin.startedAt); {
-	case age < settlingTime:
-		return true
-	case age < maxSettlingTime:
-		return at.Sub(plugin.recordsChangedAt) < recordsQuietTime
-	default:
-		return false
-	}
-}
-
-// isConnected reports whether this daemon has enough contact with its neighbours
-// to receive the tables that the watchers read.
-func (plugin *plugin) isConnected(at time.Time) bool {
-	failedCount := 0
-	for address, failedAt := range plugin.failedPeers {
-		if at.Sub(failedAt) > failureRetention {
-			delete(plugin.failedPeers, address)
-			continue
-		}
-		failedCount++
-	}
-	return at.Sub(plugin.lastContact) <= contactTimeout && failedCount < minFailedNeighbours
-}
-
 // read reads the table.
 func (plugin *plugin) read(state *kernel.State, at time.Time) []kernel.Effect {
 	plugin.readPending = true
@@ -406,7 +348,7 @@
 // does so that has been connected to its neighbours for long enough to know what they
 // know.
 func (plugin *plugin) confirmEra(state *kernel.State, at time.Time) []kernel.Effect {
-	if !plugin.isConnected(at) {
+	if !plugin.contact.IsConnected(at) {
 		plugin.connectedSince = at
 		return nil
 	}
