evacuate: all daemons learn which data centres are evacuated

Operators could not keep requests from a data centre. The plug-in reads the objects evacuations/DATACENTRE at the start, the watchers follow them, and one replicated record brings them to the others. A daemon is ready only when it knows them.

--- a/core/kernel/kernel.go
+++ b/core/kernel/kernel.go
@@ -157,6 +157,7 @@
 	for _, plugin := range kernel.plugins {
 		plugin.FillView(view)
 	}
+	view.Ready = view.Ready && !view.EvacuationsUnknown
 	view.index()
 	return view
 }
--- a/core/kernel/platform.go
+++ b/core/kernel/platform.go
@@ -108,7 +108,8 @@
 }
 
 // PlatformResult is the result of a call to the platform. Invalid is the number of
-// objects in the reply that were left out because they could not be decoded. Era
+// objects in the reply that were left out because they could not be decoded. Deleted has
+// the names of the objects whose deletion a watch reports. Era
 // rises each time that the platform comes back from an older copy of its objects,
 // after which revisions are given out again; it is 0 if the platform has no eras.
 type PlatformResult struct {
@@ -116,6 +117,7 @@
 	Status   PlatformStatus
 	Object   Object
 	Objects  []Object
+	Deleted  []string
 	Revision uint64
 	Invalid  int
 }
--- a/core/kernel/settings.go
+++ b/core/kernel/settings.go
@@ -35,6 +35,9 @@
 	// route table. It is empty where the request's host alone selects the
 	// service.
 	RouteObject string
+	// EvacuationPrefix begins the names of the platform objects that evacuate data
+	// centres; the rest is the data centre. It is empty where there are none.
+	EvacuationPrefix string
 	// NoClaims disables claims, for sites whose callers send no idempotency
 	// keys.
 	NoClaims bool
--- a/core/kernel/table.go
+++ b/core/kernel/table.go
@@ -18,6 +18,7 @@
 	KindCrash
 	KindRoutes
 	KindDepartures
+	KindEvacuations
 )
 
 // Key identifies a replicated record.
--- a/core/kernel/view.go
+++ b/core/kernel/view.go
@@ -120,8 +120,12 @@
 	// or an earlier process of it was told.
 	Departures []Departure
 	// Ready means that this daemon has received its configuration: the profiles
-	// or the route table.
+	// or the route table, and which data centres are evacuated.
 	Ready bool
+	// Evacuated are the data centres whose targets get nothing, sorted. While
+	// EvacuationsUnknown is set, the daemon is not ready.
+	Evacuated          []string
+	EvacuationsUnknown bool
 	// Watching means that this daemon is one of the watchers of its region.
 	Watching bool
 	// Routes is the operators' route table. It is nil where the request's host
@@ -208,6 +212,12 @@
 	return slices.ContainsFunc(view.Departures, func(departure Departure) bool { return departure.Covers(instance, startedAt) })
 }
 
+// IsEvacuated reports whether nothing may be sent to the targets of a data centre.
+func (view *View) IsEvacuated(dataCentre string) bool {
+	_, evacuated := slices.BinarySearch(view.Evacuated, dataCentre)
+	return evacuated
+}
+
 // Config returns the configuration object in force for a key.
 func (view *View) Config(key Key) (Config, bool) {
 	config, known := view.byConfig[key]
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -40,6 +40,7 @@
 	// The plug-ins of the kernel register themselves.
 	_ "ibislift/core/beacon"
 	_ "ibislift/core/crash"
+	_ "ibislift/core/evacuate"
 	_ "ibislift/core/measure"
 	_ "ibislift/core/member"
 	_ "ibislift/core/once"
--- a/standin/fleet/platform.go
+++ b/standin/fleet/platform.go
@@ -35,6 +35,8 @@
 	// Unreadable is the number of objects in each list that cannot be decoded. They are
 	// left out of the reply.
 	Unreadable int
+	// HidesRemovals makes watches miss the removal of objects.
+	HidesRemovals bool
 	// DropWriteReply reports whether the reply to a write is lost although the
 	// write takes effect. No reply is lost if it is nil.
 	DropWriteReply func() bool
@@ -52,7 +54,9 @@
 	// Era is returned with each reply. Restore raises it.
 	Era uint64
 
-	objects     map[string]kernel.Object
+	objects map[string]kernel.Object
+	// removed holds the revision at which an object was removed by Remove.
+	removed     map[string]uint64
 	revision    uint64
 	copies      []copyOfObjects
 	watches     map[int]func(cut bool)
@@ -78,6 +82,7 @@
 	platform.objects = maps.Clone(restored.objects)
 	platform.revision = restored.revision
 	platform.copies = []copyOfObjects{restored}
+	maps.DeleteFunc(platform.removed, func(_ string, revision uint64) bool { return revision > restored.revision })
 	platform.Era++
 	for _, id := range slices.Sorted(maps.Keys(platform.watches)) {
 		platform.watches[id](true)
@@ -103,6 +108,25 @@
 	platform.commit(fleet, kernel.WriteObject{Name: name, BaseVersion: platform.objects[name].Version, Body: body})
 }
 
+// Remove removes an object, as an operator who does not go through a daemon does.
+func (platform *Platform) Remove(fleet *Fleet, name string) {
+	platform.revision++
+	delete(platform.objects, name)
+	if platform.removed == nil {
+		platform.removed = map[string]uint64{}
+	}
+	platform.removed[name] = platform.revision
+	platform.notify(fleet)
+}
+
+// notify keeps a copy of the objects and tells the watches that wait of a change.
+func (platform *Platform) notify(fleet *Fleet) {
+	platform.keepCopy(fleet.Now)
+	for _, id := range slices.Sorted(maps.Keys(platform.watches)) {
+		platform.watches[id](false)
+	}
+}
+
 // Names returns the sorted names of the objects with a prefix.
 func (platform *Platform) Names(prefix string) []string {
 	var names []string
@@ -227,10 +251,8 @@
 	platform.revision++
 	object := kernel.Object{Name: call.Name, Version: platform.revision, Body: call.Body}
 	platform.objects[call.Name] = object
-	platform.keepCopy(fleet.Now)
-	for _, id := range slices.Sorted(maps.Keys(platform.watches)) {
-		platform.watches[id](false)
-	}
+	delete(platform.removed, call.Name)
+	platform.notify(fleet)
 	return kernel.PlatformResult{Object: object}
 }
 
@@ -244,7 +266,13 @@
 	replied := false
 	tryReply := func(final bool) {
 		result := platform.list(call.Prefix, call.Revision)
-		if replied || len(result.Objects) == 0 && !final {
+		for _, name := range slices.Sorted(maps.Keys(platform.removed)) {
+			hidden := platform.HidesRemovals
+			if strings.HasPrefix(name, call.Prefix) && platform.removed[name] > call.Revision && !hidden {
+				result.Deleted = append(result.Deleted, name)
+			}
+		}
+		if replied || len(result.Objects)+len(result.Deleted) == 0 && !final {
 			return
 		}
 		replied = true
