daemon: nothing is sent to evacuated data centres

The gate refuses new requests, queued ones and commits with the reason evacuated and lets running ones finish; ingresses leave the targets out, and answer 503 at once if there are no others. The first announcement is held until the evacuations are known. Log lines, a gauge, the status and explain name it.

--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -147,6 +147,8 @@
 	ReasonCancelled          Reason = "cancelled"
 	// ReasonNoUpstream means that the gate has no slots, because there is no upstream.
 	ReasonNoUpstream Reason = "noUpstream"
+	// ReasonEvacuated means that the data centre of the upstream is evacuated.
+	ReasonEvacuated Reason = "evacuated"
 	// ReasonUpstreamRefused means that the upstream itself refused the request
 	// without running it.
 	ReasonUpstreamRefused Reason = "upstreamRefused"
@@ -164,6 +166,8 @@
 	// JSON has it in nanoseconds.
 	ServiceTime time.Duration `json:"service"`
 	Draining    bool          `json:"draining"`
+	// Evacuated means that the data centre is evacuated. Other daemons see it as Draining.
+	Evacuated bool `json:"evacuated,omitempty"`
 	// Slowness is the current service time of requests as a multiple of their
 	// normal service time. 0 means that the upstream does not report it.
 	Slowness float64 `json:"slowness,omitempty"`
@@ -236,6 +240,7 @@
 	lastEmptyAt time.Time
 	draining    bool
 	drained     bool
+	evacuated   bool
 }
 
 // Update processes an event and returns the effects to perform, in order.
@@ -281,8 +286,10 @@
 	case WarmupReported:
 		gate.warmupLimiter.report(event)
 		return gate.fillSlots(event.At)
+	case EvacuationChanged:
+		return gate.changeEvacuation(event)
 	case ProbeDue:
-		if gate.warmupLimiter.allowsProbe(event.At) {
+		if !gate.evacuated && gate.warmupLimiter.allowsProbe(event.At) {
 			return []Effect{AllowProbe{}}
 		}
 		return nil
@@ -307,6 +314,7 @@
 		Slots:       gate.capacity(),
 		ServiceTime: gate.serviceTime,
 		Draining:    gate.draining || gate.Slots == 0,
+		Evacuated:   gate.evacuated,
 		RateLimit:   gate.rateLimiter.limit,
 	}
 }
@@ -333,6 +341,8 @@
 	switch {
 	case gate.draining:
 		return refuse(arrived.ID, ReasonDraining, 0)
+	case gate.evacuated:
+		return refuse(arrived.ID, ReasonEvacuated, 0)
 	case gate.Slots == 0:
 		return refuse(arrived.ID, ReasonNoUpstream, time.Second)
 	}
@@ -392,6 +402,8 @@
 		return refuse(committed.ID, ReasonReservationExpired, 0)
 	case reserved.stage != stageReserved:
 		return nil
+	case gate.evacuated:
+		return gate.revoke(committed.ID, ReasonEvacuated, committed.At)
 	case committed.At.Sub(reserved.started) >= ReservationTimeout:
 		return gate.revoke(committed.ID, ReasonReservationExpired, committed.At)
 	case gate.rateLimiter.isVoid(reserved.token) && gate.rateLimiter.delay(committed.At, 1) > 0:
--- a/core/admit/measure.go
+++ b/core/admit/measure.go
@@ -69,7 +69,7 @@
 // the upstream's machine start and stop faster than responses arrive.
 func (gate *Gate) measureSlowness(at time.Time) []Effect {
 	reportsSlowness := gate.slowness > 0
-	wanted := gate.Slots > 0 && !gate.draining && at.Sub(gate.lastArrivalAt) <= SubscriptionTime
+	wanted := gate.Slots > 0 && !gate.draining && !gate.evacuated && at.Sub(gate.lastArrivalAt) <= SubscriptionTime
 	stale := at.Sub(gate.slownessReportedAt) >= gate.MaxSlownessAge && at.Sub(gate.measureRequestedAt) >= gate.MaxSlownessAge
 	if gate.MaxSlownessAge <= 0 || !reportsSlowness || !wanted || !stale || gate.measurementCredit < 1 || !gate.warmupLimiter.allowsProbe(at) {
 		return nil
--- a/core/admit/report.go
+++ b/core/admit/report.go
@@ -39,7 +39,7 @@
 	if max(oldRequests, newRequests) > slots/2 && math.Abs(newRequests-oldRequests) >= requestsStep*slots {
 		return true
 	}
-	if lastReported.Draining != load.Draining || lastReported.Slots != load.Slots || lastReported.RateLimit != load.RateLimit {
+	if lastReported.Draining != load.Draining || lastReported.Evacuated != load.Evacuated || lastReported.Slots != load.Slots || lastReported.RateLimit != load.RateLimit {
 		return true
 	}
 	if lastReported.RateDelay > 0 != (load.RateDelay > 0) || load.RateDelay > lastReported.RateDelay+rateDelayStep {
--- a/core/pick/exclusion.go
+++ b/core/pick/exclusion.go
@@ -23,6 +23,8 @@
 	ExcludedDead     Exclusion = "dead"
 	ExcludedLeaving  Exclusion = "leaving"
 	ExcludedDraining Exclusion = "draining"
+	// ExcludedEvacuated means that the target's data centre is evacuated.
+	ExcludedEvacuated Exclusion = "evacuated"
 	// ExcludedUnused means that this daemon does not use the target, since it
 	// uses only some of the service's targets.
 	ExcludedUnused Exclusion = "unused"
@@ -59,6 +61,8 @@
 	switch {
 	case slices.Contains(picker.targets, member.ID):
 		return ExcludedTried
+	case picker.isEvacuated(member):
+		return ExcludedEvacuated
 	case member.State == kernel.MemberDead:
 		return ExcludedDead
 	case member.Leaving || picker.Tracker.IsLeaving(member.ID, member.Target.StartedAt):
--- a/core/pick/pick.go
+++ b/core/pick/pick.go
@@ -28,6 +28,9 @@
 	Tracker *route.Tracker
 	Profile profile.Profile
 	Policy  route.Policy
+	// IsEvacuated reports whether nothing may be sent to the targets of a data centre. If
+	// it is nil, none is evacuated.
+	IsEvacuated func(dataCentre string) bool
 	// Warmup is what targets take that have just started.
 	Warmup route.Warmup
 	// Class is the name of the request's class, for which the tracker holds the
@@ -120,12 +123,12 @@
 
 // untried returns the members that the request may be sent to: those that it has
 // not been sent to or, if there are none, those whose response was lost. Upstreams that
-// have said that they are leaving are left out.
+// have said that they are leaving, and those in evacuated data centres, are left out.
 func (picker *Picker) untried(members []kernel.Member) []kernel.Member {
 	var untried, lost []kernel.Member
 	for _, member := range members {
 		switch {
-		case picker.Tracker.IsLeaving(member.ID, member.Target.StartedAt):
+		case picker.Tracker.IsLeaving(member.ID, member.Target.StartedAt) || picker.isEvacuated(member):
 			// It gets nothing new.
 		case !picker.tried[member.ID]:
 			untried = append(untried, member)
@@ -139,6 +142,10 @@
 	return untried
 }
 
+func (picker *Picker) isEvacuated(member kernel.Member) bool {
+	return picker.IsEvacuated != nil && picker.IsEvacuated(member.DataCentre)
+}
+
 // nextRandom returns the next number of the request's own xorshift generator.
 func (picker *Picker) nextRandom() uint64 {
 	picker.Random ^= picker.Random << 13
--- a/daemon/changes.go
+++ b/daemon/changes.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"slices"
 
 	"ibislift/core/admit"
 	"ibislift/core/kernel"
@@ -29,6 +30,9 @@
 		}
 	}
 	logRoutes(log, before, now)
+	if !slices.Equal(before.Evacuated, now.Evacuated) {
+		log.Info("evacuations changed", "dataCentres", now.Evacuated, "was", before.Evacuated)
+	}
 	if before.Watching != now.Watching {
 		log.Info("watcher changed", "watching", now.Watching)
 	}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -387,6 +387,7 @@
 					daemon.configAppliedAt.Store(&now)
 				}
 				lastView = view
+				daemon.applyEvacuation(view)
 				daemon.resizeGate(daemon.monitor.Current())
 				daemon.drainDeparted(view)
 				daemon.peers.CloseUnused(view)
--- a/daemon/flags.go
+++ b/daemon/flags.go
@@ -52,6 +52,8 @@
 	command.Flag("ready-address", "IP:port for readiness checks.").StringVar(&settings.ReadyAddress)
 	command.Flag("route-object", "Platform object KIND/NAME that holds the route table; without it a request's host selects its service.").
 		StringVar(&settings.RouteObject)
+	command.Flag("evacuation-prefix", "KIND/ of the platform objects that evacuate the data centres that they are named after; without it there are none.").
+		StringVar(&settings.EvacuationPrefix)
 	command.Flag("keyless", "Callers send no idempotency keys and operators write no profiles.").BoolVar(&settings.Keyless)
 	command.Flag("silence-time", "How long an upstream may go without a heartbeat.").
 		Default(upstream.DefaultSilenceTimeout.String()).DurationVar(&settings.SilenceTimeout)
--- a/daemon/gauges.go
+++ b/daemon/gauges.go
@@ -38,6 +38,10 @@
 		},
 		{"ibislift.configuration.age.seconds", "Time since the configuration in force came into force here.", daemon.configurationAgeSeconds},
 		{"ibislift.platform.silent.seconds", "Time since the platform has not answered; 0 while it does.", daemon.platformSilentSeconds},
+		{
+			"ibislift.evacuated.data.centres", "Data centres whose targets get nothing, as known here.",
+			func() int64 { return int64(len(daemon.control.view.Load().Evacuated)) },
+		},
 		{
 			"ibislift.probes.allowed", "Probes a minute that the measuring budget leaves this daemon.",
 			func() int64 { return probesPerMinute(daemon.control.view.Load().ProbeInterval) },
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -68,6 +68,9 @@
 	// operators' route table. If it is empty, the host of a request selects its
 	// service.
 	RouteObject string
+	// EvacuationPrefix begins the names of the platform objects that evacuate data
+	// centres, such as "evacuations/". If it is empty, the platform is not asked for any.
+	EvacuationPrefix string
 	// Keyless says that callers send no idempotency keys and operators write no
 	// profiles. The platform is then asked for neither claims nor profiles.
 	Keyless bool
@@ -168,6 +171,9 @@
 	if settings.RouteObject != "" && !strings.Contains(settings.RouteObject, "/") {
 		add("route-object", "%q is not KIND/NAME", settings.RouteObject)
 	}
+	if prefix := settings.EvacuationPrefix; prefix != "" && (len(prefix) < 2 || strings.Index(prefix, "/") != len(prefix)-1) {
+		add("evacuation-prefix", "%q is not KIND/", prefix)
+	}
 	if settings.LingerTime < 0 || settings.LingerTime > settings.DrainTimeout {
 		add("linger-time", "%s must be at least 0 and at most the drain timeout", settings.LingerTime)
 	}
@@ -245,6 +251,8 @@
 		RouteObject:     settings.RouteObject,
 		NoClaims:        settings.Keyless,
 		NoProfiles:      settings.Keyless,
+
+		EvacuationPrefix: settings.EvacuationPrefix,
 	}
 }
 
--- a/daemon/upstream.go
+++ b/daemon/upstream.go
@@ -20,6 +20,7 @@
 	daemon.client.SetAddress(announcement.Address)
 	daemon.client.SetEchoesRequestID(announcement.EchoesRequestID)
 	daemon.client.SetExpectedInstance(announcement.Instance)
+	daemon.applyEvacuation(view)
 	daemon.gate.SetWarmupLimit(daemon.warmupLimit(view, announcement.Service))
 	daemon.gate.SetUpstream(announcement.StartedAt, announcement.Instance)
 	if announcement.ReportsWarmup {
@@ -68,15 +69,26 @@
 }
 
 // needsConfiguration reports whether the target must get nothing before this daemon has
-// the route table, which says how little a cold target takes.
+// the route table, which says how little a cold target takes, and knows whether its data
+// centre is evacuated.
 func (daemon *Daemon) needsConfiguration() bool {
-	return daemon.Settings.RouteObject != "" && daemon.Settings.WarmupOvershoot > 0
+	return daemon.Settings.RouteObject != "" && daemon.Settings.WarmupOvershoot > 0 || daemon.Settings.EvacuationPrefix != ""
+}
+
+// applyEvacuation closes the gate while this daemon's data centre is evacuated, and opens it
+// again, as a view says.
+func (daemon *Daemon) applyEvacuation(view *kernel.View) {
+	evacuated := view.IsEvacuated(daemon.Settings.DataCentre)
+	if daemon.gate.SetEvacuated(evacuated) {
+		load := daemon.gate.Load()
+		daemon.Log.Info("evacuation of the target changed", "evacuated", evacuated, "running", load.Running, "handedOver", daemon.gate.HandedOverCount())
+	}
 }
 
 // saysLeaving asks an upstream that has announced itself whether it is leaving.
 func (daemon *Daemon) saysLeaving(announcement upstream.Announcement) bool {
 	leaving := daemon.client.EffectiveDialect().Leaving
-	if leaving == nil {
+	if leaving == nil || daemon.control.view.Load().IsEvacuated(daemon.Settings.DataCentre) {
 		return false
 	}
 	daemon.client.SetAddress(announcement.Address)
--- a/io/caller/caller.go
+++ b/io/caller/caller.go
@@ -130,6 +130,7 @@
 		picker:   request.picker(service, rand.Uint64()),
 		events:   make(chan call.Event, eventBuffer),
 	}
+	exchange.picker.IsEvacuated = func(dataCentre string) bool { return handler.View().IsEvacuated(dataCentre) }
 	exchange.run()
 }
 
@@ -191,6 +192,12 @@
 			Status: http.StatusNotFound, Detail: fmt.Sprintf("no target and no operator has named a service %q", request.service),
 		}
 	}
+	if service.evacuated {
+		return &problem{
+			Type: problemType + "evacuated", Title: "the data centres of all targets are evacuated",
+			Status: http.StatusServiceUnavailable, retryAfter: evacuatedRetryAfter,
+		}
+	}
 	request.profile = service.profile
 	if view.Routes != nil && view.Routes.Limits.MaxBodyBytes > 0 {
 		request.profile.MaxBodyBytes = view.Routes.Limits.MaxBodyBytes
--- a/io/caller/request.go
+++ b/io/caller/request.go
@@ -31,6 +31,10 @@
 // that is still starting.
 const notReadyRetryAfter = 500 * time.Millisecond
 
+// evacuatedRetryAfter is the time after which a caller may retry whose request only targets
+// in evacuated data centres could run. Operators end evacuations, so the time is not known.
+const evacuatedRetryAfter = time.Second
+
 // request is a validated request of a caller, with the settings that its
 // profile and route give it.
 type request struct {
--- a/io/caller/services.go
+++ b/io/caller/services.go
@@ -23,6 +23,8 @@
 	profile profile.Profile
 	members []kernel.Member
 	known   bool
+	// evacuated is set if all targets are in evacuated data centres.
+	evacuated bool
 	// warmup is what the route table says of targets that have just started.
 	warmup route.Warmup
 }
@@ -59,6 +61,7 @@
 	}
 	updated := services.update(name, profile.FromView(view, name), shared, max(1, len(view.Members)))
 	updated.members = servingMembers(view, members)
+	updated.evacuated = allEvacuated(view, members)
 	if view.Routes != nil {
 		settings := view.Routes.Services[name]
 		updated.warmup = route.Warmup{PerSecond: settings.WarmupRate, Time: settings.WarmupTime}
@@ -170,12 +173,25 @@
 	return policy
 }
 
+// allEvacuated reports whether a service has serving members, and all of them are in
+// evacuated data centres.
+func allEvacuated(view *kernel.View, members []kernel.Member) bool {
+	found := false
+	for _, member := range members {
+		if member.Serves() && !view.IsEvacuated(member.DataCentre) {
+			return false
+		}
+		found = found || member.Serves()
+	}
+	return found
+}
+
 // servingMembers returns those serving members of a service that this daemon uses as
-// targets.
+// targets. Those in evacuated data centres are left out.
 func servingMembers(view *kernel.View, members []kernel.Member) []kernel.Member {
 	var serving []kernel.Member
 	for _, member := range members {
-		if member.Serves() {
+		if member.Serves() && !view.IsEvacuated(member.DataCentre) {
 			serving = append(serving, member)
 		}
 	}
--- a/io/operator/status.go
+++ b/io/operator/status.go
@@ -21,6 +21,7 @@
 	StartedAt         time.Time             `json:"started"`
 	Ready             bool                  `json:"ready"`
 	Watching          bool                  `json:"watching"`
+	Evacuated         []string              `json:"evacuated,omitempty"`
 	PlatformDownSince *time.Time            `json:"platformDown,omitempty"`
 	PlatformCalls     PlatformCalls         `json:"platformCalls"`
 	RecordsDigest     string                `json:"root"`
@@ -68,6 +69,7 @@
 		StartedAt:         api.StartedAt,
 		Ready:             view.Ready,
 		Watching:          view.Watching,
+		Evacuated:         view.Evacuated,
 		PlatformCalls:     PlatformCalls{Reads: reads, Writes: writes},
 		RecordsDigest:     strconv.FormatUint(view.TableDigest, 16),
 		ProbeInterval:     view.ProbeInterval.String(),
--- a/io/peer/codec.go
+++ b/io/peer/codec.go
@@ -65,7 +65,7 @@
 		Queued:                int32(load.Queued),
 		Slots:                 int32(load.Slots),
 		ServiceMicroseconds:   load.ServiceTime.Microseconds(),
-		Draining:              load.Draining,
+		Draining:              load.Draining || load.Evacuated,
 		Slowness:              int32(math.Round(load.Slowness * 100)),
 		TurnMicroseconds:      load.SlotInterval.Microseconds(),
 		WorkMicroseconds:      load.ClassServiceTime.Microseconds(),
--- a/io/upstream/gate.go
+++ b/io/upstream/gate.go
@@ -319,8 +319,22 @@
 	})
 }
 
+// SetEvacuated sets whether the data centre of the upstream is evacuated, and reports
+// whether that has changed.
+func (gate *Gate) SetEvacuated(evacuated bool) (changed bool) {
+	gate.apply(func() []admit.Effect {
+		changed = gate.machine.Load().Evacuated != evacuated
+		if !changed {
+			return nil
+		}
+		return gate.machine.Update(admit.EvacuationChanged{At: gate.Now(), Evacuated: evacuated})
+	})
+	return changed
+}
+
 // AllowProbe reports whether a health probe may be sent now. While the upstream is cold,
-// probes are rare and count towards the warm-up limit.
+// probes are rare and count towards the warm-up limit. While its data centre is evacuated
+// there are none.
 func (gate *Gate) AllowProbe() bool {
 	allowed := false
 	gate.apply(func() []admit.Effect {
