--- a/core/evacuate/calls.go
+++ b/core/evacuate/calls.go
@@ -163,12 +163,17 @@
 	held := dataCentresOf(state.Settings.EvacuationPrefix, result.Objects)
 	if record, known := state.Table.Get(recordKey(state)); known && result.Invalid > 0 {
 		if earlier, err := decodeState(record.Body); err == nil {
-			held = sorted(slices.Concat(held, earlier.DataCentres))
+			held = sorted(slices.Concat(held, plugin.notRemoved(earlier.DataCentres)))
 		}
 	}
 	return plugin.advance(state, at, held, result.Revision)
 }
 
+// notRemoved returns the names without those whose object was removed in this era.
+func (plugin *plugin) notRemoved(names []string) []string {
+	return slices.DeleteFunc(slices.Clone(names), func(name string) bool { return slices.Contains(plugin.removed, name) })
+}
+
 // handleChanges applies the changes that a watch has reported. Where their order is not
 // known or one could not be decoded, the objects are read instead.
 func (plugin *plugin) handleChanges(state *kernel.State, at time.Time, result kernel.PlatformResult) []kernel.Effect {
@@ -233,7 +238,7 @@
 		if isNewEra {
 			lost = earlier.all()
 		}
-		next = newState(held, slices.DeleteFunc(slices.Clone(lost), func(name string) bool { return slices.Contains(plugin.removed, name) }))
+		next = newState(held, plugin.notRemoved(lost))
 		if next.equals(earlier) && !isNewEra {
 			return nil
 		}
--- a/core/pick/statements_test.go
+++ b/core/pick/statements_test.go
@@ -58,6 +58,29 @@
 	is.Equal(len(fixture.chosen()), 0)
 }
 
+// A request may wait at a gate while another data centre is evacuated.
+func TestTargetInAnEvacuatedDataCentreIsNotChosen(t *testing.T) {
+	is := is.New(t)
+	fixture := newFixture()
+	for index := range fixture.members {
+		fixture.members[index].DataCentre = []string{"a", "b", "b"}[index]
+		fixture.members[index].State = kernel.MemberAlive
+	}
+	evacuated := map[string]bool{"a": true}
+	picker := &pick.Picker{Tracker: fixture.tracker, Profile: profile.Default(), Class: "c", HasObjective: true, Random: 1, ObjectiveLength: time.Second}
+	picker.IsEvacuated = func(dataCentre string) bool { return evacuated[dataCentre] }
+	link := func(kernel.Member) route.Link { return route.Link{} }
+	for range 20 {
+		choice, found := picker.Choose(fixture.now, fixture.members, link)
+		is.True(found)
+		is.Equal(choice.Member.DataCentre, "b")
+	}
+	evacuated["b"] = true
+	_, found := picker.Choose(fixture.now, fixture.members, link)
+	is.True(!found)
+	is.Equal(picker.DescribeExclusions(fixture.members, fixture.members), "3 evacuated: t0 t1 t2")
+}
+
 func TestRateLimitIsKnownUntilTheGateSaysOtherwise(t *testing.T) {
 	is := is.New(t)
 	fixture := newFixture()
--- a/daemon/announcement_test.go
+++ b/daemon/announcement_test.go
@@ -76,6 +76,37 @@
 	})
 }
 
+// A restarted daemon must not hand anything over before it knows of the evacuation.
+func TestTargetInAnEvacuatedDataCentre(t *testing.T) {
+	announced := upstream.Announcement{Service: "intake", Address: "127.0.0.1:9000", Slots: 4, HealthPath: "/health", StartedAt: 1000}
+	newDaemon := func(view *kernel.View) *Daemon {
+		daemon := &Daemon{Log: slog.New(slog.DiscardHandler), gate: &upstream.Gate{Now: time.Now}, client: &upstream.Client{}, control: newControl(kernel.Settings{Self: "intake-1"})}
+		daemon.Settings = Settings{DataCentre: "e1", EvacuationPrefix: "evacuations/"}
+		daemon.control.view.Store(view)
+		daemon.monitor = &upstream.Monitor{Now: time.Now, OnAnnouncement: daemon.handleAnnouncement, HoldsFirst: true, Drain: func() <-chan struct{} { return nil }}
+		return daemon
+	}
+	decide := func(daemon *Daemon) upstream.Decision {
+		return daemon.gate.Admit(admit.Arrived{Deadline: time.Now().Add(time.Minute)}, "").Wait(context.Background())
+	}
+	t.Run("gets nothing from its first announcement on, until the evacuation ends", func(t *testing.T) {
+		is := is.New(t)
+		daemon := newDaemon(&kernel.View{Self: "intake-1", Evacuated: []string{"e1"}})
+		daemon.handleAnnouncement(announced)
+		is.Equal(decide(daemon).Reason, admit.ReasonEvacuated)
+		daemon.applyEvacuation(&kernel.View{Self: "intake-1", Evacuated: []string{"e0", "e2"}})
+		is.True(decide(daemon).HandedOver)
+		daemon.applyEvacuation(&kernel.View{Self: "intake-1", Evacuated: []string{"e1"}})
+		is.Equal(decide(daemon).Reason, admit.ReasonEvacuated)
+	})
+	t.Run("is not accepted before the evacuations are known", func(t *testing.T) {
+		is := is.New(t)
+		daemon := newDaemon(&kernel.View{Self: "intake-1", Joined: true})
+		is.NoErr(daemon.monitor.ReceiveAnnouncement(announced))
+		is.True(!daemon.releaseFirstAnnouncement())
+	})
+}
+
 // The daemon may hear from another one only later that its upstream has left.
 func TestGateDrainsWhenADepartureIsLearnt(t *testing.T) {
 	announced := upstream.Announcement{Service: "intake", Address: "127.0.0.1:9000", Slots: 4, HealthPath: "/health", StartedAt: 1000}
--- a/daemon/cluster_test.go
+++ b/daemon/cluster_test.go
@@ -113,6 +113,9 @@
 	lingerTime   time.Duration
 	drainTimeout time.Duration
 	prefix       string
+	// evacuable is set if each daemon has a data centre of its own, which can be
+	// evacuated.
+	evacuable bool
 	// lastAttemptID is the number in the attempt ID of the last request.
 	lastAttemptID atomic.Int64
 }
@@ -135,6 +138,23 @@
 func newStoppingCluster(t *testing.T, daemons int, lingerTime, drainTimeout time.Duration) *cluster {
 	t.Helper()
 	cluster := &cluster{t: t, store: &platform.Store{}, lingerTime: lingerTime, drainTimeout: drainTimeout}
+	cluster.startAll(daemons)
+	return cluster
+}
+
+// newEvacuableCluster is like newCluster, with a data centre for each daemon: e0, e1 and
+// so on.
+func newEvacuableCluster(t *testing.T, daemons int) *cluster {
+	t.Helper()
+	cluster := &cluster{t: t, store: &platform.Store{}, drainTimeout: 10 * time.Second, evacuable: true}
+	cluster.startAll(daemons)
+	return cluster
+}
+
+// startAll starts the daemons and waits until every daemon knows every target.
+func (cluster *cluster) startAll(daemons int) {
+	t := cluster.t
+	t.Helper()
 	t.Cleanup(func() { cluster.logs.printIfFailed(t) })
 	cluster.prefix = fmt.Sprintf("127.%d.%d", 100+os.Getpid()%100, clusterCount.Add(1))
 	serveUntilEnd(t, cluster.prefix+".1:7000", cluster.store.Handler())
@@ -149,7 +169,6 @@
 		}
 		return true
 	})
-	return cluster
 }
 
 func serveUntilEnd(t *testing.T, address string, handler http.Handler) *http.Server {
@@ -205,13 +224,17 @@
 }
 
 func (cluster *cluster) settings(ip string, number int) daemon.Settings {
-	return daemon.Settings{
+	settings := daemon.Settings{
 		Name: fmt.Sprintf("intake-%d", number), Region: "east", DataCentre: "e1",
 		CallerAddress: ip + ":8000", PeerAddress: ip + ":8001", ForwardAddress: ip + ":8004", UpstreamAddress: ip + ":8002", OperatorAddress: ip + ":8003",
 		PlatformAddress: cluster.prefix + ".1:7000", PlatformRegion: "east", FirstPeers: []string{cluster.prefix + ".10:8001"},
 		RegionCapacity: 8, ClaimPartitions: 2, ClaimInterval: 5 * time.Millisecond, ClaimRetention: time.Hour,
 		DrainTimeout: cluster.drainTimeout, LingerTime: cluster.lingerTime,
 	}
+	if cluster.evacuable {
+		settings.DataCentre, settings.EvacuationPrefix = fmt.Sprintf("e%d", number), "evacuations/"
+	}
+	return settings
 }
 
 func (cluster *cluster) startUpstream(instance *instance, number int) {
--- a/io/caller/statements_test.go
+++ b/io/caller/statements_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
+	"net/http"
 	"net/http/httptest"
 	"testing"
+	"testing/iotest"
 	"time"
 
 	"github.com/matryer/is"
@@ -35,6 +38,26 @@
 	is.True(exchange.service.tracker.IsLeaving("t0", 7))
 }
 
+// A caller whose request no target may get must not wait until its body has arrived.
+func TestRequestsForEvacuatedTargetsAreRefusedAtOnce(t *testing.T) {
+	is := is.New(t)
+	handler := &Handler{Now: time.Now, Dialect: dialect.Default(), Log: slog.New(slog.DiscardHandler)}
+	member := func(id, dataCentre string) kernel.Member {
+		return kernel.Member{ID: id, DataCentre: dataCentre, State: kernel.MemberAlive, Target: kernel.Target{Service: "shop", State: kernel.TargetServing}}
+	}
+	members := []kernel.Member{member("t0", "a"), member("t1", "b")}
+	view := &kernel.View{Evacuated: []string{"a"}}
+	is.Equal(servingMembers(view, members), members[1:])
+	is.True(!allEvacuated(view, members))
+	view.Evacuated = []string{"a", "b"}
+	is.True(allEvacuated(view, members))
+	is.True(!allEvacuated(view, nil)) // a service without targets
+	unread := iotest.ErrReader(errors.New("the body was read"))
+	problem := handler.prepare(&request{}, &service{known: true, evacuated: true}, view, nil, httptest.NewRequest("POST", "/", unread), time.Now())
+	is.Equal(problem.Status, http.StatusServiceUnavailable)
+	is.Equal(problem.kind(), "evacuated")
+}
+
 func TestForwardedRequestCarriesTheKnownRateLimit(t *testing.T) {
 	is := is.New(t)
 	exchange := newExchange()
--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -287,5 +287,6 @@
 	store.mutex.Lock()
 	defer store.mutex.Unlock()
 	delete(store.objects, request.PathValue("name"))
+	store.revision++
 	writer.WriteHeader(http.StatusNoContent)
 }
--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -407,4 +407,41 @@
   'ReportsWarmup:   reportsWarmup,' 'ReportsWarmup:   reportsWarmup && false,' ./platform
 mutant "a cold target is accepted before its rate is known" daemon/upstream.go \
   'daemon.needsConfiguration() && !view.Ready' 'false && !view.Ready' ./daemon
+mutant "an evacuated gate takes new requests" core/admit/admit.go \
+  'case gate.evacuated:
+		return refuse(arrived.ID, ReasonEvacuated, 0)' 'case false:
+		return refuse(arrived.ID, ReasonEvacuated, 0)' ./core/admit
+mutant "an evacuated gate takes commits" core/admit/admit.go \
+  'case gate.evacuated:
+		return gate.revoke(' 'case false:
+		return gate.revoke(' ./core/admit
+mutant "queued requests run in an evacuated data centre" core/admit/evacuate.go \
+  'gate.refuseQueued(ReasonEvacuated)' 'gate.refuseQueued("")[:0]' ./core/admit
+mutant "a daemon is ready before it knows the evacuations" core/evacuate/evacuate.go \
+  'return plugin.evacuated != nil && (plugin.synced || plugin.current)' 'return plugin.evacuated != nil || true' ./core/evacuate
+mutant "a stale read suffices without a neighbour" core/evacuate/evacuate.go \
+  'if stale == nil || !plugin.synced {' 'plugin.current = true; if stale == nil {' ./core/evacuate
+mutant "a stale read goes before the record of a neighbour" core/evacuate/evacuate.go \
+  'if _, known := state.Table.Get(recordKey(state)); known {
+		return nil' 'if _, known := state.Table.Get(recordKey(state)); known && false {
+		return nil' ./core/evacuate
+mutant "a removal is ignored" core/evacuate/calls.go \
+  'return other == name })
+	}' 'return other == name+"-" })
+	}' ./core/evacuate
+mutant "a removal that a watch has missed is not read" core/evacuate/calls.go \
+  'case plugin.seenRevision > plugin.checkedRevision &&' 'case false &&' ./core/evacuate
+mutant "an earlier revision replaces a later one" core/evacuate/calls.go \
+  'read.encode() <= record.Version' 'false' ./core/evacuate
+mutant "a store that comes back from a copy ends an evacuation" core/evacuate/calls.go \
+  'lost = earlier.all()' 'lost = nil' ./standin/fleet
+mutant "objects that cannot be decoded end evacuations" core/evacuate/calls.go \
+  'known && result.Invalid > 0 {' 'known && false {' ./core/evacuate
+mutant "a deletion is not passed on" platform/store.go \
+  'result.Deleted = append(result.Deleted, full)' '_ = full' ./platform
+mutant "an ingress sends to an evacuated data centre" core/pick/pick.go \
+  '|| picker.isEvacuated(member):' '|| false:' ./core/pick
+mutant "the gate opens before the evacuation is known" daemon/upstream.go \
+  '	daemon.applyEvacuation(view)
+' '' ./daemon
 exit $living
