--- a/core/evacuate/evacuate_test.go
+++ b/core/evacuate/evacuate_test.go
@@ -9,6 +9,7 @@
 
 	_ "ibislift/core/evacuate"
 	"ibislift/core/kernel"
+	_ "ibislift/core/spread"
 )
 
 const prefix = "evacuations/"
@@ -64,6 +65,12 @@
 	daemon.update(kernel.PlatformCallEnded{Owner: call.Owner, Token: call.Token, Result: result})
 }
 
+// receive delivers a record from a neighbour.
+func (daemon *daemon) receive(version uint64, body string) {
+	record := kernel.Record{Key: kernel.Key{Kind: kernel.KindEvacuations, Name: prefix}, Version: version, Body: []byte(body)}
+	daemon.update(kernel.EnvelopeReceived{Envelope: kernel.Envelope{From: "b", Records: []kernel.Record{record}}})
+}
+
 // holding returns a result with the objects of some data centres.
 func holding(revision uint64, dataCentres ...string) kernel.PlatformResult {
 	result := kernel.PlatformResult{Revision: revision}
@@ -117,7 +124,17 @@
 		is.True(!daemon.view.EvacuationsUnknown)
 		requireEvacuated(t, daemon, "east")
 	})
-	t.Run("the store is down and a neighbour knows the evacuations", func(t *testing.T) {
+	t.Run("what a neighbour knows goes before the first read", func(t *testing.T) {
+		is := is.New(t)
+		daemon := newEnabled()
+		daemon.receive(20, `{"dataCentres":["east"]}`)
+		is.True(daemon.view.EvacuationsUnknown) // more records may follow
+		daemon.update(kernel.PeerSynced{})
+		is.True(!daemon.view.EvacuationsUnknown)
+		daemon.reply(holding(30)) // some seconds old
+		requireEvacuated(t, daemon, "east")
+	})
+	t.Run("the store is down and no neighbour knows the evacuations", func(t *testing.T) {
 		is := is.New(t)
 		daemon := newEnabled()
 		daemon.reply(kernel.PlatformResult{Status: kernel.PlatformNotExecuted})
@@ -236,9 +253,10 @@
 	t.Run("a damaged record is refused", func(t *testing.T) {
 		daemon := watching(t, "east")
 		for _, body := range []string{``, `{`, `[]`, `{"dataCentres":["b","a"]}`, `{"dataCentres":[""]}`, `{"lost":["a","a"]}`} {
-			record := kernel.Record{Key: kernel.Key{Kind: kernel.KindEvacuations, Name: prefix}, Version: 1 << 60, Body: []byte(body)}
-			daemon.update(kernel.RecordsMerged{From: "b", Records: []kernel.Record{record}})
+			daemon.receive(1<<60, body)
 			requireEvacuated(t, daemon, "east")
 		}
+		daemon.reply(holding(12, "west"))
+		requireEvacuated(t, daemon, "east", "west")
 	})
 }
--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -431,8 +431,12 @@
 	}' ./core/evacuate
 mutant "a removal that a watch has missed is not read" core/evacuate/calls.go \
   'case plugin.seenRevision > plugin.checkedRevision &&' 'case false &&' ./core/evacuate
-mutant "an earlier revision replaces a later one" core/evacuate/calls.go \
-  'read.encode() <= record.Version' 'false' ./core/evacuate
+mutant "evacuations are ordered without the era of the store" core/evacuate/state.go \
+  'return version.era<<revisionBits |' 'return 0 |' ./standin/fleet
+mutant "a damaged record of evacuations is merged" core/evacuate/evacuate.go \
+  'return err == nil
+}' 'return err == nil || true
+}' ./core/evacuate
 mutant "a store that comes back from a copy ends an evacuation" core/evacuate/calls.go \
   'lost = earlier.all()' 'lost = nil' ./standin/fleet
 mutant "objects that cannot be decoded end evacuations" core/evacuate/calls.go \
