cold targets: a test with daemons on loopback, and the stand-in's cold upstreams

The age of a target is taken once, since a clock that is set back would have kept it cold for as long.

--- a/core/admit/warmup.go
+++ b/core/admit/warmup.go
@@ -142,8 +142,9 @@
 	tokens := 0.0
 	if !limiter.known {
 		tokens = -firstProbeTokens
-		if own := time.UnixMilli(started.StartedAt); own.Before(started.At) {
-			limiter.freshSince = own
+		// The age is taken once, since the system clock may be set later.
+		if age := started.At.Sub(time.UnixMilli(started.StartedAt)); age > 0 {
+			limiter.freshSince = started.At.Add(-age)
 		}
 	}
 	limiter.startedAt, limiter.instance, limiter.known = started.StartedAt, started.Instance, true
--- a/daemon/cluster_test.go
+++ b/daemon/cluster_test.go
@@ -116,6 +116,8 @@
 	// evacuable is set if each daemon has a data centre of its own, which can be
 	// evacuated.
 	evacuable bool
+	// routeTable is the body of the route table, or empty without one.
+	routeTable string
 	// lastAttemptID is the number in the attempt ID of the last request.
 	lastAttemptID atomic.Int64
 }
@@ -158,6 +160,9 @@
 	t.Cleanup(func() { cluster.logs.printIfFailed(t) })
 	cluster.prefix = fmt.Sprintf("127.%d.%d", 100+os.Getpid()%100, clusterCount.Add(1))
 	serveUntilEnd(t, cluster.prefix+".1:7000", cluster.store.Handler())
+	if cluster.routeTable != "" {
+		cluster.writeObject("config/main", cluster.routeTable)
+	}
 	for number := range daemons {
 		cluster.start(number)
 	}
@@ -234,6 +239,9 @@
 	if cluster.evacuable {
 		settings.DataCentre, settings.EvacuationPrefix = fmt.Sprintf("e%d", number), "evacuations/"
 	}
+	if cluster.routeTable != "" {
+		settings.RouteObject, settings.WarmupOvershoot, settings.WarmupSlack = "config/main", 1.5, 8
+	}
 	return settings
 }
 
--- a/daemon/evacuation_test.go
+++ b/daemon/evacuation_test.go
@@ -13,10 +13,20 @@
 	"ibislift/standin/platform"
 )
 
-// changeObject writes an empty object or deletes it, as an operator does.
-func (cluster *cluster) changeObject(method, name string) {
+// writeObject writes a new object, as an operator does, and deleteObject deletes one.
+func (cluster *cluster) writeObject(name, body string) {
 	cluster.t.Helper()
-	request, err := http.NewRequest(method, "http://"+cluster.prefix+".1:7000/objects/"+name, strings.NewReader("{}"))
+	cluster.changeObject(http.MethodPut, name, body)
+}
+
+func (cluster *cluster) deleteObject(name string) {
+	cluster.t.Helper()
+	cluster.changeObject(http.MethodDelete, name, "")
+}
+
+func (cluster *cluster) changeObject(method, name, body string) {
+	cluster.t.Helper()
+	request, err := http.NewRequest(method, "http://"+cluster.prefix+".1:7000/objects/"+name, strings.NewReader(body))
 	is := is.New(cluster.t)
 	is.NoErr(err)
 	if method == http.MethodPut {
@@ -79,7 +89,7 @@
 	t.Run("until the evacuation it gets requests", func(t *testing.T) {
 		is.New(t).True(floodFor(t, time.Second) > 0)
 	})
-	cluster.changeObject(http.MethodPut, "evacuations/e1")
+	cluster.writeObject("evacuations/e1", "{}")
 	cluster.awaitEvacuated("e1")
 	t.Run("from any daemon", func(t *testing.T) {
 		is.New(t).Equal(floodFor(t, time.Second), 0)
@@ -99,8 +109,8 @@
 	})
 	t.Run("if all are evacuated, requests are refused at once", func(t *testing.T) {
 		is := is.New(t)
-		cluster.changeObject(http.MethodPut, "evacuations/e0")
-		cluster.changeObject(http.MethodPut, "evacuations/e2")
+		cluster.writeObject("evacuations/e0", "{}")
+		cluster.writeObject("evacuations/e2", "{}")
 		cluster.awaitEvacuated("e0", "e1", "e2")
 		began := time.Now()
 		response := cluster.send(0, request{method: "GET", path: "/enrol"})
@@ -110,7 +120,7 @@
 		is.True(time.Since(began) < time.Second)
 	})
 	t.Run("until its object is removed", func(t *testing.T) {
-		cluster.changeObject(http.MethodDelete, "evacuations/e1")
+		cluster.deleteObject("evacuations/e1")
 		cluster.awaitEvacuated("e0", "e2")
 		is.New(t).True(floodFor(t, time.Second) > 0)
 	})
--- a/standin/upstream/announce.go
+++ b/standin/upstream/announce.go
@@ -26,11 +26,12 @@
 
 		EchoesRequestID: true,
 	}
-	body, err := json.Marshal(announcement)
-	if err != nil {
-		return
-	}
 	for ctx.Err() == nil {
+		server.announceWarmup(&announcement)
+		body, err := json.Marshal(announcement)
+		if err != nil {
+			return
+		}
 		_ = post(ctx, "http://"+daemon+"/announce", body)
 		sleep(ctx, announceInterval)
 	}
--- a/standin/upstream/statements.go
+++ b/standin/upstream/statements.go
@@ -96,6 +96,7 @@
 	server.mutex.Lock()
 	defer server.mutex.Unlock()
 	server.statements.count(time.Now())
+	server.warmup.count(time.Now())
 }
 
 // state adds what the upstream says of its own state to the header of a response.
@@ -103,4 +104,5 @@
 	server.mutex.Lock()
 	defer server.mutex.Unlock()
 	server.statements.write(header, time.Now())
+	server.warmup.write(header, time.Now())
 }
--- a/standin/upstream/upstream.go
+++ b/standin/upstream/upstream.go
@@ -51,6 +51,9 @@
 	RateLimit *float64 `json:"rateLimit,omitempty"`
 	// Leaving makes all responses say that the upstream is leaving.
 	Leaving bool `json:"leaving"`
+	// ColdFor makes the upstream cold for a time from now on, which it says in all
+	// responses and heartbeats. Nothing is refused meanwhile.
+	ColdFor time.Duration `json:"coldFor,omitempty"`
 }
 
 // Request headers that the stand-in interprets.
@@ -81,6 +84,7 @@
 	mutex      sync.Mutex
 	switches   Switches
 	statements statements
+	warmup     warmup
 	random     *rand.Rand
 	slots      chan struct{}
 	running    atomic.Int64
@@ -112,6 +116,7 @@
 	}
 	server.switches = switches
 	server.statements.set(switches)
+	server.warmup.set(switches, time.Now())
 }
 
 // Running returns the number of requests that hold a slot.
@@ -131,6 +136,7 @@
 }
 
 func (server *Server) handleHealth(writer http.ResponseWriter, request *http.Request) {
+	server.countProbe()
 	writer.Header().Set(dialect.Default().RequestID, request.Header.Get(dialect.Default().RequestID))
 	if server.currentSwitches().FailHealthProbes {
 		http.Error(writer, "sick", http.StatusInternalServerError)
