--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -147,6 +147,8 @@
 	ReasonCancelled          Reason = "cancelled"
 	// ReasonNoUpstream means that the gate has no slots, because there is no upstream.
 	ReasonNoUpstream Reason = "noUpstream"
+	// ReasonEvacuated means that the data centre of the upstream is evacuated.
+	ReasonEvacuated Reason = "evacuated"
 	// ReasonUpstreamRefused means that the upstream itself refused the request
 	// without running it.
 	ReasonUpstreamRefused Reason = "upstreamRefused"
@@ -164,6 +166,8 @@
 	// JSON has it in nanoseconds.
 	ServiceTime time.Duration `json:"service"`
 	Draining    bool          `json:"draining"`
+	// Evacuated means that the data centre is evacuated. Other daemons see it as Draining.
+	Evacuated bool `json:"evacuated,omitempty"`
 	// Slowness is the current service time of requests as a multiple of their
 	// normal service time. 0 means that the upstream does not report it.
 	Slowness float64 `json:"slowness,omitempty"`
@@ -173,9 +177,12 @@
 	// speed. 0 means that it is unknown.
 	ClassServiceTime time.Duration `json:"work,omitempty"`
 	// RateLimit is what the upstream has said of its rate limit, and RateDelay the time
-	// until it lets a further request through.
+	// until that and the warm-up limit let a further request through.
 	RateLimit RateLimit     `json:"rateLimit,omitzero"`
 	RateDelay time.Duration `json:"rateDelay,omitempty"`
+	// WarmupLeft is how much longer the warm-up limit is in force. It stays on this
+	// daemon.
+	WarmupLeft time.Duration `json:"warmupLeft,omitempty"`
 }
 
 type stage uint8
@@ -194,8 +201,10 @@
 	started time.Time
 	// slowness is the slowness of the upstream at started.
 	slowness float64
-	// token is what the request has taken of the rate limit at started.
-	token token
+	// token is what the request has taken of the rate limit at started, and warmupToken
+	// what it has taken of the warm-up limit.
+	token       token
+	warmupToken warmupToken
 }
 
 // Gate is the admission control of one upstream. Set the exported fields before
@@ -212,7 +221,8 @@
 	MaxSlownessAge time.Duration
 
 	estimator
-	rateLimiter rateLimiter
+	rateLimiter   rateLimiter
+	warmupLimiter warmupLimiter
 	// lastArrivalAt is when the last request arrived, measureRequestedAt when
 	// the gate last emitted MeasureSlowness.
 	lastArrivalAt      time.Time
@@ -230,6 +240,7 @@
 	lastEmptyAt time.Time
 	draining    bool
 	drained     bool
+	evacuated   bool
 }
 
 // Update processes an event and returns the effects to perform, in order.
@@ -267,6 +278,20 @@
 		return nil
 	case UpstreamStarted:
 		gate.rateLimiter.start(event)
+		gate.warmupLimiter.start(event)
+		return nil
+	case WarmupLimitSet:
+		gate.warmupLimiter.set(event)
+		return gate.fillSlots(event.At)
+	case WarmupReported:
+		gate.warmupLimiter.report(event)
+		return gate.fillSlots(event.At)
+	case EvacuationChanged:
+		return gate.changeEvacuation(event)
+	case ProbeDue:
+		if !gate.evacuated && gate.warmupLimiter.allowsProbe(event.At) {
+			return []Effect{AllowProbe{}}
+		}
 		return nil
 	case Resized:
 		gate.Slots = event.Slots
@@ -281,7 +306,7 @@
 }
 
 // Load returns the load of the gate without SlotInterval, ClassServiceTime,
-// RateDelay and Slowness.
+// RateDelay, WarmupLeft and Slowness.
 func (gate *Gate) Load() Load {
 	return Load{
 		Running:     gate.slotsInUse,
@@ -289,16 +314,20 @@
 		Slots:       gate.capacity(),
 		ServiceTime: gate.serviceTime,
 		Draining:    gate.draining || gate.Slots == 0,
+		Evacuated:   gate.evacuated,
 		RateLimit:   gate.rateLimiter.limit,
 	}
 }
 
 // LoadForClass returns the load of the gate at a time, including SlotInterval, RateDelay,
-// the ClassServiceTime of a class of requests, and Slowness if the upstream reports it.
+// WarmupLeft, the ClassServiceTime of a class of requests, and Slowness if the upstream reports it.
 func (gate *Gate) LoadForClass(at time.Time, class string) Load {
 	load := gate.Load()
 	load.SlotInterval = gate.slotInterval(at)
-	load.RateDelay = gate.rateLimiter.delay(at, len(gate.queue)+1)
+	load.RateDelay = gate.limitDelay(at, len(gate.queue)+1)
+	if gate.warmupLimiter.isLimited(at) {
+		load.WarmupLeft = gate.warmupLimiter.left(at)
+	}
 	load.ClassServiceTime = gate.meanOfClass[class]
 	if gate.slowness > 0 {
 		load.Slowness = gate.slownessAt(at)
@@ -312,6 +341,8 @@
 	switch {
 	case gate.draining:
 		return refuse(arrived.ID, ReasonDraining, 0)
+	case gate.evacuated:
+		return refuse(arrived.ID, ReasonEvacuated, 0)
 	case gate.Slots == 0:
 		return refuse(arrived.ID, ReasonNoUpstream, time.Second)
 	}
@@ -363,7 +394,8 @@
 }
 
 // commit hands over a reserved request, unless its reservation or its deadline
-// has passed, or the upstream has named a rate limit since that has no room for it.
+// has passed, or the upstream has named a rate limit or become cold since and there is no
+// room for it.
 func (gate *Gate) commit(committed Committed) []Effect {
 	reserved, known := gate.requests[committed.ID]
 	switch {
@@ -371,16 +403,23 @@
 		return refuse(committed.ID, ReasonReservationExpired, 0)
 	case reserved.stage != stageReserved:
 		return nil
+	case gate.evacuated:
+		return gate.revoke(committed.ID, ReasonEvacuated, committed.At)
 	case committed.At.Sub(reserved.started) >= ReservationTimeout:
 		return gate.revoke(committed.ID, ReasonReservationExpired, committed.At)
 	case gate.rateLimiter.isVoid(reserved.token) && gate.rateLimiter.delay(committed.At, 1) > 0:
 		return gate.revoke(committed.ID, ReasonBusy, committed.At)
+	case gate.warmupLimiter.isVoid(reserved.warmupToken, committed.At) && gate.warmupLimiter.delay(committed.At, 1) > 0:
+		return gate.revoke(committed.ID, ReasonBusy, committed.At)
 	case !committed.At.Before(reserved.arrived.Deadline):
 		return gate.revoke(committed.ID, ReasonDeadline, committed.At)
 	}
 	if gate.rateLimiter.isVoid(reserved.token) {
 		reserved.token = gate.rateLimiter.take()
 	}
+	if gate.warmupLimiter.isVoid(reserved.warmupToken, committed.At) {
+		reserved.warmupToken = gate.warmupLimiter.take(committed.At)
+	}
 	reserved.stage = stageRunning
 	reserved.started = committed.At
 	reserved.slowness = gate.slownessAt(committed.At)
@@ -392,7 +431,7 @@
 	gate.rateLimiter.giveBack(gate.requests[id].token)
 	delete(gate.requests, id)
 	gate.slotsInUse--
-	return append(refuse(id, reason, gate.rateLimiter.delay(at, 1)), gate.fillSlots(at)...)
+	return append(refuse(id, reason, gate.limitDelay(at, 1)), gate.fillSlots(at)...)
 }
 
 // cancel refuses a request that has not run. A running request keeps its slot
--- a/core/kernel/kernel.go
+++ b/core/kernel/kernel.go
@@ -161,6 +161,7 @@
 		// Only the route table says which requests need an API key.
 		view.Ready = false
 	}
+	view.Ready = view.Ready && !view.EvacuationsUnknown
 	view.index()
 	return view
 }
--- a/core/pick/exclusion.go
+++ b/core/pick/exclusion.go
@@ -26,6 +26,8 @@
 	// ExcludedRegion means that the target is outside the regions that the request's
 	// route and workspace allow.
 	ExcludedRegion Exclusion = "otherRegion"
+	// ExcludedEvacuated means that the target's data centre is evacuated.
+	ExcludedEvacuated Exclusion = "evacuated"
 	// ExcludedUnused means that this daemon does not use the target, since it
 	// uses only some of the service's targets.
 	ExcludedUnused Exclusion = "unused"
@@ -68,6 +70,8 @@
 		return ExcludedTried
 	case !IsAllowed(picker.Regions, member):
 		return ExcludedRegion
+	case picker.isEvacuated(member):
+		return ExcludedEvacuated
 	case member.State == kernel.MemberDead:
 		return ExcludedDead
 	case member.Leaving || picker.Tracker.IsLeaving(member.ID, member.Target.StartedAt):
--- a/daemon/changes.go
+++ b/daemon/changes.go
@@ -5,6 +5,7 @@
 	"maps"
 	"slices"
 
+	"ibislift/core/admit"
 	"ibislift/core/kernel"
 	"ibislift/core/route"
 	"ibislift/core/routes"
@@ -31,6 +32,9 @@
 		}
 	}
 	logRoutes(log, before, now)
+	if !slices.Equal(before.Evacuated, now.Evacuated) {
+		log.Info("evacuations changed", "dataCentres", now.Evacuated, "was", before.Evacuated)
+	}
 	if before.Watching != now.Watching {
 		log.Info("watcher changed", "watching", now.Watching)
 	}
@@ -107,6 +111,16 @@
 	return count
 }
 
+// logWarmup logs that the local target has become cold or warm, and reports whether it is
+// cold.
+func logWarmup(log *slog.Logger, wasCold bool, load admit.Load) (cold bool) {
+	cold = load.WarmupLeft > 0
+	if cold != wasCold {
+		log.Info("warm-up of the target changed", "cold", cold, "warmupLeft", load.WarmupLeft, "running", load.Running, "queued", load.Queued)
+	}
+	return cold
+}
+
 // logHealthChanges logs each target whose health, as seen by the daemon's own
 // requests, has changed, and returns now.
 func logHealthChanges(log *slog.Logger, before, now map[string]route.Health) map[string]route.Health {
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -40,6 +40,7 @@
 	// The plug-ins of the kernel register themselves.
 	_ "ibislift/core/beacon"
 	_ "ibislift/core/crash"
+	_ "ibislift/core/evacuate"
 	_ "ibislift/core/measure"
 	_ "ibislift/core/member"
 	_ "ibislift/core/once"
@@ -365,7 +366,7 @@
 	lastView := &kernel.View{}
 	var health map[string]route.Health
 	proximitiesClearedAt := time.Now()
-	released := false
+	released, cold := false, false
 	for {
 		select {
 		case <-ctx.Done():
@@ -373,6 +374,7 @@
 		case <-ticker.C:
 			released = released || daemon.releaseFirstAnnouncement()
 			daemon.monitor.CheckSilence()
+			cold = logWarmup(daemon.Log, cold, daemon.gate.Load())
 			health = logHealthChanges(daemon.Log, health, daemon.ingress.AssessHealth())
 			if time.Since(proximitiesClearedAt) > proximityCacheTime {
 				daemon.proximities.Clear()
@@ -385,6 +387,7 @@
 					daemon.configAppliedAt.Store(&now)
 				}
 				lastView = view
+				daemon.applyEvacuation(view)
 				daemon.resizeGate(daemon.monitor.Current())
 				daemon.drainDeparted(view)
 				daemon.peers.CloseUnused(view)
@@ -402,5 +405,6 @@
 		return
 	}
 	rules := profile.FromView(view, announcement.Service)
+	daemon.gate.SetWarmupLimit(daemon.warmupLimit(view, announcement.Service))
 	daemon.gate.Resize(announcement.Slots, rules.QueueBound)
 }
--- a/daemon/flags.go
+++ b/daemon/flags.go
@@ -52,6 +52,8 @@
 	command.Flag("ready-address", "IP:port for readiness checks.").StringVar(&settings.ReadyAddress)
 	command.Flag("route-object", "Platform object KIND/NAME that holds the route table; without it a request's host selects its service.").
 		StringVar(&settings.RouteObject)
+	command.Flag("evacuation-prefix", "KIND/ of the platform objects that evacuate the data centres that they are named after; without it there are none.").
+		StringVar(&settings.EvacuationPrefix)
 	command.Flag("keyless", "Callers send no idempotency keys and operators write no profiles.").BoolVar(&settings.Keyless)
 	command.Flag("silence-time", "How long an upstream may go without a heartbeat.").
 		Default(upstream.DefaultSilenceTimeout.String()).DurationVar(&settings.SilenceTimeout)
@@ -67,6 +69,10 @@
 		Default("0").Float64Var(&settings.SharedRetryRatio)
 	command.Flag("shared-retry-slack", "Extra attempts for a service in addition to the ratio, over all daemons.").
 		Default("0").Float64Var(&settings.SharedRetrySlack)
+	command.Flag("warmup-overshoot", "Requests that a cold upstream may get in any second, as a multiple of its warm-up rate; with 0 there is no limit.").
+		Default("0").Float64Var(&settings.WarmupOvershoot)
+	command.Flag("warmup-slack", "Requests that a cold upstream may get in any second in addition.").
+		Default("0").Float64Var(&settings.WarmupSlack)
 	command.Flag("log-format", "Format of the logs.").Default("text").EnumVar(&flags.logFormat, "text", "json")
 	command.Flag("log-level", "Minimum level that is logged.").Default("info").EnumVar(&flags.logLevel, "debug", "info", "warn", "error")
 }
--- a/daemon/gauges.go
+++ b/daemon/gauges.go
@@ -38,6 +38,10 @@
 		},
 		{"ibislift.configuration.age.seconds", "Time since the configuration in force came into force here.", daemon.configurationAgeSeconds},
 		{"ibislift.platform.silent.seconds", "Time since the platform has not answered; 0 while it does.", daemon.platformSilentSeconds},
+		{
+			"ibislift.evacuated.data.centres", "Data centres whose targets get nothing, as known here.",
+			func() int64 { return int64(len(daemon.control.view.Load().Evacuated)) },
+		},
 		{
 			"ibislift.probes.allowed", "Probes a minute that the measuring budget leaves this daemon.",
 			func() int64 { return probesPerMinute(daemon.control.view.Load().ProbeInterval) },
@@ -46,6 +50,8 @@
 		group.Add(daemon.meter.AddGauge(gauge.name, gauge.description, gauge.value))
 	}
 	group.Add(daemon.meter.AddFloatGauge("ibislift.gate.rate.limit", "Requests a second that the upstream beside takes; -1 without a limit.", daemon.rateLimit))
+	group.Add(daemon.meter.AddFloatGauge("ibislift.gate.warmup.left.seconds", "How much longer the upstream beside is cold; 0 while it is warm.",
+		func() float64 { return daemon.gate.Load().WarmupLeft.Seconds() }))
 	if daemon.DroppedLogLines != nil {
 		group.Add(daemon.meter.AddCounter("ibislift.log.dropped", "Log lines left out.",
 			func() int64 { return int64(daemon.DroppedLogLines()) }))
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"net"
 	"net/netip"
 	"regexp"
@@ -67,6 +68,9 @@
 	// operators' route table. If it is empty, the host of a request selects its
 	// service.
 	RouteObject string
+	// EvacuationPrefix begins the names of the platform objects that evacuate data
+	// centres, such as "evacuations/". If it is empty, the platform is not asked for any.
+	EvacuationPrefix string
 	// Keyless says that callers send no idempotency keys and operators write no
 	// profiles. The platform is then asked for neither claims nor profiles.
 	Keyless bool
@@ -94,6 +98,11 @@
 	// the profiles apply.
 	SharedRetryRatio float64
 	SharedRetrySlack float64
+	// A cold upstream gets at most the warm-up rate of the route table times
+	// WarmupOvershoot plus WarmupSlack requests in any second. With an overshoot of 0 it
+	// gets as many as a warm one.
+	WarmupOvershoot float64
+	WarmupSlack     float64
 }
 
 // Link describes the network link to another region: its one-way latency and
@@ -162,6 +171,9 @@
 	if settings.RouteObject != "" && !strings.Contains(settings.RouteObject, "/") {
 		add("route-object", "%q is not KIND/NAME", settings.RouteObject)
 	}
+	if prefix := settings.EvacuationPrefix; prefix != "" && (len(prefix) < 2 || strings.Index(prefix, "/") != len(prefix)-1) {
+		add("evacuation-prefix", "%q is not KIND/", prefix)
+	}
 	if settings.LingerTime < 0 || settings.LingerTime > settings.DrainTimeout {
 		add("linger-time", "%s must be at least 0 and at most the drain timeout", settings.LingerTime)
 	}
@@ -173,6 +185,11 @@
 			add(flag, "%g must be at least 0", price)
 		}
 	}
+	for flag, number := range map[string]float64{"warmup-overshoot": settings.WarmupOvershoot, "warmup-slack": settings.WarmupSlack} {
+		if isBound := number >= 0 && !math.IsInf(number, 0); !isBound {
+			add(flag, "%g must be at least 0", number)
+		}
+	}
 	if settings.SharedRetryRatio < 0 || settings.SharedRetryRatio > 1 {
 		add("shared-retry-ratio", "%g is not in the range 0 to 1", settings.SharedRetryRatio)
 	}
@@ -234,6 +251,8 @@
 		RouteObject:     settings.RouteObject,
 		NoClaims:        settings.Keyless,
 		NoProfiles:      settings.Keyless,
+
+		EvacuationPrefix: settings.EvacuationPrefix,
 	}
 }
 
--- a/daemon/upstream.go
+++ b/daemon/upstream.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"ibislift/core/admit"
 	"ibislift/core/kernel"
 	"ibislift/core/profile"
 	"ibislift/io/upstream"
@@ -19,7 +20,12 @@
 	daemon.client.SetAddress(announcement.Address)
 	daemon.client.SetEchoesRequestID(announcement.EchoesRequestID)
 	daemon.client.SetExpectedInstance(announcement.Instance)
-	daemon.gate.SetUpstream(announcement.StartedAt)
+	daemon.applyEvacuation(view)
+	daemon.gate.SetWarmupLimit(daemon.warmupLimit(view, announcement.Service))
+	daemon.gate.SetUpstream(announcement.StartedAt, announcement.Instance)
+	if announcement.ReportsWarmup {
+		daemon.gate.RecordWarmup(announcement.WarmupLeft, time.Time{})
+	}
 	switch {
 	case announcement.Draining:
 		daemon.gate.Drain()
@@ -31,6 +37,17 @@
 	daemon.control.send(kernel.UpstreamAnnounced{Target: announcement.Target(), Instance: announcement.Instance})
 }
 
+// warmupLimit returns how many requests a second a target of the service takes while it is
+// cold, as the route table in force and the settings say.
+func (daemon *Daemon) warmupLimit(view *kernel.View, name string) admit.WarmupLimit {
+	settings := daemon.liveSettings.Load()
+	if settings == nil || view.Routes == nil {
+		return admit.WarmupLimit{}
+	}
+	service := view.Routes.Services[name]
+	return admit.NewWarmupLimit(service.WarmupRate, settings.WarmupOvershoot, settings.WarmupSlack, service.WarmupTime)
+}
+
 // firstProbeTimeout limits the probe before the first announcement is accepted.
 const firstProbeTimeout = 300 * time.Millisecond
 
@@ -40,7 +57,8 @@
 // its responses. It reports whether announcements are accepted from now on.
 func (daemon *Daemon) releaseFirstAnnouncement() bool {
 	announcement, present := daemon.monitor.Held()
-	if !present || !daemon.control.view.Load().Joined {
+	view := daemon.control.view.Load()
+	if !present || !view.Joined || daemon.needsConfiguration() && !view.Ready {
 		return false
 	}
 	if err := daemon.monitor.Release(daemon.saysLeaving(announcement)); err != nil {
@@ -50,10 +68,27 @@
 	return true
 }
 
+// needsConfiguration reports whether the target must get nothing before this daemon has
+// the route table, which says how little a cold target takes, and knows whether its data
+// centre is evacuated.
+func (daemon *Daemon) needsConfiguration() bool {
+	return daemon.Settings.RouteObject != "" && daemon.Settings.WarmupOvershoot > 0 || daemon.Settings.EvacuationPrefix != ""
+}
+
+// applyEvacuation closes the gate while this daemon's data centre is evacuated, and opens it
+// again, as a view says.
+func (daemon *Daemon) applyEvacuation(view *kernel.View) {
+	evacuated := view.IsEvacuated(daemon.Settings.DataCentre)
+	if daemon.gate.SetEvacuated(evacuated) {
+		load := daemon.gate.Load()
+		daemon.Log.Info("evacuation of the target changed", "evacuated", evacuated, "running", load.Running, "handedOver", daemon.gate.HandedOverCount())
+	}
+}
+
 // saysLeaving asks an upstream that has announced itself whether it is leaving.
 func (daemon *Daemon) saysLeaving(announcement upstream.Announcement) bool {
 	leaving := daemon.client.EffectiveDialect().Leaving
-	if leaving == nil {
+	if leaving == nil || daemon.control.view.Load().IsEvacuated(daemon.Settings.DataCentre) {
 		return false
 	}
 	daemon.client.SetAddress(announcement.Address)
@@ -103,7 +138,7 @@
 // probeUpstream sends a health probe to the local upstream, unless requests are
 // running there: their responses show its health as well.
 func (daemon *Daemon) probeUpstream() {
-	if daemon.gate.Load().Running > 0 {
+	if daemon.gate.Load().Running > 0 || !daemon.gate.AllowProbe() {
 		return
 	}
 	path := daemon.healthPath(daemon.monitor.Current())
--- a/io/caller/request.go
+++ b/io/caller/request.go
@@ -31,6 +31,10 @@
 // that is still starting.
 const notReadyRetryAfter = 500 * time.Millisecond
 
+// evacuatedRetryAfter is the time after which a caller may retry whose request only targets
+// in evacuated data centres could run. Operators end evacuations, so the time is not known.
+const evacuatedRetryAfter = time.Second
+
 // request is a validated request of a caller, with the settings that its
 // profile and route give it.
 type request struct {
@@ -137,7 +141,7 @@
 // picker returns the picker that chooses targets for the request.
 func (request *request) picker(service *service, random uint64) *pick.Picker {
 	return &pick.Picker{
-		Tracker: service.tracker, Profile: service.profile, Policy: service.policy, Class: request.class,
+		Tracker: service.tracker, Profile: service.profile, Policy: service.policy, Warmup: service.warmup, Class: request.class,
 		BodyBytes: request.bodyBytes, HasObjective: request.route != nil, Objective: request.objective,
 		ObjectiveLength: request.objectiveLength(), Regions: request.regions, Random: random,
 	}
--- a/io/caller/services.go
+++ b/io/caller/services.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -31,6 +32,10 @@
 	all       []kernel.Member
 	self      kernel.Member
 	byRegions sync.Map
+	// evacuated is set if all targets are in evacuated data centres.
+	evacuated bool
+	// warmup is what the route table says of targets that have just started.
+	warmup route.Warmup
 }
 
 // membersIn returns the targets in the allowed regions that this daemon uses. nil allows
@@ -80,8 +85,13 @@
 	}
 	updated := services.update(name, profile.FromView(view, name), shared, max(1, len(view.Members)))
 	updated.self, _ = view.Member(view.Self)
-	updated.all = members
-	updated.members = servingMembers(updated.self, members, nil)
+	updated.all = withoutEvacuated(view, members)
+	updated.members = servingMembers(updated.self, updated.all, nil)
+	updated.evacuated = allEvacuated(view, members)
+	if view.Routes != nil {
+		settings := view.Routes.Services[name]
+		updated.warmup = route.Warmup{PerSecond: settings.WarmupRate, Time: settings.WarmupTime}
+	}
 	current.services.Store(name, updated)
 	return updated
 }
@@ -189,6 +199,24 @@
 	return policy
 }
 
+// allEvacuated reports whether a service has serving members, and all of them are in
+// evacuated data centres.
+func allEvacuated(view *kernel.View, members []kernel.Member) bool {
+	found := false
+	for _, member := range members {
+		if member.Serves() && !view.IsEvacuated(member.DataCentre) {
+			return false
+		}
+		found = found || member.Serves()
+	}
+	return found
+}
+
+// withoutEvacuated returns the members that are not in evacuated data centres.
+func withoutEvacuated(view *kernel.View, members []kernel.Member) []kernel.Member {
+	return slices.DeleteFunc(slices.Clone(members), func(member kernel.Member) bool { return view.IsEvacuated(member.DataCentre) })
+}
+
 // servingMembers returns those serving members of a service in the allowed regions that
 // the daemon self uses as targets.
 func servingMembers(self kernel.Member, members []kernel.Member, regions []string) []kernel.Member {
--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -430,4 +430,66 @@
   'if destination.Weight > 0 && serves(destination.Service) {' 'if destination.Weight > 0 {' ./core/routes
 mutant "a server waits for a body that the handler has not read" io/http1/response.go \
   'length > int64(bodyReader.response.conn.reader.Buffered())' 'length > 1<<30' ./io/http1
+mutant "a cold upstream gets as many requests as a warm one" core/admit/warmup.go \
+  'func (limit WarmupLimit) isSet() bool { return limit.PerSecond > 0 && limit.Bound > 0 }' 'func (limit WarmupLimit) isSet() bool { return false }' ./core/admit
+mutant "tokens of a cold upstream accumulate" core/admit/warmup.go \
+  'limiter.tokens = min(limiter.limit.burst(), limiter.tokens+elapsed' 'limiter.tokens = min(100, limiter.tokens+elapsed' ./core/admit
+mutant "the bucket is full when an upstream becomes cold" core/admit/warmup.go \
+  'limiter.empty(at, 0)' 'limiter.periods++' ./core/admit
+mutant "a restarted gate begins with a full bucket for a cold upstream" core/admit/warmup.go \
+  'limiter.empty(started.At, tokens)' 'limiter.empty(started.At, limiter.limit.burst()+tokens)' ./core/admit
+mutant "late commits come on top of the warm-up rate" core/admit/warmup.go \
+  '|| at.Sub(token.takenAt) > limiter.limit.commitTime())' ')' ./core/admit
+mutant "health probes of a cold upstream do not count" core/admit/warmup.go \
+  'limiter.probedAt = at
+	limiter.take(at)' 'limiter.probedAt = at' ./core/admit
+mutant "a late heartbeat ends the warm-up" core/admit/warmup.go \
+  '!limiter.replaces(reported, source)' 'false' ./core/admit
+mutant "a target that has just started is taken for idle" core/route/warmup.go \
+  'if candidate.WarmupRate <= 0 {' 'if true {' ./core/pick
+mutant "a heartbeat does not tell that the target is cold" platform/checkin.go \
+  'ReportsWarmup:   reportsWarmup,' 'ReportsWarmup:   reportsWarmup && false,' ./platform
+mutant "a cold target is accepted before its rate is known" daemon/upstream.go \
+  'daemon.needsConfiguration() && !view.Ready' 'false && !view.Ready' ./daemon
+mutant "an evacuated gate takes new requests" core/admit/admit.go \
+  'case gate.evacuated:
+		return refuse(arrived.ID, ReasonEvacuated, 0)' 'case false:
+		return refuse(arrived.ID, ReasonEvacuated, 0)' ./core/admit
+mutant "an evacuated gate takes commits" core/admit/admit.go \
+  'case gate.evacuated:
+		return gate.revoke(' 'case false:
+		return gate.revoke(' ./core/admit
+mutant "queued requests run in an evacuated data centre" core/admit/evacuate.go \
+  'gate.refuseQueued(ReasonEvacuated)' 'gate.refuseQueued("")[:0]' ./core/admit
+mutant "a daemon is ready before it knows the evacuations" core/evacuate/evacuate.go \
+  'return plugin.evacuated != nil && (plugin.synced || plugin.current)' 'return plugin.evacuated != nil || true' ./core/evacuate
+mutant "a stale read suffices without a neighbour" core/evacuate/evacuate.go \
+  'if stale == nil || !plugin.synced {' 'plugin.current = true; if stale == nil {' ./core/evacuate
+mutant "a stale read goes before the record of a neighbour" core/evacuate/evacuate.go \
+  'if _, known := state.Table.Get(recordKey(state)); known {
+		return nil' 'if _, known := state.Table.Get(recordKey(state)); known && false {
+		return nil' ./core/evacuate
+mutant "a removal is ignored" core/evacuate/calls.go \
+  'return other == name })
+	}' 'return other == name+"-" })
+	}' ./core/evacuate
+mutant "a removal that a watch has missed is not read" core/evacuate/calls.go \
+  'case plugin.seenRevision > plugin.checkedRevision &&' 'case false &&' ./core/evacuate
+mutant "evacuations are ordered without the era of the store" core/evacuate/state.go \
+  'return version.era<<revisionBits |' 'return 0 |' ./standin/fleet
+mutant "a damaged record of evacuations is merged" core/evacuate/evacuate.go \
+  'return err == nil
+}' 'return err == nil || true
+}' ./core/evacuate
+mutant "a store that comes back from a copy ends an evacuation" core/evacuate/calls.go \
+  'lost = earlier.all()' 'lost = nil' ./standin/fleet
+mutant "objects that cannot be decoded end evacuations" core/evacuate/calls.go \
+  'known && result.Invalid > 0 {' 'known && false {' ./core/evacuate
+mutant "a deletion is not passed on" platform/store.go \
+  'result.Deleted = append(result.Deleted, full)' '_ = full' ./platform
+mutant "an ingress sends to an evacuated data centre" core/pick/pick.go \
+  '|| picker.isEvacuated(member):' '|| false:' ./core/pick
+mutant "the gate opens before the evacuation is known" daemon/upstream.go \
+  '	daemon.applyEvacuation(view)
+' '' ./daemon
 exit $living
