quota: the state machine of quotas over all daemons

Views of the membership only choose whom to ask, so the bound does not depend on them.

TestBound: 100 runs with cuts, kills, freezes, restarts, losses and repeated datagrams. TestUse: at least 0.95 of what one bucket for all daemons grants.

--- /dev/null
+++ b/core/quota/holder.go
@@ -0,0 +1,416 @@
+package quota
+
+import (
+	"maps"
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// askTimeout is how long a daemon waits for the reply of the owner before it also asks
+	// the next in the order. It exceeds two round trips between regions, that of the request
+	// and that in which an owner without votes borrows them.
+	askTimeout = 150 * time.Millisecond
+	// MaxWait is the longest time that a request waits for a token: two time-outs, and some
+	// time for the last reply.
+	MaxWait = 400 * time.Millisecond
+	// maxWaiting limits the requests of a workspace that wait for tokens at a daemon, and so
+	// the memory that a caller can use up.
+	maxWaiting = 1024
+	// maxAsks limits the requests for tokens without a reply, for each workspace.
+	maxAsks = 16
+	// suspectTime is how long a daemon that has not replied is asked last, unless it sends
+	// something. The membership takes about as long to record a death.
+	suspectTime = 3 * time.Second
+	// maxTried is the number of daemons that are asked in turn for the same tokens. It keeps
+	// a slot whose votes are not free from making its requests ask the whole list.
+	maxTried = 4
+	// unreachablePause is how long a daemon refuses requests itself after no owner has
+	// replied, and the Retry-After of these refusals.
+	unreachablePause = 200 * time.Millisecond
+	// demandTime is the time over which the demand at this daemon is averaged.
+	demandTime = time.Second
+	// minSteady is the number of requests expected within a lease from which tokens are kept
+	// in advance. With fewer, some of the tokens would expire: at 6, by the Poisson
+	// distribution, 3 in 100 of the 3 that are kept.
+	minSteady = 6
+	// calmTime is how long after a refusal no tokens are kept in advance, since a token that
+	// expires is then missed elsewhere.
+	calmTime = time.Second
+	// holdingIdle is how long the state of a workspace without requests is kept.
+	holdingIdle = 10 * time.Second
+	// limitedTime is how long a workspace without refusals counts as limited in the log.
+	limitedTime = 5 * time.Second
+	// goldenRatio places the return times of callers that were refused one after another
+	// evenly over an interval.
+	goldenRatio = 0.6180339887498949
+)
+
+// stock is a number of tokens that expire at the same time.
+type stock struct {
+	tokens  int
+	expires time.Duration
+}
+
+// waiter is a request that waits for a token.
+type waiter struct {
+	id       uint64
+	deadline time.Duration
+}
+
+// sentAsk is a request for tokens without a reply. tried holds the daemons that have been
+// asked for them.
+type sentAsk struct {
+	sequence uint64
+	tokens   int
+	to       string
+	at       time.Duration
+	late     bool
+	tried    []string
+}
+
+// holding is what a daemon has of a workspace whose requests it gets.
+type holding struct {
+	stocks  []stock
+	waiters []waiter
+	asks    []sentAsk
+	// refuseUntil is when the daemon asks again. Until then it refuses with the verdict.
+	refuseUntil time.Duration
+	verdict     Verdict
+	spread      time.Duration
+	refused     uint64
+	lastRefusal time.Duration
+	limited     bool
+	owner       string
+	// demand is the average of requests a second until countedAt.
+	demand    float64
+	countedAt time.Duration
+}
+
+func (quota *Quota) holding(workspace string) *holding {
+	found := quota.holdings[workspace]
+	if found == nil {
+		found = &holding{countedAt: quota.now, lastRefusal: -calmTime}
+		quota.holdings[workspace] = found
+	}
+	return found
+}
+
+// take decides on a request for a token, or lets it wait for a reply of the owner.
+func (quota *Quota) take(wanted TokenWanted) {
+	holding := quota.holding(wanted.Workspace)
+	if !wanted.Immediate {
+		holding.countRequest(quota.now)
+	}
+	quota.dropExpired(holding)
+	switch {
+	case len(holding.waiters) == 0 && quota.spend(holding, wanted.ID):
+		quota.stockUp(wanted.Workspace, holding)
+	case wanted.Immediate:
+		quota.effects = append(quota.effects, Decide{ID: wanted.ID, Decision: Decision{Verdict: OverQuota, Owner: holding.owner}})
+	case quota.now < holding.refuseUntil:
+		quota.refuse(wanted.Workspace, holding, wanted.ID)
+	case len(holding.waiters) >= maxWaiting:
+		quota.decide(wanted.ID, Decision{Verdict: Unreachable, RetryAfter: unreachablePause, Owner: holding.owner})
+	default:
+		holding.waiters = append(holding.waiters, waiter{wanted.ID, min(wanted.Deadline, quota.now+MaxWait)})
+		quota.askForWaiters(wanted.Workspace, holding)
+	}
+}
+
+// spend gives a token to a request if there is one.
+func (quota *Quota) spend(holding *holding, id uint64) bool {
+	if len(holding.stocks) == 0 {
+		return false
+	}
+	first := &holding.stocks[0]
+	expires := first.expires
+	if first.tokens--; first.tokens == 0 {
+		holding.stocks = holding.stocks[1:]
+	}
+	quota.decide(id, Decision{Verdict: Granted, Expires: expires, Owner: holding.owner})
+	return true
+}
+
+func (quota *Quota) decide(id uint64, decision Decision) {
+	switch decision.Verdict {
+	case Granted:
+		quota.counts.Granted++
+	case OverQuota:
+		quota.counts.Refused++
+	case Unreachable:
+		quota.counts.Unreachable++
+	}
+	quota.effects = append(quota.effects, Decide{ID: id, Decision: decision})
+}
+
+// refuse refuses a request while the daemon does not ask. The times to come back are
+// spread evenly from the moment of the next token on.
+func (quota *Quota) refuse(workspace string, holding *holding, id uint64) {
+	holding.refused++
+	_, fraction := math.Modf(float64(holding.refused) * goldenRatio)
+	retryAfter := max(0, holding.refuseUntil-quota.now) + time.Duration(fraction*float64(holding.spread))
+	if holding.verdict == OverQuota {
+		holding.lastRefusal = quota.now
+		if !holding.limited {
+			holding.limited = true
+			quota.notify(Notify{Kind: NoticeLimited, Workspace: workspace, Member: holding.owner})
+		}
+	}
+	quota.decide(id, Decision{Verdict: holding.verdict, RetryAfter: retryAfter, Owner: holding.owner})
+}
+
+// countRequest updates the average demand.
+func (holding *holding) countRequest(now time.Duration) {
+	decay := math.Exp(-(now - holding.countedAt).Seconds() / demandTime.Seconds())
+	holding.demand = holding.demand*decay + 1/demandTime.Seconds()
+	holding.countedAt = now
+}
+
+// dropExpired drops tokens whose lease has ended.
+func (quota *Quota) dropExpired(holding *holding) {
+	holding.stocks = slices.DeleteFunc(holding.stocks, func(stock stock) bool {
+		if quota.now < stock.expires {
+			return false
+		}
+		quota.counts.Expired += uint64(stock.tokens)
+		return true
+	})
+}
+
+// giveBack keeps a token that was not used for another request, until its lease ends.
+func (quota *Quota) giveBack(returned TokenReturned) {
+	if quota.now >= returned.Expires {
+		quota.counts.Expired++
+		return
+	}
+	holding := quota.holding(returned.Workspace)
+	holding.add(stock{1, returned.Expires})
+	quota.serveWaiters(holding)
+}
+
+// add adds tokens. Those that expire first are spent first.
+func (holding *holding) add(added stock) {
+	index := slices.IndexFunc(holding.stocks, func(stock stock) bool { return added.expires <= stock.expires })
+	switch {
+	case index < 0:
+		holding.stocks = append(holding.stocks, added)
+	case holding.stocks[index].expires == added.expires:
+		holding.stocks[index].tokens += added.tokens
+	default:
+		holding.stocks = slices.Insert(holding.stocks, index, added)
+	}
+}
+
+// serveWaiters gives the tokens to the requests that wait.
+func (quota *Quota) serveWaiters(holding *holding) {
+	quota.dropExpired(holding)
+	for len(holding.waiters) > 0 && quota.spend(holding, holding.waiters[0].id) {
+		holding.waiters = holding.waiters[1:]
+	}
+}
+
+// asked returns the number of tokens that have been requested and not replied to.
+func (holding *holding) asked() int {
+	asked := 0
+	for _, ask := range holding.asks {
+		if !ask.late {
+			asked += ask.tokens
+		}
+	}
+	return asked
+}
+
+// held returns the number of tokens at this daemon.
+func (holding *holding) held() int {
+	held := 0
+	for _, stock := range holding.stocks {
+		held += stock.tokens
+	}
+	return held
+}
+
+// askForWaiters asks for the tokens that the waiting requests lack, and for those to keep
+// in advance.
+func (quota *Quota) askForWaiters(workspace string, holding *holding) {
+	missing := len(holding.waiters) - holding.asked()
+	if missing <= 0 || len(holding.asks) >= maxAsks {
+		return
+	}
+	quota.ask(workspace, holding, missing+quota.advance(holding), nil)
+}
+
+// advance returns the number of tokens to keep in advance: the demand of half a lease, or
+// none if the demand is small or the quota is used up.
+func (quota *Quota) advance(holding *holding) int {
+	lease := quota.Settings.lease()
+	decay := math.Exp(-(quota.now - holding.countedAt).Seconds() / demandTime.Seconds())
+	expected := holding.demand * decay * lease.Seconds()
+	if expected < minSteady || quota.now-holding.lastRefusal < calmTime {
+		return 0
+	}
+	return int(expected / 2)
+}
+
+// stockUp asks for tokens in advance when half of them are used.
+func (quota *Quota) stockUp(workspace string, holding *holding) {
+	wanted := quota.advance(holding)
+	missing := wanted - holding.held() - holding.asked()
+	if missing > 0 && 2*missing >= wanted && len(holding.asks) < maxAsks {
+		quota.ask(workspace, holding, missing, nil)
+	}
+}
+
+// ask asks the first daemon of the order that has not been tried. It reports whether there
+// is one. Daemons that have not replied lately come last.
+func (quota *Quota) ask(workspace string, holding *holding, tokens int, tried []string) bool {
+	slot := slotOf(workspace)
+	var to string
+	for _, candidate := range quota.fleet.seats(slot).candidates {
+		if slices.Contains(tried, candidate) {
+			continue
+		}
+		if to == "" || quota.isSuspect(to) && !quota.isSuspect(candidate) {
+			to = candidate
+		}
+	}
+	if to == "" || len(tried) >= maxTried {
+		if len(holding.asks) == 0 {
+			quota.giveUp(workspace, holding, "", unreachablePause)
+		}
+		return false
+	}
+	ask := sentAsk{sequence: quota.nextSequence(), tokens: min(tokens, maxTokens), to: to, at: quota.now, tried: append(slices.Clone(tried), to)}
+	holding.asks = append(holding.asks, ask)
+	if to != quota.Self {
+		quota.counts.AsksSent++
+	}
+	quota.send(to, Ask{Workspace: workspace, Sequence: ask.sequence, Tokens: ask.tokens, Fallback: to != quota.fleet.seats(slot).candidates[0]})
+	return true
+}
+
+func (quota *Quota) isSuspect(id string) bool { return quota.now < quota.suspects[id] }
+
+// receiveGrant adds granted tokens. Their lease counts from before they were requested. A
+// grant that answers no open request is lost.
+func (quota *Quota) receiveGrant(from string, grant Grant) {
+	holding := quota.holdings[grant.Workspace]
+	if holding == nil {
+		return
+	}
+	index := slices.IndexFunc(holding.asks, func(ask sentAsk) bool { return ask.sequence == grant.Sequence && ask.to == from })
+	if index < 0 {
+		return
+	}
+	ask := holding.asks[index]
+	holding.asks = slices.Delete(holding.asks, index, index+1)
+	if grant.Declined {
+		quota.askNext(grant, holding, ask)
+		return
+	}
+	holding.owner = from
+	if tokens := min(grant.Tokens, ask.tokens); tokens > 0 {
+		holding.add(stock{tokens, ask.at + quota.Settings.lease()})
+		quota.serveWaiters(holding)
+	}
+	if grant.Tokens >= ask.tokens {
+		quota.askForWaiters(grant.Workspace, holding)
+		return
+	}
+	holding.verdict, holding.spread = OverQuota, grant.Spread
+	holding.refuseUntil = quota.now + min(grant.RetryAfter, maxPause)
+	quota.refuseExcess(grant.Workspace, holding)
+}
+
+// askNext asks the next daemon after one that lacks votes.
+func (quota *Quota) askNext(grant Grant, holding *holding, ask sentAsk) {
+	missing := len(holding.waiters) - holding.asked()
+	if missing <= 0 {
+		return
+	}
+	if !quota.ask(grant.Workspace, holding, missing, ask.tried) {
+		quota.giveUp(grant.Workspace, holding, ask.to, max(unreachablePause, grant.RetryAfter))
+	}
+}
+
+// giveUp refuses the requests for which no further owner can be asked.
+func (quota *Quota) giveUp(workspace string, holding *holding, owner string, retryAfter time.Duration) {
+	holding.verdict, holding.spread, holding.owner = Unreachable, retryAfter, owner
+	holding.refuseUntil = quota.now + min(retryAfter, unreachablePause)
+	quota.refuseExcess(workspace, holding)
+}
+
+// refuseExcess refuses the waiting requests for which no tokens are requested.
+func (quota *Quota) refuseExcess(workspace string, holding *holding) {
+	keep := min(len(holding.waiters), holding.asked())
+	refused := slices.Clone(holding.waiters[keep:])
+	holding.waiters = holding.waiters[:keep]
+	for _, waiter := range refused {
+		quota.refuse(workspace, holding, waiter.id)
+	}
+}
+
+func (quota *Quota) removeWaiter(workspace string, id uint64) {
+	if holding := quota.holdings[workspace]; holding != nil {
+		holding.waiters = slices.DeleteFunc(holding.waiters, func(waiter waiter) bool { return waiter.id == id })
+	}
+}
+
+// tickHoldings ends waits, asks others in place of owners that do not reply, and removes
+// the state of workspaces that are not used.
+func (quota *Quota) tickHoldings() {
+	for _, workspace := range slices.Sorted(maps.Keys(quota.holdings)) {
+		holding := quota.holdings[workspace]
+		quota.dropExpired(holding)
+		quota.checkAsks(workspace, holding)
+		quota.endWaits(holding)
+		if holding.limited && quota.now-holding.lastRefusal > limitedTime {
+			holding.limited = false
+			quota.notify(Notify{Kind: NoticeUnlimited, Workspace: workspace, Member: holding.owner})
+		}
+		if quota.now-holding.countedAt > holdingIdle && len(holding.waiters) == 0 && len(holding.asks) == 0 && !holding.limited {
+			delete(quota.holdings, workspace)
+		}
+	}
+}
+
+// checkAsks handles the requests for tokens without a reply. The owner is asked once more
+// together with the next daemon, since the datagram may have been lost.
+func (quota *Quota) checkAsks(workspace string, holding *holding) {
+	holding.asks = slices.DeleteFunc(holding.asks, func(ask sentAsk) bool { return quota.now-ask.at >= MaxWait })
+	var late []sentAsk
+	for index := range holding.asks {
+		if ask := &holding.asks[index]; !ask.late && quota.now-ask.at >= askTimeout {
+			ask.late = true
+			late = append(late, *ask)
+		}
+	}
+	for _, ask := range late {
+		if !quota.isSuspect(ask.to) && ask.to != quota.Self {
+			quota.notify(Notify{Kind: NoticeUnresponsive, Workspace: workspace, Member: ask.to})
+		}
+		quota.suspects[ask.to] = quota.now + suspectTime
+		tried := ask.tried
+		if missing := len(holding.waiters) - holding.asked(); missing > 0 {
+			if len(tried) == 1 && len(holding.asks) < maxAsks {
+				again := sentAsk{sequence: quota.nextSequence(), tokens: missing, to: tried[0], at: quota.now, tried: tried}
+				holding.asks = append(holding.asks, again)
+				quota.counts.AsksSent++
+				quota.send(tried[0], Ask{Workspace: workspace, Sequence: again.sequence, Tokens: missing})
+			}
+			quota.ask(workspace, holding, missing, tried)
+		}
+	}
+}
+
+// endWaits refuses the requests that have waited too long.
+func (quota *Quota) endWaits(holding *holding) {
+	holding.waiters = slices.DeleteFunc(holding.waiters, func(waiter waiter) bool {
+		if quota.now < waiter.deadline {
+			return false
+		}
+		quota.decide(waiter.id, Decision{Verdict: Unreachable, RetryAfter: unreachablePause, Owner: holding.owner})
+		return true
+	})
+}
--- /dev/null
+++ b/core/quota/quota_test.go
@@ -0,0 +1,232 @@
+package quota_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"ibislift/core/quota"
+)
+
+// limitsOfTest are limits from those of a small to those of the largest workspace.
+var limitsOfTest = map[string]quota.Limit{
+	"small":  {Rate: 1, Burst: 1},
+	"few":    {Rate: 3, Burst: 3},
+	"medium": {Rate: 20, Burst: 20},
+	"large":  {Rate: 203, Burst: 203},
+}
+
+// overload sends more than the quota of each workspace.
+func overload(network *network, factor float64, until time.Duration, at func() int) {
+	for _, workspace := range []string{"small", "few", "medium", "large"} {
+		network.load(workspace, network.limits[workspace].Rate*factor, until, at)
+	}
+}
+
+// expectBound guards against more requests in a window than the bound allows.
+func expectBound(t rapid.TB, network *network) {
+	t.Helper()
+	for workspace := range network.limits {
+		if excess := network.worstExcess(workspace, network.limits[workspace]); excess > 0 {
+			t.Errorf("%s: a window has %.0f requests more than its bound", workspace, excess)
+		}
+	}
+}
+
+// TestBound guards against a window with more requests than the bound, whatever happens to
+// the daemons and to the network between them.
+func TestBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		size := rapid.SampledFrom([]int{1, 2, 5, 12, 40}).Draw(t, "daemons")
+		network := newNetwork(rapid.Uint64().Draw(t, "seed"), size, limitsOfTest)
+		network.loss = rapid.SampledFrom([]float64{0, 0.01, 0.3}).Draw(t, "loss")
+		network.duplication = rapid.SampledFrom([]float64{0, 0.2}).Draw(t, "duplication")
+		network.transit = 250 * time.Millisecond
+		network.ignored = rapid.SampledFrom([]float64{0, 0.3}).Draw(t, "ignored")
+		end := network.now + 12*time.Second
+		overload(network, rapid.SampledFrom([]float64{0.6, 1.5, 7.5}).Draw(t, "demand"), end, network.anywhere)
+		for _, fault := range rapid.SliceOfN(rapid.SampledFrom([]string{"cut", "asymmetric", "heal", "kill", "herd", "freeze", "restart", "burst"}), 1, 8).Draw(t, "faults") {
+			network.run(time.Duration(rapid.IntRange(1, 3000).Draw(t, "after")) * time.Millisecond)
+			network.strike(fault)
+		}
+		network.run(end - network.now)
+		expectBound(t, network)
+	})
+}
+
+// TestBoundOfLargeFleet guards against the same in a fleet of hundreds of daemons that is
+// cut, halved and restarted.
+func TestBoundOfLargeFleet(t *testing.T) {
+	network := newNetwork(7, 200, limitsOfTest)
+	network.loss, network.duplication, network.transit = 0.02, 0.05, 250*time.Millisecond
+	end := network.now + 24*time.Second
+	overload(network, 2, end, network.anywhere)
+	for _, fault := range []string{"cut", "herd", "heal", "freeze", "asymmetric", "restart", "heal"} {
+		network.run(3 * time.Second)
+		network.strike(fault)
+	}
+	network.run(end - network.now)
+	expectBound(t, network)
+}
+
+// TestFrozenOwner guards against an owner that spends a bucket which another one has taken
+// over: every daemon in turn is frozen for longer than the lease of the votes, with requests
+// in its socket.
+func TestFrozenOwner(t *testing.T) {
+	network := newNetwork(3, 12, limitsOfTest)
+	network.transit = 250 * time.Millisecond
+	end := network.now + 40*time.Second
+	overload(network, 3, end, network.anywhere)
+	for index := range 12 {
+		network.run(3 * time.Second)
+		network.daemons[index].frozenUntil = network.now + 2500*time.Millisecond
+	}
+	network.run(end - network.now)
+	expectBound(t, network)
+}
+
+// strike applies a fault.
+func (network *network) strike(fault string) {
+	random := network.random
+	chosen := network.daemons[random.IntN(len(network.daemons))]
+	switch fault {
+	case "cut", "asymmetric":
+		sides := make([]int, len(network.daemons))
+		parts := 2 + random.IntN(4)
+		for index := range sides {
+			sides[index] = random.IntN(parts)
+		}
+		mutual := fault == "cut"
+		network.cut = func(from, to int) bool {
+			return mutual && sides[from] != sides[to] || !mutual && sides[from] < sides[to]
+		}
+		for _, observer := range network.daemons {
+			for _, subject := range network.daemons {
+				if sides[observer.index] != sides[subject.index] && random.IntN(4) > 0 {
+					network.after(network.detection(), func() { observer.live[subject.index] = !mutual; network.publish(observer) })
+				}
+			}
+		}
+	case "heal":
+		network.cut = func(int, int) bool { return false }
+		for _, daemon := range network.daemons {
+			for index := range daemon.live {
+				daemon.live[index] = true
+			}
+			network.publish(daemon)
+		}
+	case "kill":
+		network.kill(chosen)
+	case "herd":
+		for _, daemon := range network.daemons {
+			if random.IntN(2) == 0 {
+				network.kill(daemon)
+			}
+		}
+	case "freeze":
+		for _, daemon := range network.daemons {
+			if daemon == chosen || random.IntN(5) == 0 {
+				daemon.frozenUntil = network.now + time.Duration(random.Int64N(int64(5*time.Second)))
+			}
+		}
+	case "restart":
+		for _, daemon := range network.daemons {
+			if !daemon.up {
+				network.restart(daemon)
+			}
+		}
+	case "burst":
+		overload(network, 7.5, network.now+6*time.Second, network.anywhere)
+	}
+}
+
+// usedOfCentral returns the part of what one bucket for all daemons would have granted.
+func usedOfCentral(network *network, workspace string) float64 {
+	return float64(network.granted[workspace]) / float64(max(1, network.central[workspace].granted))
+}
+
+// used returns the part of the quota of a workspace that was granted in a time.
+func used(network *network, workspace string, before int, duration time.Duration) float64 {
+	return float64(network.granted[workspace]-before) / (network.limits[workspace].Rate * duration.Seconds())
+}
+
+// TestUse guards against quotas that callers cannot use in calm.
+func TestUse(t *testing.T) {
+	for _, size := range []int{1, 6, 60, 200} {
+		for name, place := range map[string]func(*network) func() int{
+			"callers everywhere":    func(network *network) func() int { return network.anywhere },
+			"callers at one daemon": func(*network) func() int { return func() int { return 0 } },
+			"callers at one of three regions": func(network *network) func() int {
+				return func() int { return network.random.IntN(max(1, size/regions)) * regions }
+			},
+		} {
+			for _, factor := range []float64{1.2, 7.5} {
+				t.Run(fmt.Sprintf("%d daemons, %s, demand %g of the quota", size, name, factor), func(t *testing.T) {
+					network := newNetwork(1, size, limitsOfTest)
+					const duration = 60 * time.Second
+					overload(network, factor, network.now+duration, place(network))
+					network.run(duration)
+					for workspace := range network.limits {
+						if part := usedOfCentral(network, workspace); part < 0.95 {
+							t.Errorf("%s: only %.3f of the quota was granted; refused %d, unreachable %d", workspace, part, network.refused[workspace], network.unreachable[workspace])
+						}
+						if part := used(network, workspace, 0, duration); factor > 2 && part < 0.95 {
+							t.Errorf("%s: only %.3f of the rate was granted; refused %d, unreachable %d", workspace, part, network.refused[workspace], network.unreachable[workspace])
+						}
+					}
+					expectBound(t, network)
+				})
+			}
+		}
+	}
+}
+
+// TestUsualDemand guards against refusals of requests within the quota.
+func TestUsualDemand(t *testing.T) {
+	network := newNetwork(1, 60, map[string]quota.Limit{"medium": {Rate: 20, Burst: 20}, "large": {Rate: 203, Burst: 203}})
+	for workspace, limit := range network.limits {
+		network.load(workspace, limit.Rate/1.6, network.now+60*time.Second, network.anywhere)
+	}
+	network.run(61 * time.Second)
+	for workspace := range network.limits {
+		t.Logf("%s: granted %d, refused %d, unreachable %d", workspace, network.granted[workspace], network.refused[workspace], network.unreachable[workspace])
+		is.New(t).Equal(network.refused[workspace]+network.unreachable[workspace], 0)
+	}
+}
+
+// TestMove guards against refusals when the callers of a workspace move to another place.
+func TestMove(t *testing.T) {
+	network := newNetwork(1, 60, map[string]quota.Limit{"large": {Rate: 203, Burst: 203}})
+	network.load("large", 203/1.6, network.now+20*time.Second, func() int { return 0 })
+	network.run(20 * time.Second)
+	network.load("large", 203/1.6, network.now+20*time.Second, func() int { return 31 })
+	network.run(20 * time.Second)
+	is.New(t).Equal(network.refused["large"]+network.unreachable["large"], 0)
+}
+
+// TestHerdKill guards against service that does not resume after half of the daemons were
+// killed.
+func TestHerdKill(t *testing.T) {
+	for seed := range uint64(8) {
+		network := newNetwork(seed, 60, limitsOfTest)
+		overload(network, 1/1.6, network.now+40*time.Second, network.anywhere)
+		network.run(10 * time.Second)
+		for _, daemon := range network.daemons {
+			if network.random.IntN(2) == 0 {
+				network.kill(daemon)
+			}
+		}
+		network.run(2 * time.Second)
+		before := network.granted["large"]
+		network.run(3 * time.Second)
+		// Half of the votes make half of the rate; the committees of these seeds have at
+		// least three of nine votes left.
+		if part := used(network, "large", before, 3*time.Second); part < 0.3 {
+			t.Errorf("seed %d: %.3f of the rate was granted from the third to the fifth second", seed, part)
+		}
+		expectBound(t, network)
+	}
+}
