--- a/io/peer/report.go
+++ b/io/peer/report.go
@@ -13,6 +13,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"ibislift/core/admit"
+	"ibislift/core/quota"
 	"ibislift/io/peer/peerpb"
 )
 
@@ -30,8 +31,6 @@
 	reportBurst          = reportBytesPerSecond / 4
 	// datagramOverhead is the size of the IP and UDP headers.
 	datagramOverhead = 28
-	// maxReportBytes is the size of the receive buffer for a datagram.
-	maxReportBytes = 512
 )
 
 // Reporter sends changes in this gate's load to the ingresses that have recently
@@ -50,6 +49,8 @@
 	CountBytes CountBytes
 	// OnReport is called with each report of another gate.
 	OnReport func(from, service string, load admit.Load)
+	// OnQuota, if set, is called with the messages about quotas of another daemon.
+	OnQuota func(from string, messages []quota.Message)
 
 	mutex        sync.Mutex
 	socket       *net.UDPConn
@@ -91,7 +92,7 @@
 func (reporter *Reporter) Run(ctx context.Context) {
 	stop := context.AfterFunc(ctx, func() { _ = reporter.socket.Close() })
 	defer stop()
-	buffer := make([]byte, maxReportBytes)
+	buffer := make([]byte, maxDatagramBytes)
 	for {
 		count, from, err := reporter.socket.ReadFromUDPAddrPort(buffer)
 		if ctx.Err() != nil {
@@ -102,11 +103,20 @@
 			// the error.
 			continue
 		}
-		reporter.CountBytes.count("in", BytesReport, from.String(), count+datagramOverhead)
-		report := &peerpb.Datagram{}
-		if proto.Unmarshal(buffer[:count], report) == nil {
-			reporter.OnReport(report.GetFrom(), report.GetService(), DecodeLoad(report.GetLoad()))
+		datagram := &peerpb.Datagram{}
+		if proto.Unmarshal(buffer[:count], datagram) != nil {
+			reporter.CountBytes.count("in", BytesReport, from.String(), count+datagramOverhead)
+			continue
+		}
+		if messages := quotaMessages(datagram); len(messages) > 0 {
+			reporter.CountBytes.count("in", BytesQuota, from.String(), count+datagramOverhead)
+			if reporter.OnQuota != nil {
+				reporter.OnQuota(datagram.GetFrom(), messages)
+			}
+			continue
 		}
+		reporter.CountBytes.count("in", BytesReport, from.String(), count+datagramOverhead)
+		reporter.OnReport(datagram.GetFrom(), datagram.GetService(), DecodeLoad(datagram.GetLoad()))
 	}
 }
 
--- a/io/peer/report_test.go
+++ b/io/peer/report_test.go
@@ -21,7 +21,7 @@
 
 // newReporter starts a reporter on a free port of the loopback interface and
 // returns its address.
-func newReporter(t *testing.T, load func() admit.Load, received func(receivedReport)) (*peer.Reporter, string) {
+func newReporter(t *testing.T, load func() admit.Load, received func(receivedReport), options ...func(*peer.Reporter)) (*peer.Reporter, string) {
 	t.Helper()
 	listener, err := net.ListenPacket("udp", "127.0.0.1:0")
 	is.New(t).NoErr(err)
@@ -34,6 +34,9 @@
 		InSameRegion: func(string) bool { return true },
 		OnReport:     func(from, service string, load admit.Load) { received(receivedReport{from, service, load}) },
 	}
+	for _, option := range options {
+		option(reporter)
+	}
 	is.New(t).NoErr(reporter.Listen(address))
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
--- a/io/peer/traffic.go
+++ b/io/peer/traffic.go
@@ -7,13 +7,15 @@
 // ByteKind is what bytes between daemons are spent on.
 type ByteKind string
 
-// The kinds of bytes. The first two are control traffic, the others belong to
+// The kinds of bytes. The first three are control traffic, the others belong to
 // forwarded requests.
 const (
 	// BytesMessage are the messages of the replicated records and of claims.
 	BytesMessage ByteKind = "message"
 	// BytesReport are load reports.
-	BytesReport       ByteKind = "report"
+	BytesReport ByteKind = "report"
+	// BytesQuota are messages about quotas.
+	BytesQuota        ByteKind = "quota"
 	BytesRequestHead  ByteKind = "requestHead"
 	BytesRequestBody  ByteKind = "requestBody"
 	BytesResponseHead ByteKind = "responseHead"
@@ -21,7 +23,9 @@
 )
 
 // IsControl reports whether the bytes are control traffic.
-func (byteKind ByteKind) IsControl() bool { return byteKind == BytesMessage || byteKind == BytesReport }
+func (byteKind ByteKind) IsControl() bool {
+	return byteKind == BytesMessage || byteKind == BytesReport || byteKind == BytesQuota
+}
 
 // CountBytes is called with the direction ("in" or "out"), the kind, the address of
 // the other daemon and the number of bytes. If the other daemon opened the
