caller: a token of the workspace's quota before each attempt that may run

Over the quota the answer is 429 overQuota at once, without a reply of the owners 503 quotaUnavailable. An attempt that did not reach its target leaves its token to the next one or returns it. Without a token nothing is sent again.

--- a/cmd/ibislift/explainlog.go
+++ b/cmd/ibislift/explainlog.go
@@ -110,6 +110,9 @@
 // stepCauses maps texts in the steps of a "request ended" line to explanations.
 // The first text that matches is used, so the more specific ones come first.
 var stepCauses = []struct{ step, sentence string }{
+	{"overQuota", "the workspace had used up its quota; the step names the quota and the daemon that decided"},
+	{"quotaUnavailable", "no daemon that counts the requests of the workspace replied; see the lines \"owner of quotas does not reply\""},
+	{"noToken", "the quota of the workspace left no token for another attempt"},
 	{"crashed true", "the target crashed while the request ran"},
 	{"callerLeft", "the caller left"},
 	{"noTargetLeft", "no further target was worth trying"},
--- a/core/kernel/view.go
+++ b/core/kernel/view.go
@@ -116,6 +116,9 @@
 	// Joined means that this daemon has received the records of another one, or that
 	// there is none to receive them from.
 	Joined bool
+	// Synced is Joined without the daemons that have only waited in vain for another one:
+	// the members are all that another daemon knew, or there is no other one.
+	Synced bool
 	// Departures are the instances of the local upstream that have left, as this daemon
 	// or an earlier process of it was told.
 	Departures []Departure
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -79,6 +79,8 @@
 	platformLostAt time.Time
 	departures     departures
 	ownDepartures  ownDepartures
+	// synced means that another daemon has sent its records, or that there is none.
+	synced bool
 }
 
 // record is the replicated form of a member. Died is in Unix milliseconds.
@@ -120,6 +122,8 @@
 	case kernel.PeerFailed:
 		return plugin.recordFailure(state, event.At, message.Peer)
 	case kernel.PeerSynced, kernel.NoPeersFound:
+		state.ViewDirty = state.ViewDirty || !plugin.synced
+		plugin.synced = true
 		return plugin.join(state)
 	case kernel.UpstreamAnnounced:
 		return plugin.announceTarget(state, message)
@@ -409,5 +413,6 @@
 	view.Neighbours = plugin.neighbours
 	view.Watching = plugin.watching
 	view.Joined = plugin.ownDepartures.joined
+	view.Synced = plugin.synced
 	view.Departures = plugin.ownDepartures.departed
 }
--- a/core/quota/votes.go
+++ b/core/quota/votes.go
@@ -129,7 +129,9 @@
 
 // borrow requests the votes of a slot that are missing or due for renewal.
 func (quota *Quota) borrow(owned *ownership) {
-	if quota.stopping || !quota.joined {
+	// A daemon that has just started may not know all members yet, and would take the few
+	// that it knows for the whole committee.
+	if quota.stopping || !quota.joined || quota.now < quota.StartedAt+voteLease {
 		return
 	}
 	quota.matchVoters(owned)
--- a/io/caller/attempt.go
+++ b/io/caller/attempt.go
@@ -11,6 +11,7 @@
 
 	"ibislift/core/call"
 	"ibislift/core/kernel"
+	"ibislift/core/quota"
 	"ibislift/io/peer"
 	"ibislift/io/peer/peerpb"
 )
@@ -29,6 +30,10 @@
 	interim     []*peerpb.AnswerHead
 	ctx         context.Context
 	recordEnd   func()
+	// token is the token of the workspace's quota that the attempt spent, if spentToken is
+	// set.
+	token      quota.Decision
+	spentToken bool
 }
 
 // newAttempt creates an attempt and records its start in the tracker.
--- a/io/caller/caller.go
+++ b/io/caller/caller.go
@@ -79,6 +79,8 @@
 	// ReportTo is the address to which gates send load reports. If it is empty,
 	// they send none.
 	ReportTo string
+	// Quotas limits the requests of workspaces. It is nil without quotas.
+	Quotas Quotas
 	// Splitter divides the requests of a route among its destinations.
 	Splitter *routes.Splitter
 
@@ -112,11 +114,21 @@
 		service = handler.lookUpService(view, request.service)
 		refusal = handler.prepare(request, service, view, writer, original, arrived)
 	}
+	if refusal == nil {
+		refusal = handler.takeToken(request, original)
+	}
 	if refusal != nil {
 		refusal.RequestID = request.id
 		refusal.Outcome = call.OutcomeNotRun
 		refusal.write(writer, handler.Dialect)
-		handler.reportEnd(request, service, requestEnd{refusal.Status, call.OutcomeNotRun, refusal.kind(), nil}, arrived)
+		steps := quotaSteps(refusal, request, handler.Now().Sub(arrived))
+		if steps != nil {
+			handler.Records.add(Record{
+				RequestID: request.id, Service: request.service, Method: original.Method, Path: original.URL.Path,
+				ArrivedAt: arrived, Outcome: call.OutcomeNotRun, Status: refusal.Status, Steps: steps,
+			})
+		}
+		handler.reportEnd(request, service, requestEnd{refusal.Status, call.OutcomeNotRun, refusal.kind(), steps}, arrived)
 		return
 	}
 	exchange := &exchange{
--- a/io/caller/exchange.go
+++ b/io/caller/exchange.go
@@ -49,6 +49,8 @@
 	// whether or not a hedge is then sent.
 	hedgeAt  time.Time
 	hedgeDue bool
+	// hedging is set while a hedge is sent.
+	hedging bool
 }
 
 // run processes the request until its response is complete.
@@ -184,6 +186,7 @@
 	for _, attempt := range exchange.attempts {
 		attempt.cancel(exchange)
 	}
+	exchange.returnToken()
 	exchange.handler.Records.add(exchange.record)
 	if exchange.claiming {
 		go exchange.awaitLateClaim()
@@ -221,6 +224,8 @@
 	exchange.updateClaiming(event)
 	exchange.updateReaders(event)
 	exchange.recordEvent(event)
+	exchange.recoverToken(event)
+	_, exchange.hedging = event.(call.HedgeDue)
 	switch event := event.(type) {
 	case call.AttemptRefused:
 		exchange.picker.RecordRefusal(event.Attempt, admit.Reason(event.Reason))
@@ -257,6 +262,7 @@
 	case call.CompleteClaim:
 		exchange.closeClaim(false)
 	case call.Commit:
+		exchange.spendToken(exchange.attempts[effect.Attempt])
 		exchange.attempts[effect.Attempt].commit(exchange)
 	case call.Cancel:
 		exchange.attempts[effect.Attempt].cancel(exchange)
@@ -269,6 +275,11 @@
 
 // choose picks the next target.
 func (exchange *exchange) choose() {
+	if !exchange.hasTokenForAttempt() {
+		exchange.addStep(quotaStep("noToken", exchange.request))
+		exchange.apply(call.NoTargetLeft{})
+		return
+	}
 	choice, found := exchange.picker.Choose(exchange.handler.Now(), exchange.service.members, exchange.handler.LinkTo)
 	if !found {
 		members, _ := exchange.view.Service(exchange.request.service)
@@ -291,6 +302,9 @@
 	member, _ := exchange.view.Member(send.Target)
 	attempt := newAttempt(exchange, member, send)
 	exchange.attempts = append(exchange.attempts, attempt)
+	if !send.Reserve {
+		exchange.spendToken(attempt)
+	}
 	attempt.send(exchange, callHead(exchange, send))
 }
 
--- a/io/caller/request.go
+++ b/io/caller/request.go
@@ -15,6 +15,7 @@
 
 	"ibislift/core/pick"
 	"ibislift/core/profile"
+	"ibislift/core/quota"
 	"ibislift/core/routes"
 	"ibislift/io/dialect"
 	"ibislift/io/peer"
@@ -52,6 +53,11 @@
 	profile        profile.Profile
 	// route is the route that matched, or nil without a route table.
 	route *routes.Route
+	// workspace is the workspace whose API key the request carries, or nil.
+	workspace *routes.Workspace
+	// token is the token of the workspace's quota for the next attempt, if hasToken is set.
+	token    quota.Decision
+	hasToken bool
 	// body is the whole body if it is short. A longer body is streamed, and
 	// body is its beginning.
 	body     []byte
