daemon: quotas of workspaces over all daemons

While a dead owner is not recorded as dead, a second request to it no longer counts as a reply to come; in a run over loopback every request waited 150 ms for it.

--- a/core/quota/holder.go
+++ b/core/quota/holder.go
@@ -211,11 +211,12 @@
 	}
 }
 
-// asked returns the number of tokens that have been requested and not replied to.
-func (holding *holding) asked() int {
+// asked returns the number of tokens that a reply is expected for. None is expected from a
+// daemon that has not replied lately.
+func (quota *Quota) asked(holding *holding) int {
 	asked := 0
 	for _, ask := range holding.asks {
-		if !ask.late {
+		if !ask.late && !quota.isSuspect(ask.to) {
 			asked += ask.tokens
 		}
 	}
@@ -234,7 +235,7 @@
 // askForWaiters asks for the tokens that the waiting requests lack, and for those to keep
 // in advance.
 func (quota *Quota) askForWaiters(workspace string, holding *holding) {
-	missing := len(holding.waiters) - holding.asked()
+	missing := len(holding.waiters) - quota.asked(holding)
 	if missing <= 0 || len(holding.asks) >= maxAsks {
 		return
 	}
@@ -256,7 +257,7 @@
 // stockUp asks for tokens in advance when half of them are used.
 func (quota *Quota) stockUp(workspace string, holding *holding) {
 	wanted := quota.advance(holding)
-	missing := wanted - holding.held() - holding.asked()
+	missing := wanted - holding.held() - quota.asked(holding)
 	if missing > 0 && 2*missing >= wanted && len(holding.asks) < maxAsks {
 		quota.ask(workspace, holding, missing, nil)
 	}
@@ -325,7 +326,7 @@
 
 // askNext asks the next daemon after one that lacks votes.
 func (quota *Quota) askNext(grant Grant, holding *holding, ask sentAsk) {
-	missing := len(holding.waiters) - holding.asked()
+	missing := len(holding.waiters) - quota.asked(holding)
 	if missing <= 0 {
 		return
 	}
@@ -343,7 +344,7 @@
 
 // refuseExcess refuses the waiting requests for which no tokens are requested.
 func (quota *Quota) refuseExcess(workspace string, holding *holding) {
-	keep := min(len(holding.waiters), holding.asked())
+	keep := min(len(holding.waiters), quota.asked(holding))
 	refused := slices.Clone(holding.waiters[keep:])
 	holding.waiters = holding.waiters[:keep]
 	for _, waiter := range refused {
@@ -392,7 +393,7 @@
 		}
 		quota.suspects[ask.to] = quota.now + suspectTime
 		tried := ask.tried
-		if missing := len(holding.waiters) - holding.asked(); missing > 0 {
+		if missing := len(holding.waiters) - quota.asked(holding); missing > 0 {
 			if len(tried) == 1 && len(holding.asks) < maxAsks {
 				again := sentAsk{sequence: quota.nextSequence(), tokens: missing, to: tried[0], at: quota.now, tried: tried}
 				holding.asks = append(holding.asks, again)
--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -230,3 +230,30 @@
 		expectBound(t, network)
 	}
 }
+
+// TestUnnoticedDeath guards against requests that wait for a dead owner again and again
+// while the membership does not record its death.
+func TestUnnoticedDeath(t *testing.T) {
+	network := newNetwork(1, 5, map[string]quota.Limit{"medium": {Rate: 50, Burst: 10}})
+	network.load("medium", 30, network.now+20*time.Second, network.anywhere)
+	network.run(5 * time.Second)
+	for _, daemon := range network.daemons {
+		if daemon.machine.Counts().Owned > 0 {
+			daemon.up = false
+			daemon.life++
+		}
+	}
+	network.run(3 * time.Second)
+	network.waited = nil
+	before := network.unreachable["medium"]
+	network.run(12 * time.Second)
+	slow := 0
+	for _, wait := range network.waited {
+		if wait > 100*time.Millisecond {
+			slow++
+		}
+	}
+	t.Logf("%d of %d requests waited for more than 100 ms, %d were refused without an owner", slow, len(network.waited), network.unreachable["medium"]-before)
+	is.New(t).True(len(network.waited) > 250)
+	is.New(t).True(slow < len(network.waited)/10)
+}
--- a/daemon/cluster_test.go
+++ b/daemon/cluster_test.go
@@ -19,6 +19,7 @@
 
 	"github.com/matryer/is"
 
+	"ibislift/core/quota"
 	"ibislift/daemon"
 	"ibislift/standin/platform"
 	"ibislift/standin/upstream"
@@ -112,6 +113,7 @@
 	// lingerTime and drainTimeout are settings of all daemons.
 	lingerTime   time.Duration
 	drainTimeout time.Duration
+	quotas       quota.Settings
 	prefix       string
 	// lastAttemptID is the number in the attempt ID of the last request.
 	lastAttemptID atomic.Int64
@@ -135,6 +137,15 @@
 func newStoppingCluster(t *testing.T, daemons int, lingerTime, drainTimeout time.Duration) *cluster {
 	t.Helper()
 	cluster := &cluster{t: t, store: &platform.Store{}, lingerTime: lingerTime, drainTimeout: drainTimeout}
+	cluster.startAll(daemons)
+	return cluster
+}
+
+// startAll starts the platform and the daemons with their upstreams, and waits until every
+// daemon knows every target.
+func (cluster *cluster) startAll(daemons int) {
+	t := cluster.t
+	t.Helper()
 	t.Cleanup(func() { cluster.logs.printIfFailed(t) })
 	cluster.prefix = fmt.Sprintf("127.%d.%d", 100+os.Getpid()%100, clusterCount.Add(1))
 	serveUntilEnd(t, cluster.prefix+".1:7000", cluster.store.Handler())
@@ -149,7 +160,6 @@
 		}
 		return true
 	})
-	return cluster
 }
 
 func serveUntilEnd(t *testing.T, address string, handler http.Handler) *http.Server {
@@ -210,7 +220,7 @@
 		CallerAddress: ip + ":8000", PeerAddress: ip + ":8001", ForwardAddress: ip + ":8004", UpstreamAddress: ip + ":8002", OperatorAddress: ip + ":8003",
 		PlatformAddress: cluster.prefix + ".1:7000", PlatformRegion: "east", FirstPeers: []string{cluster.prefix + ".10:8001"},
 		RegionCapacity: 8, ClaimPartitions: 2, ClaimInterval: 5 * time.Millisecond, ClaimRetention: time.Hour,
-		DrainTimeout: cluster.drainTimeout, LingerTime: cluster.lingerTime,
+		DrainTimeout: cluster.drainTimeout, LingerTime: cluster.lingerTime, Quotas: cluster.quotas,
 	}
 }
 
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -35,6 +35,7 @@
 	"ibislift/io/peer"
 	"ibislift/io/peer/peerpb"
 	"ibislift/io/platform"
+	"ibislift/io/quotas"
 	"ibislift/io/upstream"
 
 	// The plug-ins of the kernel register themselves.
@@ -103,6 +104,7 @@
 	peers           *peer.Peers
 	platform        *platform.Client
 	ingress         *caller.Handler
+	quotas          *quotas.Quotas
 	meter           *metrics.Meter
 	rpc             *grpc.Server
 	peerServer      *peer.Server
@@ -138,6 +140,9 @@
 	go daemon.control.run(background)
 	go daemon.gate.Run(background)
 	go daemon.runHousekeeping(background)
+	if daemon.quotas != nil {
+		go daemon.quotas.Run(background)
+	}
 	if err := daemon.listen(); err != nil {
 		daemon.close()
 		return err
@@ -198,6 +203,7 @@
 	peerpb.RegisterPeerServer(daemon.rpc, peerServer)
 	daemon.claims = &claims{control: daemon.control, peers: daemon.peers, meter: daemon.meter}
 	daemon.ingress = daemon.buildIngress()
+	daemon.buildQuotas()
 	return daemon.registerGauges()
 }
 
@@ -304,6 +310,9 @@
 	notice := min(departureNotice, settings.LingerTime)
 	time.Sleep(settings.LingerTime - notice)
 	daemon.control.send(kernel.DrainRequested{Leaving: true})
+	if daemon.quotas != nil {
+		daemon.quotas.Stop()
+	}
 	time.Sleep(notice)
 	drained := daemon.gate.Close()
 	daemon.shutDownCallerServer(ctx)
--- a/daemon/flags.go
+++ b/daemon/flags.go
@@ -67,6 +67,12 @@
 		Default("0").Float64Var(&settings.SharedRetryRatio)
 	command.Flag("shared-retry-slack", "Extra attempts for a service in addition to the ratio, over all daemons.").
 		Default("0").Float64Var(&settings.SharedRetrySlack)
+	command.Flag("quota-window", "Length of the windows in which the requests of workspaces are counted; 0 means that there are no quotas.").
+		Default("0s").DurationVar(&settings.Quotas.Window)
+	command.Flag("quota-overshoot", "Fraction by which a workspace may exceed its quota in a window.").
+		Default("0").Float64Var(&settings.Quotas.Overshoot)
+	command.Flag("quota-slack", "Requests by which a workspace may exceed its quota in a window, in addition to the fraction.").
+		Default("0").Float64Var(&settings.Quotas.Slack)
 	command.Flag("log-format", "Format of the logs.").Default("text").EnumVar(&flags.logFormat, "text", "json")
 	command.Flag("log-level", "Minimum level that is logged.").Default("info").EnumVar(&flags.logLevel, "debug", "info", "warn", "error")
 }
--- a/daemon/gauges.go
+++ b/daemon/gauges.go
@@ -51,6 +51,7 @@
 			func() int64 { return int64(daemon.DroppedLogLines()) }))
 	}
 	group.Add(daemon.meter.AddBudgets(daemon.ingress.Budgets))
+	group.Add(daemon.registerQuotaMetrics())
 	return Error.Wrap(group.Err())
 }
 
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"ibislift/core/kernel"
+	"ibislift/core/quota"
 	"ibislift/core/route"
 )
 
@@ -94,6 +95,9 @@
 	// the profiles apply.
 	SharedRetryRatio float64
 	SharedRetrySlack float64
+	// Quotas are the terms on which the quotas of workspaces are kept. With a window of 0
+	// there are no quotas.
+	Quotas quota.Settings
 }
 
 // Link describes the network link to another region: its one-way latency and
@@ -176,6 +180,14 @@
 	if settings.SharedRetryRatio < 0 || settings.SharedRetryRatio > 1 {
 		add("shared-retry-ratio", "%g is not in the range 0 to 1", settings.SharedRetryRatio)
 	}
+	if settings.Quotas.Window < 0 {
+		add("quota-window", "%s must be at least 0", settings.Quotas.Window)
+	}
+	for flag, number := range map[string]float64{"quota-overshoot": settings.Quotas.Overshoot, "quota-slack": settings.Quotas.Slack} {
+		if !(number >= 0) {
+			add(flag, "%g must be at least 0", number)
+		}
+	}
 	for _, address := range settings.FirstPeers {
 		if reason := validateAddress(address); reason != "" {
 			add("first-peer", "%s", reason)
--- a/io/quotas/quotas.go
+++ b/io/quotas/quotas.go
@@ -47,6 +47,8 @@
 	waiting map[uint64]chan quota.Decision
 	lastID  uint64
 	view    *kernel.View
+	// addresses holds the peer addresses of the members by ID.
+	addresses map[string]string
 	// table is the route table that limits belong to.
 	table  *routes.Table
 	limits map[string]quota.Limit
@@ -207,7 +209,9 @@
 		quotas.table, quotas.limits = view.Routes, limitsOf(view.Routes)
 	}
 	members := make([]quota.Member, 0, len(view.Members))
+	quotas.addresses = make(map[string]string, len(view.Members))
 	for _, member := range view.Members {
+		quotas.addresses[member.ID] = member.PeerAddress
 		dead := member.State == kernel.MemberDead
 		members = append(members, quota.Member{ID: member.ID, Live: !dead && !member.Leaving, Left: dead && member.Leaving})
 	}
@@ -245,8 +249,8 @@
 	for _, effect := range quotas.machine.Update(event) {
 		switch effect := effect.(type) {
 		case quota.Send:
-			if member, known := quotas.view.Member(effect.To); known {
-				messages[member.PeerAddress] = append(messages[member.PeerAddress], effect.Message)
+			if address, known := quotas.addresses[effect.To]; known {
+				messages[address] = append(messages[address], effect.Message)
 			}
 		case quota.Decide:
 			if reply, found := quotas.waiting[effect.ID]; found {
