--- a/core/quota/network_test.go
+++ b/core/quota/network_test.go
@@ -82,6 +82,9 @@
 	clock time.Duration
 	// live is the daemon's view of the others.
 	live []bool
+	// hidden daemons are not known to the others yet; those that left have stopped in an
+	// orderly way.
+	hidden, left bool
 }
 
 type event struct {
@@ -171,9 +174,11 @@
 	if !daemon.up {
 		return
 	}
-	members := make([]quota.Member, len(daemon.live))
+	var members []quota.Member
 	for index, live := range daemon.live {
-		members[index] = quota.Member{ID: network.daemons[index].id, Live: live}
+		if !network.daemons[index].hidden {
+			members = append(members, quota.Member{ID: network.daemons[index].id, Live: live, Left: network.daemons[index].left})
+		}
 	}
 	network.update(daemon, func(at time.Duration) quota.Event {
 		return quota.FleetChanged{At: at, Members: members, Limits: network.limits, Joined: true}
@@ -331,6 +336,31 @@
 	return detectionMin + time.Duration(network.random.Int64N(int64(detectionSpread)))
 }
 
+// restartIfUp replaces the process of a daemon that is up.
+func (network *network) restartIfUp(daemon *daemon) {
+	if daemon.up {
+		network.start(daemon)
+	}
+}
+
+// stop stops a daemon in an orderly way: the others hear of it while it still runs.
+func (network *network) stop(daemon *daemon) {
+	for _, observer := range network.daemons {
+		network.after(time.Duration(network.random.Int64N(int64(200*time.Millisecond))), func() {
+			observer.live[daemon.index] = false
+			network.publish(observer)
+		})
+	}
+	network.update(daemon, func(at time.Duration) quota.Event { return quota.Stopping{At: at} })
+	network.after(time.Second, func() {
+		daemon.up, daemon.left = false, true
+		daemon.life++
+		for _, observer := range network.daemons {
+			network.after(time.Duration(network.random.Int64N(int64(time.Second))), func() { network.publish(observer) })
+		}
+	})
+}
+
 // restart starts a daemon that was killed.
 func (network *network) restart(daemon *daemon) {
 	network.start(daemon)
--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -201,8 +201,8 @@
 	Declined   bool
 }
 
-// Borrow asks a voter for its vote of a slot or, with Return, returns it. Idle is then how
-// long the owner has granted nothing in the slot.
+// Borrow asks a voter for its vote of a slot or, with Return, returns it. Idle is then the
+// time for which the vote counts as unused.
 type Borrow struct {
 	Slot     uint32
 	Sequence uint64
--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -257,3 +257,77 @@
 	is.New(t).True(len(network.waited) > 250)
 	is.New(t).True(slow < len(network.waited)/10)
 }
+
+// TestLoweredRate guards against a rate that is lowered and not enforced a window later.
+func TestLoweredRate(t *testing.T) {
+	network := newNetwork(1, 30, map[string]quota.Limit{"large": {Rate: 203, Burst: 203}})
+	network.transit = 250 * time.Millisecond
+	network.load("large", 400, network.now+30*time.Second, network.anywhere)
+	network.run(10 * time.Second)
+	lowered := quota.Limit{Rate: 2, Burst: 2}
+	network.limits = map[string]quota.Limit{"large": lowered}
+	for _, daemon := range network.daemons {
+		network.after(time.Duration(network.random.Int64N(int64(3*time.Second))), func() { network.publish(daemon) })
+	}
+	network.run(3*time.Second + testWindow)
+	network.arrivals["large"] = nil
+	network.run(10 * time.Second)
+	expectBound(t, network)
+	is.New(t).True(len(network.arrivals["large"]) >= 19) // the lower rate is usable
+}
+
+// TestJoiningDaemons guards against a bound that is exceeded while daemons join, so that
+// the committees that daemons know differ.
+func TestJoiningDaemons(t *testing.T) {
+	for seed := range uint64(4) {
+		network := newNetwork(seed, 24, limitsOfTest)
+		network.transit = 250 * time.Millisecond
+		for _, daemon := range network.daemons {
+			if daemon.index >= 16 {
+				daemon.hidden = true
+				daemon.up = false
+			}
+		}
+		for _, daemon := range network.daemons {
+			network.restartIfUp(daemon)
+		}
+		network.run(startUp)
+		overload(network, 3, network.now+20*time.Second, network.anywhere)
+		for _, daemon := range network.daemons[16:] {
+			network.run(time.Second)
+			daemon.hidden = false
+			network.start(daemon)
+			for _, observer := range network.daemons {
+				network.after(time.Duration(network.random.Int64N(int64(time.Second))), func() { network.publish(observer) })
+			}
+		}
+		network.run(10 * time.Second)
+		expectBound(t, network)
+	}
+}
+
+// TestOrderlyStop guards against requests that are refused because their owner stops, as
+// in each restart for an upgrade.
+func TestOrderlyStop(t *testing.T) {
+	network := newNetwork(1, 30, map[string]quota.Limit{"large": {Rate: 203, Burst: 203}, "medium": {Rate: 20, Burst: 20}})
+	for workspace, limit := range network.limits {
+		network.load(workspace, limit.Rate/1.6, network.now+40*time.Second, network.anywhere)
+	}
+	network.run(5 * time.Second)
+	for range 8 {
+		for _, daemon := range network.daemons {
+			if daemon.up && daemon.machine.Counts().Owned > 0 {
+				network.stop(daemon)
+				break
+			}
+		}
+		network.run(4 * time.Second)
+	}
+	granted, lost := 0, 0
+	for workspace := range network.limits {
+		granted += network.granted[workspace]
+		lost += network.refused[workspace] + network.unreachable[workspace]
+	}
+	t.Logf("granted %d, refused %d", granted, lost)
+	is.New(t).True(lost*200 < granted) // the new owner's bucket starts empty
+}
--- a/core/quota/votes.go
+++ b/core/quota/votes.go
@@ -11,8 +11,10 @@
 	voteLease = 900 * time.Millisecond
 	// renewInterval is the time between two requests of an owner for a vote that it has.
 	renewInterval = 300 * time.Millisecond
-	// borrowInterval is the same for votes that it does not have.
-	borrowInterval = 200 * time.Millisecond
+	// borrowInterval is the same for votes that it does not have. It doubles up to
+	// maxBorrowInterval with each request that gets no reply, since the voter may be dead.
+	borrowInterval    = 100 * time.Millisecond
+	maxBorrowInterval = 800 * time.Millisecond
 	// loanMemory is how long a voter remembers the end of a loan. After that the vote counts
 	// as unused for that long, which fills the bucket of any burst that lasts less.
 	loanMemory = time.Minute
@@ -97,7 +99,9 @@
 	askedAt  time.Duration
 	sequence uint64
 	replied  bool
-	expires  time.Duration
+	// misses is the number of requests without a reply since the last reply.
+	misses  int
+	expires time.Duration
 	// since is the time from which the vote has filled the buckets of workspaces that have
 	// not been used.
 	since time.Duration
@@ -136,13 +140,16 @@
 	}
 	quota.matchVoters(owned)
 	for _, vote := range slices.Clone(owned.votes) {
-		interval := borrowInterval
+		interval := min(borrowInterval<<min(vote.misses, 8), maxBorrowInterval)
 		if quota.now < vote.expires {
 			interval = renewInterval
 		}
 		if vote.sequence > 0 && quota.now-vote.askedAt < interval {
 			continue
 		}
+		if vote.sequence > 0 && !vote.replied {
+			vote.misses++
+		}
 		vote.askedAt, vote.sequence, vote.replied = quota.now, quota.nextSequence(), false
 		quota.counts.VotesAsked++
 		quota.send(vote.voter, Borrow{Slot: owned.slot, Sequence: vote.sequence})
@@ -179,7 +186,7 @@
 		return
 	}
 	vote := owned.votes[index]
-	vote.replied = true
+	vote.replied, vote.misses = true, 0
 	expires := vote.askedAt + voteLease
 	if lend.Lent && quota.now < expires {
 		quota.settle(owned)
@@ -228,16 +235,33 @@
 	return false
 }
 
+// unusedTime returns the time in which the votes of a slot would fill its buckets to what
+// they hold now. A voter that gets its vote back counts as unused for that long.
+func (quota *Quota) unusedTime(owned *ownership) time.Duration {
+	quota.settle(owned)
+	unused := quota.now - owned.lastAsk
+	if len(owned.buckets) > 0 {
+		unused = loanMemory
+	}
+	votes := quota.votes(owned)
+	for _, bucket := range owned.buckets {
+		bucket.cap(votes)
+		unused = min(unused, seconds(bucket.tokens/max(1e-9, bucket.terms.rate*votes)))
+	}
+	return unused
+}
+
 // returnVotes returns the votes of a slot, so that the next owner need not wait for the
-// end of their lease. Its buckets are dropped.
+// end of their lease. What its buckets hold goes with the votes.
 func (quota *Quota) returnVotes(owned *ownership) {
+	unused := quota.unusedTime(owned)
 	delete(quota.owned, owned.slot)
 	for _, request := range owned.pending {
 		quota.decline(request, 0)
 	}
 	for _, vote := range owned.votes {
 		if quota.now < vote.expires {
-			idle := max(0, min(quota.now-owned.lastAsk, quota.now-vote.since))
+			idle := max(0, min(unused, quota.now-vote.since))
 			quota.send(vote.voter, Borrow{Slot: owned.slot, Sequence: vote.sequence, Return: true, Idle: idle})
 		}
 	}
