--- a/core/quota/fleet.go
+++ b/core/quota/fleet.go
@@ -78,35 +78,60 @@
 	fleet.live = live
 }
 
+// ranked is a member with its place in the hash order of a slot.
+type ranked struct {
+	id   string
+	rank uint64
+}
+
+// ranking holds the first members of an order. Few of thousands are needed, so they are
+// inserted one by one instead of sorting all.
+type ranking struct {
+	size  int
+	first []ranked
+}
+
+func compareRanks(one, other ranked) int {
+	return cmp.Or(cmp.Compare(one.rank, other.rank), cmp.Compare(one.id, other.id))
+}
+
+func (ranking *ranking) add(member ranked) {
+	if len(ranking.first) == ranking.size && compareRanks(member, ranking.first[ranking.size-1]) > 0 {
+		return
+	}
+	index, _ := slices.BinarySearchFunc(ranking.first, member, compareRanks)
+	ranking.first = slices.Insert(ranking.first, index, member)
+	ranking.first = ranking.first[:min(len(ranking.first), ranking.size)]
+}
+
+func (ranking *ranking) ids() []string {
+	ids := make([]string, 0, len(ranking.first))
+	for _, member := range ranking.first {
+		ids = append(ids, member.id)
+	}
+	return ids
+}
+
 // seats returns the voters and candidates of a slot by rendezvous hashing.
 func (fleet *fleet) seats(slot uint32) *seats {
 	if found := fleet.cached[slot]; found != nil {
 		return found
 	}
-	type ranked struct {
-		id   string
-		rank uint64
-	}
-	members := make([]ranked, 0, len(fleet.known))
+	voters, live := ranking{size: committeeSize}, ranking{size: candidates}
 	var digest xxhash.Digest
+	var prefix [4]byte
+	binary.LittleEndian.PutUint32(prefix[:], slot)
 	for id := range fleet.known {
 		digest.Reset()
-		_, _ = digest.Write(binary.LittleEndian.AppendUint32(nil, slot))
+		_, _ = digest.Write(prefix[:])
 		_, _ = digest.WriteString(id)
-		members = append(members, ranked{id, digest.Sum64()})
-	}
-	slices.SortFunc(members, func(first, second ranked) int {
-		return cmp.Or(cmp.Compare(first.rank, second.rank), cmp.Compare(first.id, second.id))
-	})
-	found := &seats{}
-	for _, member := range members {
-		if len(found.voters) < committeeSize {
-			found.voters = append(found.voters, member.id)
-		}
-		if len(found.candidates) < candidates && fleet.live[member.id] {
-			found.candidates = append(found.candidates, member.id)
+		member := ranked{id, digest.Sum64()}
+		voters.add(member)
+		if fleet.live[id] {
+			live.add(member)
 		}
 	}
+	found := &seats{voters: voters.ids(), candidates: live.ids()}
 	if fleet.cached == nil {
 		fleet.cached = map[uint32]*seats{}
 	}
