--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
@@ -331,3 +332,108 @@
 	t.Logf("granted %d, refused %d", granted, lost)
 	is.New(t).True(lost*200 < granted) // the new owner's bucket starts empty
 }
+
+// grants returns the grants among the effects.
+func grants(effects []quota.Effect) []quota.Grant {
+	var found []quota.Grant
+	for _, effect := range effects {
+		send, isSend := effect.(quota.Send)
+		if grant, isGrant := send.Message.(quota.Grant); isSend && isGrant {
+			found = append(found, grant)
+		}
+	}
+	return found
+}
+
+// slotOfFew is the slot of the workspace few.
+var slotOfFew = uint32(xxhash.Sum64String("few") % 512)
+
+// soleOwner returns the state machine of a daemon that knows another one and has all the
+// votes of the workspace few.
+func soleOwner(t *testing.T) *quota.Quota {
+	t.Helper()
+	machine := &quota.Quota{Self: "a", Settings: quota.Settings{Window: testWindow, Overshoot: 0.1, Slack: 20}}
+	members := []quota.Member{{ID: "a", Live: true}, {ID: "b", Live: true}}
+	machine.Update(quota.FleetChanged{Members: members, Limits: limitsOfTest, Joined: true})
+	at := 20 * time.Second
+	effects := machine.Update(quota.MessageReceived{At: at, From: "b", Message: quota.Ask{Workspace: "few", Sequence: 1, Tokens: 1}})
+	is.New(t).Equal(len(grants(effects)), 1) // its own vote, half of all, covers a token
+	for _, effect := range effects {
+		send, _ := effect.(quota.Send)
+		if borrow, isBorrow := send.Message.(quota.Borrow); isBorrow {
+			machine.Update(quota.MessageReceived{At: at, From: "b", Message: quota.Lend{Slot: borrow.Slot, Sequence: borrow.Sequence, Lent: true, Idle: time.Minute}})
+		}
+	}
+	return machine
+}
+
+func TestOwner(t *testing.T) {
+	at := 20*time.Second + time.Millisecond
+	ask := func(sequence uint64, tokens int) quota.Event {
+		return quota.MessageReceived{At: at, From: "b", Message: quota.Ask{Workspace: "few", Sequence: sequence, Tokens: tokens}}
+	}
+	t.Run("a repeated request is not granted twice", func(t *testing.T) {
+		machine := soleOwner(t)
+		is := is.New(t)
+		is.Equal(len(grants(machine.Update(ask(1, 1)))), 0)
+		is.Equal(len(grants(machine.Update(ask(3, 1)))), 1)
+		is.Equal(len(grants(machine.Update(ask(2, 1)))), 1) // overtaken, not repeated
+		is.Equal(len(grants(machine.Update(ask(2, 1)))), 0)
+	})
+	t.Run("daemons that are refused are told different times", func(t *testing.T) {
+		machine := soleOwner(t)
+		first := grants(machine.Update(ask(2, 9)))[0]
+		second := grants(machine.Update(ask(3, 1)))[0]
+		third := grants(machine.Update(ask(4, 1)))[0]
+		is := is.New(t)
+		is.Equal(first.Tokens, 4) // of the five that a small bucket holds
+		is.Equal(second.Tokens, 0)
+		is.True(first.RetryAfter > 0)
+		is.True(second.RetryAfter >= first.RetryAfter+300*time.Millisecond) // a token comes every 333 ms
+		is.True(third.RetryAfter > second.RetryAfter)
+	})
+	t.Run("an owner that was frozen while its votes went to another one grants nothing", func(t *testing.T) {
+		machine := soleOwner(t)
+		at = 23 * time.Second
+		machine.Update(quota.MessageReceived{At: at, From: "b", Message: quota.Borrow{Slot: slotOfFew, Sequence: 5}})
+		for _, grant := range grants(machine.Update(ask(2, 1))) {
+			is.New(t).Equal(grant.Tokens, 0)
+		}
+	})
+	t.Run("a workspace without a limit here is declined", func(t *testing.T) {
+		machine := soleOwner(t)
+		reply := grants(machine.Update(quota.MessageReceived{At: at, From: "b", Message: quota.Ask{Workspace: "unknown", Sequence: 9, Tokens: 1}}))
+		is.New(t).True(reply[0].Declined)
+	})
+	t.Run("a daemon that is not a member gets no reply", func(t *testing.T) {
+		machine := soleOwner(t)
+		effects := machine.Update(quota.MessageReceived{At: at, From: "stranger", Message: quota.Ask{Workspace: "few", Sequence: 2, Tokens: 1}})
+		is.New(t).Equal(len(effects), 0)
+	})
+}
+
+// TestRefusalsWithoutAsking guards against a daemon that asks the owner for each request
+// over the quota, and against callers that are all sent back at the same time.
+func TestRefusalsWithoutAsking(t *testing.T) {
+	is := is.New(t)
+	machine := &quota.Quota{Self: "a", Settings: quota.Settings{Window: testWindow, Overshoot: 0.1, Slack: 20}}
+	machine.Update(quota.FleetChanged{Members: []quota.Member{{ID: "b", Live: true}}, Limits: limitsOfTest, Joined: true})
+	at := 20 * time.Second
+	want := func(id uint64) []quota.Effect {
+		return machine.Update(quota.TokenWanted{At: at, ID: id, Workspace: "few", Deadline: at + time.Second})
+	}
+	ask := want(1)[0].(quota.Send).Message.(quota.Ask)
+	machine.Update(quota.MessageReceived{At: at, From: "b", Message: quota.Grant{Workspace: "few", Sequence: ask.Sequence, RetryAfter: 300 * time.Millisecond, Spread: time.Second}})
+	times := map[time.Duration]bool{}
+	for id := range uint64(10) {
+		decide := want(2 + id)[0].(quota.Decide)
+		is.Equal(decide.Decision.Verdict, quota.OverQuota)
+		is.True(decide.Decision.RetryAfter >= 300*time.Millisecond)
+		is.True(decide.Decision.RetryAfter <= 1300*time.Millisecond)
+		times[decide.Decision.RetryAfter] = true
+	}
+	is.Equal(len(times), 10)
+	at += 301 * time.Millisecond
+	_, asks := want(99)[0].(quota.Send)
+	is.True(asks)
+}
