--- a/daemon/cluster_test.go
+++ b/daemon/cluster_test.go
@@ -19,6 +19,7 @@
 
 	"github.com/matryer/is"
 
+	"ibislift/core/quota"
 	"ibislift/daemon"
 	"ibislift/standin/platform"
 	"ibislift/standin/upstream"
@@ -112,6 +113,7 @@
 	// lingerTime and drainTimeout are settings of all daemons.
 	lingerTime   time.Duration
 	drainTimeout time.Duration
+	quotas       quota.Settings
 	prefix       string
 	// evacuable is set if each daemon has a data centre of its own, which can be
 	// evacuated.
@@ -153,7 +155,8 @@
 	return cluster
 }
 
-// startAll starts the daemons and waits until every daemon knows every target.
+// startAll starts the platform and the daemons with their upstreams, and waits until every
+// daemon knows every target.
 func (cluster *cluster) startAll(daemons int) {
 	t := cluster.t
 	t.Helper()
@@ -234,7 +237,7 @@
 		CallerAddress: ip + ":8000", PeerAddress: ip + ":8001", ForwardAddress: ip + ":8004", UpstreamAddress: ip + ":8002", OperatorAddress: ip + ":8003",
 		PlatformAddress: cluster.prefix + ".1:7000", PlatformRegion: "east", FirstPeers: []string{cluster.prefix + ".10:8001"},
 		RegionCapacity: 8, ClaimPartitions: 2, ClaimInterval: 5 * time.Millisecond, ClaimRetention: time.Hour,
-		DrainTimeout: cluster.drainTimeout, LingerTime: cluster.lingerTime,
+		DrainTimeout: cluster.drainTimeout, LingerTime: cluster.lingerTime, Quotas: cluster.quotas,
 	}
 	if cluster.evacuable {
 		settings.DataCentre, settings.EvacuationPrefix = fmt.Sprintf("e%d", number), "evacuations/"
--- a/daemon/flags.go
+++ b/daemon/flags.go
@@ -73,6 +73,12 @@
 		Default("0").Float64Var(&settings.WarmupOvershoot)
 	command.Flag("warmup-slack", "Requests that a cold upstream may get in any second in addition.").
 		Default("0").Float64Var(&settings.WarmupSlack)
+	command.Flag("quota-window", "Length of the windows in which the requests of workspaces are counted; 0 means that there are no quotas.").
+		Default("0s").DurationVar(&settings.Quotas.Window)
+	command.Flag("quota-overshoot", "Fraction by which a workspace may exceed its quota in a window.").
+		Default("0").Float64Var(&settings.Quotas.Overshoot)
+	command.Flag("quota-slack", "Requests by which a workspace may exceed its quota in a window, in addition to the fraction.").
+		Default("0").Float64Var(&settings.Quotas.Slack)
 	command.Flag("log-format", "Format of the logs.").Default("text").EnumVar(&flags.logFormat, "text", "json")
 	command.Flag("log-level", "Minimum level that is logged.").Default("info").EnumVar(&flags.logLevel, "debug", "info", "warn", "error")
 }
--- a/io/caller/attempt.go
+++ b/io/caller/attempt.go
@@ -11,6 +11,7 @@
 
 	"ibislift/core/call"
 	"ibislift/core/kernel"
+	"ibislift/core/quota"
 	"ibislift/io/http1"
 	"ibislift/io/peer"
 	"ibislift/io/peer/peerpb"
@@ -32,6 +33,10 @@
 	recordEnd   func()
 	// bodyWithCommit is set if the head was sent without the body.
 	bodyWithCommit bool
+	// token is the token of the workspace's quota that the attempt spent, if spentToken is
+	// set.
+	token      quota.Decision
+	spentToken bool
 }
 
 // newAttempt creates an attempt and records its start in the tracker.
--- a/io/caller/caller.go
+++ b/io/caller/caller.go
@@ -79,6 +79,8 @@
 	// ReportTo is the address to which gates send load reports. If it is empty,
 	// they send none.
 	ReportTo string
+	// Quotas limits the requests of workspaces. It is nil without quotas.
+	Quotas Quotas
 	// Splitter divides the requests of a route among its destinations.
 	Splitter *routes.Splitter
 
@@ -112,14 +114,22 @@
 		service = handler.lookUpService(view, request.service)
 		refusal = handler.prepare(request, service, view, writer, original, arrived)
 	}
+	if refusal == nil {
+		refusal = handler.takeToken(request, original)
+	}
 	if refusal != nil {
 		refusal.RequestID = request.id
 		refusal.Outcome = call.OutcomeNotRun
 		refusal.write(writer, handler.Dialect)
-		if refusal.reason != "" {
-			handler.Records.addRefusal(request.refusalRecord(original, refusal, arrived))
+		steps := quotaSteps(refusal, request, handler.Now().Sub(arrived))
+		if refusal.reason != "" || steps != nil {
+			record := request.refusalRecord(original, refusal, arrived)
+			if steps != nil {
+				record.Steps = steps
+			}
+			handler.Records.addRefusal(record)
 		}
-		handler.reportEnd(request, service, requestEnd{refusal.Status, call.OutcomeNotRun, refusal.kind(), refusal.reason, nil}, arrived)
+		handler.reportEnd(request, service, requestEnd{refusal.Status, call.OutcomeNotRun, refusal.kind(), refusal.reason, steps}, arrived)
 		return
 	}
 	exchange := &exchange{
--- a/io/caller/request.go
+++ b/io/caller/request.go
@@ -15,6 +15,7 @@
 
 	"ibislift/core/pick"
 	"ibislift/core/profile"
+	"ibislift/core/quota"
 	"ibislift/core/routes"
 	"ibislift/io/dialect"
 	"ibislift/io/peer"
@@ -64,6 +65,9 @@
 	// regions are the regions whose targets may get the request and its body. nil allows
 	// all regions.
 	regions []string
+	// token is the token of the workspace's quota for the next attempt, if hasToken is set.
+	token    quota.Decision
+	hasToken bool
 	// body is the whole body if it is short. A longer body is streamed, and
 	// body is its beginning.
 	body     []byte
--- a/io/logs/fields.go
+++ b/io/logs/fields.go
@@ -73,6 +73,8 @@
 	"ejected":     "whether the target temporarily receives no requests",
 	"version":     "version of the route table",
 	"routes":      "number of routes",
+	"slot":        "number of a group of workspaces whose quotas have the same owner",
+	"votes":       "part of the votes of the slot that the daemon has",
 	"added":       "number of API keys that the route table adds to the workspace",
 	"removed":     "number of API keys that the route table removes from the workspace",
 	"from":        "daemon that sent the table; empty if it came from the platform",
