soak: API keys that are added and removed

A request with a valid key must never get 401, and after the recovery all daemons accept the key in the store's table and refuse those that were removed before it.

--- a/cmd/soak/caller.go
+++ b/cmd/soak/caller.go
@@ -97,6 +97,8 @@
 	switch {
 	case attempt.result.Wrong:
 		return "had a wrong response"
+	case attempt.result.Status == http.StatusUnauthorized:
+		return "was refused although its key is valid"
 	case runs > 0 && attempt.result.Outcome == "notRun":
 		return "ran despite the outcome notRun"
 	case runs > 1 && attempt.request.Method != http.MethodGet:
--- a/cmd/soak/trial.go
+++ b/cmd/soak/trial.go
@@ -64,6 +64,7 @@
 	}
 	defer trial.stop()
 	stopWatching := trial.watchConfiguration()
+	stopChanging := trial.changeKeys()
 	trial.startedAt = time.Now()
 	report := trial.runWithFaults()
 	trial.awaitRecovery("the faults")
@@ -71,6 +72,7 @@
 	trial.checkGracefulStop()
 	trial.checkStopSeries()
 	stopWatching()
+	stopChanging()
 	trial.audit(report)
 	trial.checkRetryBudgets()
 }
@@ -85,7 +87,7 @@
 		TargetsPerService: trial.soak.targets, Slots: 8, ServiceTime: 5 * time.Millisecond,
 		DataCentreLatency: time.Millisecond, RegionLatency: 15 * time.Millisecond,
 		FirstRegionNumber: trial.firstRegionNumber, WritesPerSecond: 300, WithoutLinks: trial.withoutLinks(), PlatformProxy: trial.proxyAddress(0),
-		Flags: trial.stopFlags(),
+		Flags: append(trial.stopFlags(), trial.keyFlags()...),
 	}
 }
 
@@ -109,6 +111,9 @@
 		return err
 	}
 	trial.running = running
+	if err := trial.putFirstTable(); err != nil {
+		return err
+	}
 	for number, instance := range running.Instances[:proxiedDaemons] {
 		callerProxy := &proxy.Proxy{Target: instance.CallerAddress()}
 		if err := callerProxy.Listen(trial.proxyAddress(number + 1)); err != nil {
@@ -156,6 +161,7 @@
 	for other := 1; other <= resends; other++ {
 		request.ResendAddresses = append(request.ResendAddresses, trial.callerAddress((ingress+5*other)%len(instances)))
 	}
+	trial.authorize(&request)
 	switch random.IntN(4) {
 	case 0:
 		request.Class, request.Method, request.Path = "change", "POST", service.ChangePath
--- a/standin/load/report.go
+++ b/standin/load/report.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"net/http"
 	"sort"
 	"text/tabwriter"
 	"time"
@@ -53,6 +54,8 @@
 	// Broken lists the IDs of the attempts whose connection ended before the
 	// response was complete.
 	Broken []string
+	// Unauthorized lists the IDs of the attempts that ended with status 401.
+	Unauthorized []string
 	// ChangeAttempts lists, by request ID, the attempt IDs of each request that may
 	// run at most once.
 	ChangeAttempts map[string][]string
@@ -90,6 +93,9 @@
 	if result.Outcome == "notRun" {
 		generator.report.NotRun[attemptID] = true
 	}
+	if result.Status == http.StatusUnauthorized {
+		generator.report.Unauthorized = append(generator.report.Unauthorized, attemptID)
+	}
 	if result.Broken {
 		generator.report.Broken = append(generator.report.Broken, attemptID)
 	}
@@ -187,6 +193,9 @@
 			findings = append(findings, attemptID+" ran despite the outcome notRun")
 		}
 	}
+	for _, attemptID := range report.Unauthorized {
+		findings = append(findings, attemptID+" was refused although its key is valid")
+	}
 	for key, row := range report.Rows {
 		if row.Wrong > 0 {
 			findings = append(findings, fmt.Sprintf("%d wrong responses to %s %s", row.Wrong, key.Service, key.Class))
