--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -387,9 +387,9 @@
 mutant "a drain that is requested while the first announcement is held is forgotten" io/upstream/announce.go \
   'monitor.held.announcement.Draining = monitor.held.present' '' ./io/upstream
 mutant "a request with an unknown key is served" io/caller/workspace.go \
-  'if workspace == nil && !request.route.Anonymous {' 'if false {' ./io/caller ./daemon
+  'if workspace == nil && !request.route.Anonymous {' 'if false {' ./io/caller
 mutant "requests are served without the route table" core/kernel/kernel.go \
-  'if kernel.state.Settings.RouteObject != "" && view.Routes == nil {' 'if false {' ./daemon
+  'if kernel.state.Settings.RouteObject != "" && view.Routes == nil {' 'if false {' ./core/kernel
 mutant "the key of a caller is forwarded" io/caller/workspace.go \
   'if !request.hidesKey {' 'if true {' ./io/caller
 mutant "workspaces share their idempotency keys" io/caller/workspace.go \
