--- a/cmd/ibislift/table.go
+++ b/cmd/ibislift/table.go
@@ -97,6 +97,12 @@
 	for _, record := range records {
 		fmt.Printf("%s %s %s %s at %s: %s, status %d\n", record.RequestID, record.Service, record.Method, record.Path,
 			record.ArrivedAt.Format(time.RFC3339Nano), record.Outcome, record.Status)
+		if record.Workspace != "" {
+			fmt.Printf("  workspace %s\n", record.Workspace)
+		}
+		if len(record.Regions) > 0 {
+			fmt.Printf("  allowed regions: %s\n", strings.Join(record.Regions, " "))
+		}
 		for _, step := range record.Steps {
 			fmt.Printf("  +%-12s %s %s\n", step.Elapsed.Round(time.Microsecond), step.Event, step.Detail)
 			for _, candidate := range step.Candidates {
