--- a/cmd/ibislift/explainlog.go
+++ b/cmd/ibislift/explainlog.go
@@ -119,9 +119,17 @@
 	{"relayed", "the target's own response was relayed"},
 }
 
+// targetStates maps texts in the steps of a "request ended" line to what they say of the
+// targets of a refused request.
+var targetStates = []struct{ step, sentence string }{
+	{", cold, next in ", "a target was cold and took only its warm-up rate"},
+	{" evacuated: ", "targets were in evacuated data centres"},
+}
+
 // earlyCauses maps the problems of requests that were refused before a target
 // was chosen to explanations.
 var earlyCauses = map[string]string{
+	"evacuated":      "the data centres of all targets were evacuated",
 	"notReady":       "the daemon had no configuration yet",
 	"unknownRoute":   "no route of the table in force matched; see the line \"route table in force\"",
 	"unknownService": "no target, operator or route names the service",
@@ -147,6 +155,11 @@
 		reason := strings.TrimSuffix(strings.SplitN(strings.SplitN(last, ": ", 2)[1], ";", 2)[0], ")")
 		parts = append(parts, fmt.Sprintf("refusals by gates: %d, the last as %q", refusals, reason))
 	}
+	for _, state := range targetStates {
+		if ended.Outcome == "notRun" && strings.Contains(ended.Steps, state.step) {
+			parts = append(parts, state.sentence)
+		}
+	}
 	for _, line := range lines {
 		if line.RequestID == ended.RequestID && line.Error != "" {
 			parts = append(parts, "the gate reported "+line.Error)
--- a/cmd/ibislift/explainlog_test.go
+++ b/cmd/ibislift/explainlog_test.go
@@ -53,6 +53,15 @@
 			[]string{endedLine("r", "run", "500", "9 failing (attempt 0)"), endedLine("r.1", "notRun", "503", "1 refused (attempt 0: late); 1 noTargetLeft")},
 			"The target responded with 500 after a call that it made ended with 503",
 		},
+		"refused by cold targets": {
+			[]string{endedLine("r", "notRun", "503", "0 arrived; 0 considered 2, t0: running 2 of 9, queued 1, slowness 1.00, cold, next in 83ms, failing 0.00, age 5ms; 1 refused (attempt 0: busy); 1 noTargetLeft")},
+			`the last as "busy"; a target was cold and took only its warm-up rate`,
+		},
+		"other targets evacuated": {
+			[]string{endedLine("r", "notRun", "503", "1 refused (attempt 0: evacuated); 1 excluded (1 tried: t0, 3 evacuated: t1 t2 t3); 1 noTargetLeft")},
+			`the last as "evacuated"; targets were in evacuated data centres`,
+		},
+		"all evacuated":    {[]string{refusedLine("r", "503", "evacuated")}, "the data centres of all targets were evacuated"},
 		"no route":         {[]string{refusedLine("r", "404", "unknownRoute")}, "no route of the table in force matched"},
 		"no configuration": {[]string{refusedLine("r", "503", "notReady")}, "the daemon had no configuration yet"},
 		"suspect":          {[]string{refusedLine("r", "503", "crashSuspect")}, "targets have crashed on requests like it"},
