pick: callers come back to cold targets no earlier than these have room

Retry-After was at most a third of the time to the deadline, also where the gates of cold targets had said that there is no token before; such callers were refused again.

--- a/core/pick/pick.go
+++ b/core/pick/pick.go
@@ -58,6 +58,8 @@
 	tried    map[string]bool
 	declined map[string]bool
 	lost     map[string]bool
+	// cold is set once a target was chosen that its warm-up limits.
+	cold bool
 	// refusals counts the refusals for lack of capacity.
 	refusals int
 }
@@ -114,6 +116,7 @@
 	}
 	var maxDelay time.Duration
 	choice.Index, maxDelay = route.ChooseLeastTime(request, choice.Candidates)
+	picker.cold = picker.cold || choice.Candidates[choice.Index].IsCold()
 	choice.Member = untried[choice.Index]
 	if !picker.declined[choice.Member.ID] {
 		choice.MaxDelay = maxDelay
@@ -154,6 +157,9 @@
 	return picker.Random
 }
 
+// WasLimitedByWarmup reports whether a target was chosen that its warm-up limits.
+func (picker *Picker) WasLimitedByWarmup() bool { return picker.cold }
+
 // RecordAttempt records the target of the next attempt.
 func (picker *Picker) RecordAttempt(target string) {
 	if picker.tried == nil {
--- a/core/pick/pick_test.go
+++ b/core/pick/pick_test.go
@@ -32,6 +32,11 @@
 	t.Run("the delay never exceeds a third of the time to the deadline", func(t *testing.T) {
 		checkRange(t, pick.Refusal{DeadlineIn: 90 * ms, CapacityIn: 10 * ms}, 30*ms, 30*ms)
 	})
+	t.Run("cold targets have no capacity before the time that they say", func(t *testing.T) {
+		checkRange(t, pick.Refusal{DeadlineIn: 1500 * ms, ObjectiveIn: 400 * ms, CapacityIn: 900 * ms, IsCold: true}, 900*ms, 900*ms)
+		checkRange(t, pick.Refusal{DeadlineIn: 3000 * ms, ObjectiveIn: 900 * ms, CapacityIn: 400 * ms, IsCold: true}, 400*ms, 520*ms)
+		checkRange(t, pick.Refusal{DeadlineIn: 2400 * ms, CapacityIn: 80 * ms, IsCold: true}, 500*ms, 800*ms)
+	})
 	t.Run("the delay has a minimum", func(t *testing.T) {
 		checkRange(t, pick.Refusal{CapacityIn: ms}, 50*ms, 50*ms)
 	})
--- a/core/pick/retryafter.go
+++ b/core/pick/retryafter.go
@@ -28,6 +28,9 @@
 	// CapacityIn is the time until a gate expects free capacity; 0 means that
 	// no gate has reported one.
 	CapacityIn time.Duration
+	// IsCold means that the warm-up rate of targets sets CapacityIn, so that there is
+	// certainly none before.
+	IsCold bool
 	// ServiceTime is how long the request runs on a target that is not slowed
 	// down; 0 means that it is not known.
 	ServiceTime time.Duration
@@ -38,7 +41,8 @@
 // deadline, and never less than minRetryAfter unless that is longer than a third. The
 // delay is varied by random, a number from 0 to 1. A request that would miss its
 // objective gets the longest delay, so that those that can still meet theirs are
-// served first.
+// served first. Cold targets have no capacity earlier than they say, so the delay is never
+// shorter.
 func (refusal Refusal) RetryAfter(random float64) time.Duration {
 	longest := refusal.DeadlineIn / deadlineDivisor
 	delay := refusal.CapacityIn
@@ -48,6 +52,14 @@
 	if delay+refusal.ServiceTime > refusal.ObjectiveIn {
 		delay = longest
 	}
+	if refusal.IsCold {
+		return max(refusal.CapacityIn, refusal.spread(delay, longest, random))
+	}
+	return refusal.spread(delay, longest, random)
+}
+
+// spread varies a delay, so that it is at most the longest one.
+func (Refusal) spread(delay, longest time.Duration, random float64) time.Duration {
 	factor := 1 - retryJitter + 2*retryJitter*random
 	delay = max(minRetryAfter, time.Duration(float64(max(minRetryAfter, delay))*factor))
 	if longest > 0 {
--- a/core/pick/warmup_test.go
+++ b/core/pick/warmup_test.go
@@ -36,6 +36,24 @@
 	return counts
 }
 
+// The caller is told when cold targets have capacity only if one was asked.
+func TestPickerRemembersColdTargets(t *testing.T) {
+	is := is.New(t)
+	fixture := newFixture()
+	picker := &pick.Picker{
+		Tracker: fixture.tracker, Profile: profile.Default(), Class: "c", HasObjective: true, Random: 1,
+		Objective: fixture.now.Add(time.Second), ObjectiveLength: time.Second, Warmup: route.Warmup{PerSecond: 12, Time: 3 * time.Second},
+	}
+	link := func(kernel.Member) route.Link { return route.Link{} }
+	picker.Choose(fixture.now, fixture.members, link)
+	is.True(!picker.WasLimitedByWarmup())
+	for index := range fixture.members {
+		fixture.members[index].Target.StartedAt = fixture.now.UnixMilli()
+	}
+	picker.Choose(fixture.now, fixture.members, link)
+	is.True(picker.WasLimitedByWarmup())
+}
+
 // All ingresses see a target that has just started as idle, and would send it more than a
 // cold target can take before the first report arrives.
 func TestTargetThatHasJustStartedIsNotFlooded(t *testing.T) {
--- a/core/route/warmup.go
+++ b/core/route/warmup.go
@@ -36,6 +36,12 @@
 // but one that is ahead by more than the warm-up time says nothing.
 func (warmup Warmup) covers(age time.Duration) bool { return age < warmup.Time && age > -warmup.Time }
 
+// IsCold reports whether the target takes only its warm-up rate, as far as this daemon
+// knows: it has just started, or its gate reports a delay without a rate limit.
+func (candidate Candidate) IsCold() bool {
+	return candidate.WarmupRate > 0 || candidate.Load.RateDelay > 0 && !candidate.Load.RateLimit.InForce
+}
+
 // rateDelaySeconds returns how much longer the rate limit or the warm-up limit of the
 // target delays a request, as of its last report, and at least as long as the requests of
 // this daemon in flight there take to be let through. Of a target that has just started
--- a/io/caller/exchange.go
+++ b/io/caller/exchange.go
@@ -334,7 +334,7 @@
 		now := exchange.handler.Now()
 		refusal := pick.Refusal{
 			DeadlineIn: exchange.request.callerDeadline.Sub(now), ObjectiveIn: exchange.request.objective.Sub(now),
-			CapacityIn: finish.RetryAfter, ServiceTime: exchange.service.tracker.Class(exchange.request.class).ServiceTime,
+			CapacityIn: finish.RetryAfter, IsCold: exchange.picker.WasLimitedByWarmup(), ServiceTime: exchange.service.tracker.Class(exchange.request.class).ServiceTime,
 		}
 		finish.RetryAfter = refusal.RetryAfter(rand.Float64())
 	} else {
--- a/io/caller/record.go
+++ b/io/caller/record.go
@@ -189,7 +189,7 @@
 			ReportAge: candidate.ReportAge, HasReport: candidate.HasReport, Latency: candidate.Latency, LinkLatency: candidate.LinkLatency,
 			Slowness: candidate.Load.Slowness, FailureRate: candidate.FailureRate, Warmth: candidate.Warmth, Ejected: candidate.Ejected, Draining: candidate.Load.Draining,
 			RateLimit: candidate.Load.RateLimit, RateDelay: candidate.Load.RateDelay,
-			Cold: candidate.WarmupRate > 0 || candidate.Load.RateDelay > 0 && !candidate.Load.RateLimit.InForce,
+			Cold: candidate.IsCold(),
 		})
 	}
 	exchange.addStep(step)
--- a/standin/play/exchange.go
+++ b/standin/play/exchange.go
@@ -253,7 +253,7 @@
 	if exchange.simulation.policy.EstimateRetryAfter {
 		now := exchange.simulation.clock.now
 		refusal := pick.Refusal{
-			DeadlineIn: exchange.callerDeadline.Sub(now), ObjectiveIn: exchange.objective.Sub(now), CapacityIn: finish.RetryAfter,
+			DeadlineIn: exchange.callerDeadline.Sub(now), ObjectiveIn: exchange.objective.Sub(now), CapacityIn: finish.RetryAfter, IsCold: exchange.picker.WasLimitedByWarmup(),
 			ServiceTime: exchange.picker.Tracker.Class(exchange.class.Name).ServiceTime,
 		}
 		result.retryAfter = refusal.RetryAfter(exchange.simulation.modelRandom.Float64())
--- a/standin/play/warmup_test.go
+++ b/standin/play/warmup_test.go
@@ -41,6 +41,12 @@
 		is.True(report.RefusalTime(0.5) > 0)
 		checkRefusals(t, report)
 	})
+	t.Run("with all data centres cold, callers get what the rate allows", func(t *testing.T) {
+		is := is.New(t)
+		report := checkCredit(t, coldScenario("n1", "n2", "s1", "s2"), 0.6)
+		is.Equal(report.OverWarmup, 0)
+		checkRefusals(t, report)
+	})
 	t.Run("without gates the bound is broken", func(t *testing.T) {
 		is.New(t).True(simulate(t, coldScenario("n1"), "powerOfTwo").OverWarmup > 0)
 	})
@@ -49,7 +55,7 @@
 // checkRefusals checks that refused callers do not wait until their deadline of 2 s.
 func checkRefusals(t *testing.T, report *play.Report) {
 	t.Helper()
-	t.Logf("credit %.3f, time to a refusal: median %s, 99th percentile %s, longest %s",
-		report.Credit(), report.RefusalTime(0.5), report.RefusalTime(0.99), report.RefusalTime(1))
+	t.Logf("credit %.3f, %d refusals, time to a refusal: median %s, 99th percentile %s, longest %s",
+		report.Credit(), report.Refusals(), report.RefusalTime(0.5), report.RefusalTime(0.99), report.RefusalTime(1))
 	is.New(t).True(report.RefusalTime(0.99) < 500*time.Millisecond)
 }
--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -448,4 +448,6 @@
 mutant "the gate opens before the evacuation is known" daemon/upstream.go \
   '	daemon.applyEvacuation(view)
 ' '' ./daemon
+mutant "callers come back before cold targets have capacity" core/pick/retryafter.go \
+  'if refusal.IsCold {' 'if false {' ./core/pick
 exit $living
