--- a/cmd/soak/trial.go
+++ b/cmd/soak/trial.go
@@ -85,7 +85,7 @@
 		TargetsPerService: trial.soak.targets, Slots: 8, ServiceTime: 5 * time.Millisecond,
 		DataCentreLatency: time.Millisecond, RegionLatency: 15 * time.Millisecond,
 		FirstRegionNumber: trial.firstRegionNumber, WritesPerSecond: 300, WithoutLinks: trial.withoutLinks(), PlatformProxy: trial.proxyAddress(0),
-		Flags: trial.stopFlags(),
+		Flags: append(trial.stopFlags(), "--evacuation-prefix", evacuationPrefix),
 	}
 }
 
@@ -178,6 +178,7 @@
 	var waitGroup sync.WaitGroup
 	waitGroup.Go(trial.injectFaults)
 	waitGroup.Go(trial.runStatements)
+	waitGroup.Go(trial.runEvacuations)
 	report := generator.Run(trial.soak.length + finalLoadTime)
 	waitGroup.Wait()
 	trial.total = report.Total("")
--- a/standin/deployment/control.go
+++ b/standin/deployment/control.go
@@ -220,6 +220,8 @@
 	// those long after it had said that it is leaving.
 	Excess int `json:"excess"`
 	Late   int `json:"late"`
+	// Arrived counts all requests but health probes.
+	Arrived int `json:"arrived"`
 }
 
 // UpstreamLoad reads the load of an upstream.
@@ -232,6 +234,33 @@
 	return load, Error.Wrap(json.NewDecoder(response.Body).Decode(&load))
 }
 
+// WriteObject writes a new object to the platform, as an operator does who goes through no
+// daemon.
+func (running *Running) WriteObject(name, body string) error {
+	return running.changeObject(http.MethodPut, name, body)
+}
+
+// DeleteObject removes an object from the platform.
+func (running *Running) DeleteObject(name string) error {
+	return running.changeObject(http.MethodDelete, name, "")
+}
+
+func (running *Running) changeObject(method, name, body string) error {
+	request, err := http.NewRequest(method, "http://"+running.PlatformAddress()+"/objects/"+name, strings.NewReader(body))
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	response, err := httpClient.Do(request)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	_ = response.Body.Close()
+	if response.StatusCode >= http.StatusMultipleChoices {
+		return Error.New("%s %s: %s", method, name, response.Status)
+	}
+	return nil
+}
+
 func postJSON(url string, value any) error {
 	body, err := json.Marshal(value)
 	if err != nil {
--- a/standin/upstream/statements.go
+++ b/standin/upstream/statements.go
@@ -95,6 +95,7 @@
 func (server *Server) countArrival() {
 	server.mutex.Lock()
 	defer server.mutex.Unlock()
+	server.arrived++
 	server.statements.count(time.Now())
 	server.warmup.count(time.Now())
 }
--- a/standin/upstream/upstream.go
+++ b/standin/upstream/upstream.go
@@ -85,6 +85,8 @@
 	switches   Switches
 	statements statements
 	warmup     warmup
+	// arrived counts all requests but health probes.
+	arrived int
 	random     *rand.Rand
 	slots      chan struct{}
 	running    atomic.Int64
@@ -148,7 +150,10 @@
 
 func (server *Server) handleLoad(writer http.ResponseWriter, _ *http.Request) {
 	excess, late := server.Unwanted()
-	_ = json.NewEncoder(writer).Encode(map[string]int{"running": server.Running(), "slots": server.Slots, "excess": excess, "late": late})
+	server.mutex.Lock()
+	arrived := server.arrived
+	server.mutex.Unlock()
+	_ = json.NewEncoder(writer).Encode(map[string]int{"running": server.Running(), "slots": server.Slots, "excess": excess, "late": late, "arrived": arrived})
 }
 
 func (server *Server) currentSwitches() Switches {
