--- a/cmd/ibislift/explainlog.go
+++ b/cmd/ibislift/explainlog.go
@@ -123,9 +123,17 @@
 	{"relayed", "the target's own response was relayed"},
 }
 
+// targetStates maps texts in the steps of a "request ended" line to what they say of the
+// targets of a refused request.
+var targetStates = []struct{ step, sentence string }{
+	{", cold, next in ", "a target was cold and took only its warm-up rate"},
+	{" evacuated: ", "targets were in evacuated data centres"},
+}
+
 // earlyCauses maps the problems of requests that were refused before a target
 // was chosen to explanations.
 var earlyCauses = map[string]string{
+	"evacuated":         "the data centres of all targets were evacuated",
 	"notReady":          "the daemon had no configuration yet",
 	"unknownRoute":      "no route of the table in force matched; see the line \"route table in force\"",
 	"unknownKey":        "no API key of the table in force; see the lines \"API keys changed\"",
@@ -157,6 +165,11 @@
 	if ended.Regions != "" && ended.Status >= 500 && len(parts) > 0 {
 		parts = append(parts, "only these regions are allowed: "+ended.Regions)
 	}
+	for _, state := range targetStates {
+		if ended.Outcome == "notRun" && strings.Contains(ended.Steps, state.step) {
+			parts = append(parts, state.sentence)
+		}
+	}
 	for _, line := range lines {
 		if line.RequestID == ended.RequestID && line.Error != "" {
 			parts = append(parts, "the gate reported "+line.Error)
--- a/cmd/soak/trial.go
+++ b/cmd/soak/trial.go
@@ -87,7 +87,7 @@
 		TargetsPerService: trial.soak.targets, Slots: 8, ServiceTime: 5 * time.Millisecond,
 		DataCentreLatency: time.Millisecond, RegionLatency: 15 * time.Millisecond,
 		FirstRegionNumber: trial.firstRegionNumber, WritesPerSecond: 300, WithoutLinks: trial.withoutLinks(), PlatformProxy: trial.proxyAddress(0),
-		Flags: append(trial.stopFlags(), trial.keyFlags()...),
+		Flags: append(append(trial.stopFlags(), trial.keyFlags()...), "--evacuation-prefix", evacuationPrefix),
 	}
 }
 
@@ -184,6 +184,7 @@
 	var waitGroup sync.WaitGroup
 	waitGroup.Go(trial.injectFaults)
 	waitGroup.Go(trial.runStatements)
+	waitGroup.Go(trial.runEvacuations)
 	report := generator.Run(trial.soak.length + finalLoadTime)
 	waitGroup.Wait()
 	trial.total = report.Total("")
