--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -437,3 +437,28 @@
 	_, asks := want(99)[0].(quota.Send)
 	is.True(asks)
 }
+
+// TestPartition guards against sides of a partition that each grant the whole quota: both
+// fill their buckets for a while, and then get more requests than the quota.
+func TestPartition(t *testing.T) {
+	for _, sides := range []int{2, 3, 5} {
+		network := newNetwork(1, 60, limitsOfTest)
+		overload(network, 0.1, network.now+12*time.Second, network.anywhere)
+		network.run(2 * time.Second)
+		network.cut = func(from, to int) bool { return from%sides != to%sides }
+		for _, observer := range network.daemons {
+			for index := range observer.live {
+				observer.live[index] = index%sides == observer.index%sides
+			}
+			network.after(network.detection(), func() { network.publish(observer) })
+		}
+		network.run(10 * time.Second)
+		before := network.granted["large"]
+		overload(network, 3, network.now+10*time.Second, network.anywhere)
+		network.run(10 * time.Second)
+		part := used(network, "large", before, 10*time.Second)
+		t.Logf("%d sides: %.2f of the rate of the largest workspace in 10 s with the burst", sides, part)
+		is.New(t).True(part > 0.8)
+		expectBound(t, network)
+	}
+}
--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -386,4 +386,10 @@
   'case !inTime && (!waiting || server.lateAccepts >= maxLateAccepts):' 'case !inTime:' ./io/http1
 mutant "a drain that is requested while the first announcement is held is forgotten" io/upstream/announce.go \
   'monitor.held.announcement.Draining = monitor.held.present' '' ./io/upstream
+mutant "a vote of a quota is lent twice" core/quota/votes.go \
+  'case inForce && current.to != from:' 'case false:' ./core/quota
+mutant "each side of a partition has a whole quota" core/quota/fleet.go \
+  'if member.Left {' 'if !member.Live {' ./core/quota
+mutant "a request that did not run keeps its token" io/caller/exchange.go \
+  'exchange.returnToken()' '' ./io/caller
 exit $living
