quota: a request for a vote that a return overtakes is not granted

An owner renewed its votes in the same tick in which it returned them. Where the return came first, the vote was lent for 1.2 s to a daemon that no longer knew of it, and came back without its unused time: 2 of 18 first requests after a pause of 11 s were refused. Reports yield to messages about quotas within the control budget.

--- a/core/quota/cost_test.go
+++ b/core/quota/cost_test.go
@@ -47,9 +47,9 @@
 
 // TestMessages guards against messages that grow beyond the control budget of a daemon.
 func TestMessages(t *testing.T) {
-	t.Run("usual demand", func(t *testing.T) { is.New(t).True(measure(t, 60, 1/1.6) < 90) })
-	t.Run("every workspace far over its quota", func(t *testing.T) { is.New(t).True(measure(t, 60, 4.7) < 200) })
-	t.Run("300 daemons", func(t *testing.T) { is.New(t).True(measure(t, 300, 1/1.6) < 30) })
+	t.Run("usual demand", func(t *testing.T) { is.New(t).True(measure(t, 60, 1/1.6) < 75) })
+	t.Run("every workspace far over its quota", func(t *testing.T) { is.New(t).True(measure(t, 60, 4.7) < 170) })
+	t.Run("300 daemons", func(t *testing.T) { is.New(t).True(measure(t, 300, 1/1.6) < 16) })
 }
 
 // TestIdleWorkspaces guards against state and messages of workspaces that are not used.
@@ -73,17 +73,19 @@
 // TestFirstRequestAfterAPause guards against the refusal of the first requests of a
 // workspace that was idle, at any length of the pause.
 func TestFirstRequestAfterAPause(t *testing.T) {
-	for _, pause := range []time.Duration{6 * time.Second, 11 * time.Second, 20 * time.Second, 40 * time.Second, 2 * time.Minute} {
-		network := newNetwork(1, 12, map[string]quota.Limit{"few": {Rate: 1, Burst: 6}})
-		for round := range 3 {
-			network.run(pause)
-			for range 6 {
-				network.request((round*5)%12, "few")
+	for _, pause := range []time.Duration{6 * time.Second, 9950 * time.Millisecond, 11 * time.Second, 20 * time.Second, 40 * time.Second, 2 * time.Minute} {
+		for seed := range uint64(20) {
+			network := newNetwork(seed, 12, map[string]quota.Limit{"few": {Rate: 1, Burst: 6}})
+			for round := range 3 {
+				network.run(pause + time.Duration(network.random.IntN(100))*time.Millisecond)
+				for range 6 {
+					network.request((round*5)%12, "few")
+				}
+			}
+			network.run(time.Second)
+			if network.granted["few"] != 18 {
+				t.Errorf("after pauses of %s, seed %d: granted %d of 18, refused %d, unreachable %d", pause, seed, network.granted["few"], network.refused["few"], network.unreachable["few"])
 			}
-		}
-		network.run(time.Second)
-		if network.granted["few"] != 18 {
-			t.Errorf("after pauses of %s: granted %d of 18, refused %d, unreachable %d", pause, network.granted["few"], network.refused["few"], network.unreachable["few"])
 		}
 	}
 }
--- a/core/quota/owner.go
+++ b/core/quota/owner.go
@@ -260,7 +260,6 @@
 			continue
 		}
 		quota.answerPending(owned)
-		quota.borrow(owned)
 		for workspace, bucket := range owned.buckets {
 			if quota.now-bucket.usedAt > bucketIdle && (bucket.tokens >= bucket.terms.burst*quota.votes(owned) || quota.now-bucket.usedAt > loanMemory) {
 				delete(owned.buckets, workspace)
@@ -269,7 +268,9 @@
 		owned.owning = owned.owning && quota.votes(owned) > 0
 		if len(owned.buckets) == 0 && quota.now-owned.lastAsk > bucketIdle {
 			quota.returnVotes(owned)
+			continue
 		}
+		quota.borrow(owned)
 	}
 }
 
--- a/core/quota/rules_test.go
+++ b/core/quota/rules_test.go
@@ -38,14 +38,14 @@
 		is := is.New(t)
 		machine := newMachine(0, "a", "b", "c")
 		is.True(lend(machine, at, "b", quota.Borrow{Slot: 1, Sequence: 1}).Lent)
-		is.True(!lend(machine, at+800*time.Millisecond, "c", quota.Borrow{Slot: 1, Sequence: 1}).Lent)
+		is.True(!lend(machine, at+1100*time.Millisecond, "c", quota.Borrow{Slot: 1, Sequence: 1}).Lent)
 		is.True(lend(machine, at+2*time.Second, "c", quota.Borrow{Slot: 1, Sequence: 2}).Lent)
 	})
 	t.Run("a daemon that has just started lends nothing, since it may have lent before", func(t *testing.T) {
 		is := is.New(t)
 		machine := newMachine(at, "a", "b", "c")
-		is.True(!lend(machine, at+800*time.Millisecond, "b", quota.Borrow{Slot: 1, Sequence: 1}).Lent)
-		is.True(lend(machine, at+time.Second, "b", quota.Borrow{Slot: 1, Sequence: 2}).Lent)
+		is.True(!lend(machine, at+1100*time.Millisecond, "b", quota.Borrow{Slot: 1, Sequence: 1}).Lent)
+		is.True(lend(machine, at+1300*time.Millisecond, "b", quota.Borrow{Slot: 1, Sequence: 2}).Lent)
 	})
 	t.Run("a returned vote is free", func(t *testing.T) {
 		is := is.New(t)
@@ -64,6 +64,14 @@
 		lend(machine, at, "b", quota.Borrow{Slot: 1, Sequence: 3, Return: true})
 		is.True(!lend(machine, at, "c", quota.Borrow{Slot: 1, Sequence: 1}).Lent)
 	})
+	t.Run("a request that was sent before a return and overtaken by it is not granted", func(t *testing.T) {
+		is := is.New(t)
+		machine := newMachine(0, "a", "b", "c")
+		is.True(lend(machine, at, "b", quota.Borrow{Slot: 1, Sequence: 3}).Lent)
+		lend(machine, at, "b", quota.Borrow{Slot: 1, Sequence: 5, Return: true})
+		is.True(!lend(machine, at, "b", quota.Borrow{Slot: 1, Sequence: 5}).Lent)
+		is.True(lend(machine, at, "b", quota.Borrow{Slot: 1, Sequence: 6}).Lent)
+	})
 	t.Run("a return by another daemon has no effect", func(t *testing.T) {
 		machine := newMachine(0, "a", "b", "c")
 		lend(machine, at, "b", quota.Borrow{Slot: 1, Sequence: 3})
@@ -74,7 +82,7 @@
 		is := is.New(t)
 		machine := newMachine(0, "a", "b", "c")
 		lend(machine, at, "b", quota.Borrow{Slot: 1, Sequence: 1})
-		is.Equal(lend(machine, at+time.Second, "c", quota.Borrow{Slot: 1, Sequence: 1}).Idle, 100*time.Millisecond)
+		is.Equal(lend(machine, at+1300*time.Millisecond, "c", quota.Borrow{Slot: 1, Sequence: 1}).Idle, 100*time.Millisecond)
 	})
 }
 
@@ -114,10 +122,10 @@
 		is.New(t).Equal(tokensAfter(t, 30*time.Millisecond, 30*time.Millisecond), 2)
 	})
 	t.Run("the lease counts from before the request", func(t *testing.T) {
-		is.New(t).Equal(tokensAfter(t, 800*time.Millisecond, 200*time.Millisecond), 1)
+		is.New(t).Equal(tokensAfter(t, 1100*time.Millisecond, 200*time.Millisecond), 1)
 	})
 	t.Run("a vote that came after its lease is not used", func(t *testing.T) {
-		is.New(t).Equal(tokensAfter(t, time.Second, 10*time.Millisecond), 0)
+		is.New(t).Equal(tokensAfter(t, 1300*time.Millisecond, 10*time.Millisecond), 0)
 	})
 }
 
--- a/core/quota/votes.go
+++ b/core/quota/votes.go
@@ -7,10 +7,11 @@
 
 const (
 	// voteLease is how long a voter lends its vote. It bounds how long a slot is without an
-	// owner after a kill, and allows two renewals to be lost.
-	voteLease = 900 * time.Millisecond
+	// owner after a kill, and allows two renewals to be lost. A shorter one costs messages:
+	// those for votes are two thirds of all.
+	voteLease = 1200 * time.Millisecond
 	// renewInterval is the time between two requests of an owner for a vote that it has.
-	renewInterval = 300 * time.Millisecond
+	renewInterval = 400 * time.Millisecond
 	// borrowInterval is the same for votes that it does not have. It doubles up to
 	// maxBorrowInterval with each request that gets no reply, since the voter may be dead.
 	borrowInterval    = 100 * time.Millisecond
@@ -47,6 +48,8 @@
 	if borrow.Return {
 		if current != nil && current.to == from && borrow.Sequence >= current.sequence {
 			current.until = min(current.until, quota.now-borrow.Idle)
+			// A request that was sent before and arrives later is not granted any more.
+			current.sequence = borrow.Sequence + 1
 		}
 		return
 	}
--- a/io/peer/quota.go
+++ b/io/peer/quota.go
@@ -34,6 +34,8 @@
 		if encoded == nil {
 			continue
 		}
+		// Reports yield to messages about quotas, since they share the control budget.
+		_ = reporter.byteLimiter.AllowN(time.Now(), len(encoded)+datagramOverhead)
 		// A datagram that cannot be sent is like one that is lost: the sender asks
 		// another daemon after a time-out.
 		_, _ = socket.WriteToUDPAddrPort(encoded, to)
