--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -494,4 +494,10 @@
 ' '' ./daemon
 mutant "callers come back before cold targets have capacity" core/pick/retryafter.go \
   'if refusal.IsCold {' 'if false {' ./core/pick
+mutant "a vote of a quota is lent twice" core/quota/votes.go \
+  'case inForce && current.to != from:' 'case false:' ./core/quota
+mutant "each side of a partition has a whole quota" core/quota/fleet.go \
+  'if member.Left {' 'if !member.Live {' ./core/quota
+mutant "a request that did not run keeps its token" io/caller/exchange.go \
+  'exchange.returnToken()' '' ./io/caller
 exit $living
