--- a/cmd/soak/evacuations.go
+++ b/cmd/soak/evacuations.go
@@ -16,7 +16,10 @@
 	// evacuationNotice is how long the platform, the links and the daemon beside the
 	// observed upstream have no fault after the evacuation: long enough for the change to
 	// leave the platform. Any faults may follow.
-	evacuationNotice  = 1500 * time.Millisecond
+	evacuationNotice = 1500 * time.Millisecond
+	// evacuationStart is how old the deployment is before the first evacuation: daemons
+	// that have just started do not watch the platform yet.
+	evacuationStart   = 4 * time.Second
 	observationTime   = 2 * time.Second
 	evacuationPause   = 300 * time.Millisecond
 	evacuationRetries = 100
@@ -27,6 +30,7 @@
 func (trial *trial) runEvacuations() {
 	end := time.Now().Add(trial.soak.length + finalLoadTime)
 	random := rand.New(rand.NewPCG(uint64(trial.seed), 21))
+	time.Sleep(evacuationStart)
 	for time.Until(end) > evacuationInForce+observationTime {
 		instances := trial.running.Instances
 		trial.evacuate(instances[random.IntN(len(instances))])
--- a/core/contact/contact.go
+++ b/core/contact/contact.go
@@ -16,7 +16,7 @@
 	"ibislift/core/kernel"
 )
 
-// Limits for the loss of contact, and how long a daemon settles after its start.
+// Limits for the loss of contact.
 const (
 	// contactTimeout is how long a daemon considers itself connected after its
 	// last exchange with a neighbour. Exchanges happen once a second.
@@ -27,15 +27,17 @@
 	// minFailedNeighbours is the number of failed neighbours from which a
 	// daemon considers itself disconnected. A single one may be restarting.
 	minFailedNeighbours = 2
-	// settlingTime is how long a daemon waits after its start before it watches,
-	// since it learns only then who the watchers of its region are. While new
-	// records still arrive it waits for longer: until none has arrived for
-	// recordsQuietTime, but no longer than maxSettlingTime.
-	settlingTime     = 3500 * time.Millisecond
-	recordsQuietTime = time.Second
-	maxSettlingTime  = 8 * time.Second
 )
 
+// Settling is how long a daemon waits after its start before it watches, since it learns
+// only then who the watchers of its region are: Least, and while new records still arrive
+// until none has arrived for Quiet, but no longer than Most.
+type Settling struct{ Least, Quiet, Most time.Duration }
+
+// DefaultSettling suits changes that need not be in force within seconds of the fleet's
+// start.
+var DefaultSettling = Settling{Least: 3500 * time.Millisecond, Quiet: time.Second, Most: 8 * time.Second}
+
 // Contact follows the exchanges with the neighbours. The zero value has had none.
 type Contact struct {
 	startedAt time.Time
@@ -78,15 +80,15 @@
 }
 
 // IsSettling reports whether this daemon has started too recently to watch.
-func (contact *Contact) IsSettling(state *kernel.State, at time.Time) bool {
+func (contact *Contact) IsSettling(state *kernel.State, at time.Time, settling Settling) bool {
 	if count := state.Table.Len(); count != contact.recordCount {
 		contact.recordCount, contact.recordsChangedAt = count, at
 	}
 	switch age := at.Sub(contact.startedAt); {
-	case age < settlingTime:
+	case age < settling.Least:
 		return true
-	case age < maxSettlingTime:
-		return at.Sub(contact.recordsChangedAt) < recordsQuietTime
+	case age < settling.Most:
+		return at.Sub(contact.recordsChangedAt) < settling.Quiet
 	default:
 		return false
 	}
--- a/standin/fleet/evacuations_test.go
+++ b/standin/fleet/evacuations_test.go
@@ -117,6 +117,24 @@
 			runWithRestarts(t, cluster, evacuationLimit, []string{"d3"}, "r1-0")
 			requireEvacuated(t, cluster, "r1-0")
 		})
+		t.Run(fmt.Sprintf("the whole fleet starts, seed %d", seed), func(t *testing.T) {
+			for _, after := range []time.Duration{100 * time.Millisecond, 700 * time.Millisecond, 2 * time.Second, 4 * time.Second} {
+				cluster := newEvacuable(seed, 27)
+				cluster.Run(after)
+				evacuate(cluster, "r1-0")
+				cluster.Run(evacuationLimit)
+				requireEvacuated(t, cluster, "r1-0")
+			}
+		})
+		t.Run(fmt.Sprintf("the store is down soon after the whole fleet has started, seed %d", seed), func(t *testing.T) {
+			cluster := newEvacuable(seed, 27)
+			cluster.Run(time.Second)
+			evacuate(cluster, "r1-0")
+			cluster.Run(1500 * time.Millisecond) // the watchers have not watched before
+			cluster.Platform.Down = true
+			cluster.Run(evacuationLimit - 1500*time.Millisecond)
+			requireEvacuated(t, cluster, "r1-0")
+		})
 		t.Run(fmt.Sprintf("it ends with the removal of its object, seed %d", seed), func(t *testing.T) {
 			cluster := newEvacuable(seed, 27)
 			evacuate(cluster, "r1-0")
--- a/standin/upstream/upstream.go
+++ b/standin/upstream/upstream.go
@@ -86,12 +86,12 @@
 	statements statements
 	warmup     warmup
 	// arrived counts all requests but health probes.
-	arrived int
-	random     *rand.Rand
-	slots      chan struct{}
-	running    atomic.Int64
-	bodies     atomic.Int64
-	released   chan struct{}
+	arrived  int
+	random   *rand.Rand
+	slots    chan struct{}
+	running  atomic.Int64
+	bodies   atomic.Int64
+	released chan struct{}
 }
 
 // Handler returns the HTTP handler of the upstream.
--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -441,6 +441,8 @@
   'lost = earlier.all()' 'lost = nil' ./standin/fleet
 mutant "objects that cannot be decoded end evacuations" core/evacuate/calls.go \
   'known && result.Invalid > 0 {' 'known && false {' ./core/evacuate
+mutant "a fleet that has just started watches late for evacuations" core/evacuate/evacuate.go \
+  'Least: 2 * time.Second,' 'Least: 3500 * time.Millisecond,' ./standin/fleet
 mutant "a deletion is not passed on" platform/store.go \
   'result.Deleted = append(result.Deleted, full)' '_ = full' ./platform
 mutant "an ingress sends to an evacuated data centre" core/pick/pick.go \
