caller: over the quota no body is read before the refusal

A daemon that refuses requests of a workspace does so before it reads the body. Retry-After names the next token also where it is more than a second away.

--- a/core/quota/holder.go
+++ b/core/quota/holder.go
@@ -76,7 +76,9 @@
 	waiters []waiter
 	asks    []sentAsk
 	// refuseUntil is when the daemon asks again. Until then it refuses with the verdict.
+	// expectedAt is when the next token is expected; it is later for rates below one a second.
 	refuseUntil time.Duration
+	expectedAt  time.Duration
 	verdict     Verdict
 	spread      time.Duration
 	refused     uint64
@@ -99,6 +101,10 @@
 
 // take decides on a request for a token, or lets it wait for a reply of the owner.
 func (quota *Quota) take(wanted TokenWanted) {
+	if wanted.Peek {
+		quota.peek(wanted)
+		return
+	}
 	holding := quota.holding(wanted.Workspace)
 	if !wanted.Immediate {
 		holding.countRequest(quota.now)
@@ -119,6 +125,22 @@
 	}
 }
 
+// peek refuses a request if this daemon has no token and does not ask for any now.
+func (quota *Quota) peek(wanted TokenWanted) {
+	holding := quota.holdings[wanted.Workspace]
+	if holding == nil || quota.now >= holding.refuseUntil {
+		quota.effects = append(quota.effects, Decide{ID: wanted.ID})
+		return
+	}
+	quota.dropExpired(holding)
+	if len(holding.stocks) > 0 {
+		quota.effects = append(quota.effects, Decide{ID: wanted.ID})
+		return
+	}
+	holding.countRequest(quota.now)
+	quota.refuse(wanted.Workspace, holding, wanted.ID)
+}
+
 // spend gives a token to a request if there is one.
 func (quota *Quota) spend(holding *holding, id uint64) bool {
 	if len(holding.stocks) == 0 {
@@ -150,7 +172,7 @@
 func (quota *Quota) refuse(workspace string, holding *holding, id uint64) {
 	holding.refused++
 	_, fraction := math.Modf(float64(holding.refused) * goldenRatio)
-	retryAfter := max(0, holding.refuseUntil-quota.now) + time.Duration(fraction*float64(holding.spread))
+	retryAfter := max(0, holding.expectedAt-quota.now) + time.Duration(fraction*float64(holding.spread))
 	if holding.verdict == OverQuota {
 		holding.lastRefusal = quota.now
 		if !holding.limited {
@@ -320,6 +342,7 @@
 		return
 	}
 	holding.verdict, holding.spread = OverQuota, grant.Spread
+	holding.expectedAt = quota.now + grant.RetryAfter
 	holding.refuseUntil = quota.now + min(grant.RetryAfter, maxPause)
 	quota.refuseExcess(grant.Workspace, holding)
 }
@@ -339,6 +362,7 @@
 func (quota *Quota) giveUp(workspace string, holding *holding, owner string, retryAfter time.Duration) {
 	holding.verdict, holding.spread, holding.owner = Unreachable, retryAfter, owner
 	holding.refuseUntil = quota.now + min(retryAfter, unreachablePause)
+	holding.expectedAt = holding.refuseUntil
 	quota.refuseExcess(workspace, holding)
 }
 
--- a/core/quota/owner.go
+++ b/core/quota/owner.go
@@ -15,7 +15,7 @@
 	// limits the requests for tokens of a workspace over its quota to 50 a second from each
 	// daemon.
 	minPause = 20 * time.Millisecond
-	// maxPause is the longest one. It bounds how long a daemon refuses while tokens are
+	// maxPause is the longest one, also where the next token is expected later. It bounds how long a daemon refuses while tokens are
 	// left, because others that were told to come earlier had no more requests.
 	maxPause = time.Second
 	// maxPending limits the requests for tokens that wait for votes of a slot.
@@ -229,7 +229,7 @@
 		return maxPause, maxPause
 	}
 	next := quota.now + seconds(math.Max(0, 1-bucket.tokens)/rate)
-	bucket.promisedAt = min(max(next, bucket.promisedAt+seconds(1/rate)), quota.now+maxPause)
+	bucket.promisedAt = min(max(next, bucket.promisedAt+seconds(1/rate)), max(next, quota.now+maxPause))
 	// The spread of a workspace with many daemons is the time that the tokens promised to
 	// these take; that of one daemon, the time of the tokens that it lacks.
 	spread = max(bucket.promisedAt-quota.now, seconds(float64(missing)/rate))
--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -93,13 +93,15 @@
 
 // TokenWanted requests a token for a request. The reply is Decide with the same ID, at
 // once or before Deadline. With Immediate it comes at once, and without a token at this
-// daemon it is a refusal.
+// daemon it is a refusal. With Peek it comes at once and spends nothing: it says whether
+// this daemon refuses requests of the workspace now.
 type TokenWanted struct {
 	At        time.Duration
 	ID        uint64
 	Workspace string
 	Deadline  time.Duration
 	Immediate bool
+	Peek      bool
 }
 
 // WaitEnded withdraws a TokenWanted whose request has ended.
--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -392,6 +392,13 @@
 		is.True(second.RetryAfter >= first.RetryAfter+300*time.Millisecond) // a token comes every 333 ms
 		is.True(third.RetryAfter > second.RetryAfter)
 	})
+	t.Run("a rate below one a second names the time of its next token", func(t *testing.T) {
+		machine := soleOwner(t)
+		slow := map[string]quota.Limit{"few": {Rate: 0.1, Burst: 1}}
+		machine.Update(quota.FleetChanged{At: at, Members: []quota.Member{{ID: "a", Live: true}, {ID: "b", Live: true}}, Limits: slow, Joined: true})
+		reply := grants(machine.Update(ask(2, 9)))[0]
+		is.New(t).True(reply.RetryAfter > 9*time.Second && reply.RetryAfter <= 10*time.Second)
+	})
 	t.Run("an owner that was frozen while its votes went to another one grants nothing", func(t *testing.T) {
 		machine := soleOwner(t)
 		at = 23 * time.Second
@@ -433,6 +440,10 @@
 		times[decide.Decision.RetryAfter] = true
 	}
 	is.Equal(len(times), 10)
+	peek := machine.Update(quota.TokenWanted{At: at, ID: 50, Workspace: "few", Peek: true})[0].(quota.Decide)
+	is.Equal(peek.Decision.Verdict, quota.OverQuota)
+	peek = machine.Update(quota.TokenWanted{At: at, ID: 51, Workspace: "large", Peek: true})[0].(quota.Decide)
+	is.Equal(peek.Decision.Verdict, quota.Granted)
 	at += 301 * time.Millisecond
 	_, asks := want(99)[0].(quota.Send)
 	is.True(asks)
--- a/daemon/reload.go
+++ b/daemon/reload.go
@@ -20,7 +20,7 @@
 	daemon.liveSettings.Store(&next)
 	needsRestart := settings.Name != current.Name || settings.CallerAddress != current.CallerAddress ||
 		settings.PeerAddress != current.PeerAddress || settings.Service != current.Service ||
-		settings.PlatformAddress != current.PlatformAddress
+		settings.PlatformAddress != current.PlatformAddress || settings.Quotas != current.Quotas
 	daemon.Log.Info("settings reloaded", "drainTimeout", next.DrainTimeout, "lingerTime", next.LingerTime,
 		"silenceTime", next.SilenceTimeout, "sharedRetryRatio", next.SharedRetryRatio, "sharedRetrySlack", next.SharedRetrySlack,
 		"needsRestart", needsRestart)
--- a/io/caller/caller.go
+++ b/io/caller/caller.go
@@ -210,6 +210,9 @@
 	if err := request.readHeaders(original, now, handler.Dialect, &handler.ageEstimator); err != nil {
 		return &problem{Type: problemType + "badHeader", Title: "bad header", Status: http.StatusBadRequest, Detail: err.Error()}
 	}
+	if refusal := handler.checkQuota(request); refusal != nil {
+		return refusal
+	}
 	if err := request.readBodyByDeadline(writer, original); err != nil {
 		return bodyProblem(err)
 	}
--- a/io/caller/quota.go
+++ b/io/caller/quota.go
@@ -18,6 +18,9 @@
 	Take(ctx context.Context, workspace *routes.Workspace, deadline time.Time) quota.Decision
 	// TryTake takes a token only if that is possible without waiting.
 	TryTake(workspace *routes.Workspace) quota.Decision
+	// Peek returns a refusal if requests of the workspace are refused here now. It takes no
+	// token.
+	Peek(workspace *routes.Workspace) quota.Decision
 	// GiveBack returns a token whose request did not reach a target.
 	GiveBack(workspace *routes.Workspace, decision quota.Decision)
 }
@@ -30,6 +33,20 @@
 	return handler.Quotas != nil && request.workspace != nil && request.workspace.Rate > 0
 }
 
+// checkQuota returns a problem if requests of the workspace are refused here now. It is
+// checked before the body is read, which may take long. The token is taken afterwards,
+// since it must be used soon.
+func (handler *Handler) checkQuota(request *request) *problem {
+	if !handler.isLimited(request) {
+		return nil
+	}
+	request.token = handler.Quotas.Peek(request.workspace)
+	if request.token.Verdict == quota.Granted {
+		return nil
+	}
+	return quotaProblem(request.workspace, request.token)
+}
+
 // takeToken takes the token for the first attempt of a request. It returns a problem if
 // there is none.
 func (handler *Handler) takeToken(request *request, original *http.Request) *problem {
--- a/io/caller/quota_test.go
+++ b/io/caller/quota_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"log/slog"
 	"net/http/httptest"
 	"testing"
@@ -40,6 +41,13 @@
 	return quota.Decision{Verdict: quota.Granted}
 }
 
+func (purse *purse) Peek(*routes.Workspace) quota.Decision {
+	if purse.tokens == 0 {
+		return quota.Decision{Verdict: purse.verdict}
+	}
+	return quota.Decision{}
+}
+
 func (purse *purse) GiveBack(*routes.Workspace, quota.Decision) { purse.returned++ }
 
 // scriptedPeers gives each attempt the next of the answers.
@@ -180,10 +188,29 @@
 				handler.Quotas = nil
 			}
 			is.New(t).True(handler.takeToken(request, original) == nil)
+			is.New(t).True(handler.checkQuota(request) == nil)
 		})
 	}
 }
 
+// unreadableBody fails the test if it is read.
+type unreadableBody struct{ t *testing.T }
+
+func (body unreadableBody) Read([]byte) (int, error) {
+	body.t.Error("the body was read")
+	return 0, io.EOF
+}
+
+// TestBodyOverQuota guards against a refusal over the quota that comes only after a body
+// that may take long.
+func TestBodyOverQuota(t *testing.T) {
+	handler := &Handler{Now: time.Now, Dialect: dialect.Default(), Quotas: &purse{verdict: quota.OverQuota}}
+	request := &request{service: "shop", workspace: &routes.Workspace{Name: "acme", Rate: 3}}
+	original := httptest.NewRequest("POST", "/", unreadableBody{t})
+	refusal := handler.prepare(request, &service{known: true, profile: profile.Default()}, &kernel.View{}, httptest.NewRecorder(), original, time.Now())
+	is.New(t).Equal(refusal.kind(), "overQuota")
+}
+
 // TestOverQuotaProblem guards against a refusal from which a caller cannot tell when to
 // come back, or an operator which quota it was.
 func TestOverQuotaProblem(t *testing.T) {
--- a/io/quotas/quotas.go
+++ b/io/quotas/quotas.go
@@ -94,7 +94,7 @@
 // at most quota.MaxWait, until the deadline, and while the context lasts.
 func (quotas *Quotas) Take(ctx context.Context, workspace *routes.Workspace, deadline time.Time) quota.Decision {
 	reply := make(chan quota.Decision, 1)
-	id := quotas.want(workspace.Name, time.Until(deadline), false, reply)
+	id := quotas.want(quota.TokenWanted{Workspace: workspace.Name}, time.Until(deadline), reply)
 	select {
 	case decision := <-reply:
 		return decision
@@ -106,18 +106,27 @@
 // TryTake takes a token if this daemon has one.
 func (quotas *Quotas) TryTake(workspace *routes.Workspace) quota.Decision {
 	reply := make(chan quota.Decision, 1)
-	quotas.want(workspace.Name, 0, true, reply)
+	quotas.want(quota.TokenWanted{Workspace: workspace.Name, Immediate: true}, 0, reply)
 	return <-reply
 }
 
-func (quotas *Quotas) want(workspace string, wait time.Duration, immediate bool, reply chan quota.Decision) uint64 {
+// Peek returns a refusal if this daemon refuses requests of the workspace now. It takes no
+// token.
+func (quotas *Quotas) Peek(workspace *routes.Workspace) quota.Decision {
+	reply := make(chan quota.Decision, 1)
+	quotas.want(quota.TokenWanted{Workspace: workspace.Name, Peek: true}, 0, reply)
+	return <-reply
+}
+
+func (quotas *Quotas) want(wanted quota.TokenWanted, wait time.Duration, reply chan quota.Decision) uint64 {
 	quotas.mutex.Lock()
 	quotas.prepare()
 	quotas.lastID++
 	id := quotas.lastID
 	quotas.waiting[id] = reply
-	now := quotas.now()
-	outgoing := quotas.update(quota.TokenWanted{At: now, ID: id, Workspace: workspace, Deadline: now + wait, Immediate: immediate})
+	wanted.At, wanted.ID = quotas.now(), id
+	wanted.Deadline = wanted.At + wait
+	outgoing := quotas.update(wanted)
 	quotas.mutex.Unlock()
 	quotas.flush(outgoing)
 	return id
