--- a/core/quota/holder.go
+++ b/core/quota/holder.go
@@ -23,6 +23,9 @@
 	// suspectTime is how long a daemon that has not replied is asked last, unless it sends
 	// something. The membership takes about as long to record a death.
 	suspectTime = 3 * time.Second
+	// suspectMemory is how long after that a single request without a reply makes it suspect
+	// again.
+	suspectMemory = 30 * time.Second
 	// maxTried is the number of daemons that are asked in turn for the same tokens. It keeps
 	// a slot whose votes are not free from making its requests ask the whole list.
 	maxTried = 4
@@ -53,20 +56,23 @@
 	expires time.Duration
 }
 
-// waiter is a request that waits for a token.
+// waiter is a request that waits for a token, or a daemon that waits for one because it does
+// not reach the owner.
 type waiter struct {
 	id       uint64
 	deadline time.Duration
+	relay    *ask
 }
 
 // sentAsk is a request for tokens without a reply. tried holds the daemons that have been
-// asked for them.
+// asked for them. again is set for one that repeats a late one.
 type sentAsk struct {
 	sequence uint64
 	tokens   int
 	to       string
 	at       time.Duration
 	late     bool
+	again    bool
 	tried    []string
 }
 
@@ -120,7 +126,7 @@
 	case len(holding.waiters) >= maxWaiting:
 		quota.decide(wanted.ID, Decision{Verdict: Unreachable, RetryAfter: unreachablePause, Owner: holding.owner})
 	default:
-		holding.waiters = append(holding.waiters, waiter{wanted.ID, min(wanted.Deadline, quota.now+MaxWait)})
+		holding.waiters = append(holding.waiters, waiter{id: wanted.ID, deadline: min(wanted.Deadline, quota.now+MaxWait)})
 		quota.askForWaiters(wanted.Workspace, holding)
 	}
 }
@@ -228,9 +234,12 @@
 // serveWaiters gives the tokens to the requests that wait.
 func (quota *Quota) serveWaiters(holding *holding) {
 	quota.dropExpired(holding)
-	for len(holding.waiters) > 0 && quota.spend(holding, holding.waiters[0].id) {
-		holding.waiters = holding.waiters[1:]
-	}
+	holding.waiters = slices.DeleteFunc(holding.waiters, func(waiter waiter) bool {
+		if waiter.relay != nil {
+			return quota.grantRelayed(holding, waiter.relay)
+		}
+		return quota.spend(holding, waiter.id)
+	})
 }
 
 // asked returns the number of tokens that a reply is expected for. None is expected from a
@@ -238,7 +247,7 @@
 func (quota *Quota) asked(holding *holding) int {
 	asked := 0
 	for _, ask := range holding.asks {
-		if !ask.late && !quota.isSuspect(ask.to) {
+		if !ask.late && !ask.again && !quota.isSuspect(ask.to) {
 			asked += ask.tokens
 		}
 	}
@@ -309,7 +318,8 @@
 	if to != quota.Self {
 		quota.counts.AsksSent++
 	}
-	quota.send(to, Ask{Workspace: workspace, Sequence: ask.sequence, Tokens: ask.tokens, Fallback: to != quota.fleet.seats(slot).candidates[0]})
+	isFallback := to != quota.fleet.seats(slot).candidates[0] && !holding.hasRelays()
+	quota.send(to, Ask{Workspace: workspace, Sequence: ask.sequence, Tokens: ask.tokens, Fallback: isFallback})
 	return true
 }
 
@@ -337,7 +347,8 @@
 		holding.add(stock{tokens, ask.at + quota.Settings.lease()})
 		quota.serveWaiters(holding)
 	}
-	if grant.Tokens >= ask.tokens {
+	if grant.Tokens >= ask.tokens || grant.RetryAfter == 0 {
+		// A relayed grant is for one request and does not say that the quota is used up.
 		quota.askForWaiters(grant.Workspace, holding)
 		return
 	}
@@ -372,6 +383,10 @@
 	refused := slices.Clone(holding.waiters[keep:])
 	holding.waiters = holding.waiters[:keep]
 	for _, waiter := range refused {
+		if waiter.relay != nil {
+			quota.refuseRelayed(holding, *waiter.relay)
+			continue
+		}
 		quota.refuse(workspace, holding, waiter.id)
 	}
 }
@@ -412,14 +427,16 @@
 		}
 	}
 	for _, ask := range late {
-		if !quota.isSuspect(ask.to) && ask.to != quota.Self {
-			quota.notify(Notify{Kind: NoticeUnresponsive, Workspace: workspace, Member: ask.to})
+		if _, before := quota.suspects[ask.to]; before || ask.again || len(ask.tried) > 1 {
+			quota.suspect(workspace, ask.to)
+		}
+		if ask.again {
+			continue
 		}
-		quota.suspects[ask.to] = quota.now + suspectTime
 		tried := ask.tried
 		if missing := len(holding.waiters) - quota.asked(holding); missing > 0 {
 			if len(tried) == 1 && len(holding.asks) < maxAsks {
-				again := sentAsk{sequence: quota.nextSequence(), tokens: missing, to: tried[0], at: quota.now, tried: tried}
+				again := sentAsk{sequence: quota.nextSequence(), tokens: missing, to: tried[0], at: quota.now, again: true, tried: tried}
 				holding.asks = append(holding.asks, again)
 				quota.counts.AsksSent++
 				quota.send(tried[0], Ask{Workspace: workspace, Sequence: again.sequence, Tokens: missing})
@@ -429,12 +446,26 @@
 	}
 }
 
+// suspect records that a daemon does not reply. A single datagram may have been lost, so
+// the first in the order is suspected only when a second one gets no reply either, or when
+// it has sent nothing since it was suspected before.
+func (quota *Quota) suspect(workspace, id string) {
+	if !quota.isSuspect(id) && id != quota.Self {
+		quota.notify(Notify{Kind: NoticeUnresponsive, Workspace: workspace, Member: id})
+	}
+	quota.suspects[id] = quota.now + suspectTime
+}
+
 // endWaits refuses the requests that have waited too long.
 func (quota *Quota) endWaits(holding *holding) {
 	holding.waiters = slices.DeleteFunc(holding.waiters, func(waiter waiter) bool {
 		if quota.now < waiter.deadline {
 			return false
 		}
+		if waiter.relay != nil {
+			quota.decline(*waiter.relay, unreachablePause)
+			return true
+		}
 		quota.decide(waiter.id, Decision{Verdict: Unreachable, RetryAfter: unreachablePause, Owner: holding.owner})
 		return true
 	})
--- a/core/quota/owner.go
+++ b/core/quota/owner.go
@@ -101,6 +101,8 @@
 	workspace string
 	tokens    int
 	at        time.Duration
+	// fallback is set if the daemon does not reach the one that it should ask.
+	fallback bool
 }
 
 // applyLimits gives the buckets the limits of a new table. A lower rate or burst applies
@@ -203,7 +205,7 @@
 	bucket.cap(votes)
 	wait := !final && quota.now-request.at < voteWait && quota.isAwaitingVotes(owned)
 	if votes < bucket.terms.minVotes {
-		if !wait {
+		if !wait && !quota.relay(request) {
 			quota.decline(request, voteLease/4)
 		}
 		return !wait
@@ -212,6 +214,9 @@
 	if tokens == 0 && wait {
 		return false
 	}
+	if tokens == 0 && votes < majorityVotes && quota.relay(request) {
+		return true
+	}
 	bucket.tokens -= float64(tokens)
 	grant := Grant{Workspace: request.workspace, Sequence: request.sequence, Tokens: tokens}
 	if tokens < request.tokens {
--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -183,7 +183,8 @@
 type Message interface{ message() }
 
 // Ask asks the owner of a workspace for tokens. Fallback is set if an earlier daemon in
-// the order has not granted them.
+// the order has not granted them. The daemon that is asked may then get a token from that
+// one in its place.
 type Ask struct {
 	Workspace string
 	Sequence  uint64
@@ -250,6 +251,7 @@
 	lent     map[uint32]*loan
 	owned    map[uint32]*ownership
 	holdings map[string]*holding
+	// suspects holds the daemons that do not reply, and until when they are asked last.
 	suspects map[string]time.Duration
 	seen     map[string]*replayWindow
 	effects  []Effect
@@ -330,7 +332,7 @@
 	case Ask:
 		quota.counts.AsksReceived++
 		if quota.isNew(from, message.Sequence) {
-			quota.answer(ask{from: from, sequence: message.Sequence, workspace: message.Workspace, tokens: message.Tokens, at: quota.now})
+			quota.answer(ask{from: from, sequence: message.Sequence, workspace: message.Workspace, tokens: message.Tokens, at: quota.now, fallback: message.Fallback})
 		}
 	case Grant:
 		quota.receiveGrant(from, message)
@@ -345,7 +347,7 @@
 	quota.tickHoldings()
 	quota.tickOwned()
 	maps.DeleteFunc(quota.lent, func(_ uint32, loan *loan) bool { return quota.now-loan.until > loanMemory })
-	maps.DeleteFunc(quota.suspects, func(_ string, until time.Duration) bool { return quota.now >= until })
+	maps.DeleteFunc(quota.suspects, func(_ string, until time.Duration) bool { return quota.now-until > suspectMemory })
 }
 
 // send sends a message, or processes it at once if it is for this daemon.
--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -473,3 +473,47 @@
 		expectBound(t, network)
 	}
 }
+
+// ends returns how many requests of all workspaces were granted and how many were refused.
+func (network *network) ends() (granted, refused int) {
+	for workspace := range network.limits {
+		granted += network.granted[workspace]
+		refused += network.refused[workspace] + network.unreachable[workspace]
+	}
+	return granted, refused
+}
+
+// TestCutBetweenDataCentres guards against refusals while two data centres do not reach each
+// other and all daemons are alive: the owner is reached through a third one.
+func TestCutBetweenDataCentres(t *testing.T) {
+	limits := map[string]quota.Limit{}
+	for index := range 40 {
+		limits[fmt.Sprintf("w%d", index)] = quota.Limit{Rate: 20, Burst: 20}
+	}
+	network := newNetwork(1, 60, limits)
+	network.transit = 250 * time.Millisecond
+	for workspace := range limits {
+		network.load(workspace, 20/1.6, network.now+20*time.Second, network.anywhere)
+	}
+	network.run(5 * time.Second)
+	const dataCentres = 6
+	network.cut = func(from, to int) bool {
+		return min(from%dataCentres, to%dataCentres) == 0 && max(from%dataCentres, to%dataCentres) == 1
+	}
+	network.run(15 * time.Second)
+	granted, refused := network.ends()
+	t.Logf("granted %d, refused %d", granted, refused)
+	is.New(t).True(refused*100 < granted)
+	expectBound(t, network)
+}
+
+// TestLoss guards against refusals because single datagrams are lost.
+func TestLoss(t *testing.T) {
+	network := newNetwork(1, 60, limitsOfTest)
+	network.loss = 0.05
+	overload(network, 1/1.6, network.now+30*time.Second, network.anywhere)
+	network.run(31 * time.Second)
+	granted, refused := network.ends()
+	t.Logf("granted %d, refused %d", granted, refused)
+	is.New(t).True(refused*100 < granted)
+}
--- a/core/quota/rules_test.go
+++ b/core/quota/rules_test.go
@@ -188,3 +188,31 @@
 		is.New(t).Equal(decidedAfter(100*time.Millisecond), 100*time.Millisecond)
 	})
 }
+
+// TestRelay guards against tokens that are passed on after a part of their lease, which the
+// daemon that gets them would count from its own request.
+func TestRelay(t *testing.T) {
+	is := is.New(t)
+	machine := newMachine(0, "b", "c")
+	at := 20 * time.Second
+	machine.Update(quota.TokenReturned{At: at, Workspace: "few", Expires: at + 200*time.Millisecond})
+	machine.Update(quota.MessageReceived{At: at, From: "c", Message: quota.Ask{Workspace: "few", Sequence: 7, Tokens: 3, Fallback: true}})
+	at += 80 * time.Millisecond // the voters have not replied
+	var asked quota.Ask
+	for _, effect := range machine.Update(quota.Ticked{At: at}) {
+		send, _ := effect.(quota.Send)
+		if ask, isAsk := send.Message.(quota.Ask); isAsk {
+			is.Equal(asked.Sequence, uint64(0)) // one request
+			is.True(!ask.Fallback)              // it is not relayed again
+			asked = ask
+		}
+		_, isGrant := send.Message.(quota.Grant)
+		is.True(!isGrant)
+	}
+	relayed := grants(machine.Update(quota.MessageReceived{At: at, From: "b", Message: quota.Grant{Workspace: "few", Sequence: asked.Sequence, Tokens: asked.Tokens}}))
+	if len(relayed) == 0 {
+		relayed = grants(machine.Update(quota.MessageReceived{At: at, From: "c", Message: quota.Grant{Workspace: "few", Sequence: asked.Sequence, Tokens: asked.Tokens}}))
+	}
+	is.Equal(len(relayed), 1)
+	is.Equal(relayed[0], quota.Grant{Workspace: "few", Sequence: 7, Tokens: 1})
+}
