--- a/core/quota/rules_test.go
+++ b/core/quota/rules_test.go
@@ -72,6 +72,12 @@
 		is.True(!lend(machine, at, "b", quota.Borrow{Slot: 1, Sequence: 5}).Lent)
 		is.True(lend(machine, at, "b", quota.Borrow{Slot: 1, Sequence: 6}).Lent)
 	})
+	t.Run("a slot that does not exist is not kept", func(t *testing.T) {
+		is := is.New(t)
+		machine := newMachine(0, "a", "b", "c")
+		is.True(!lend(machine, at, "b", quota.Borrow{Slot: 512, Sequence: 1}).Lent)
+		is.True(!machine.Active())
+	})
 	t.Run("a return by another daemon has no effect", func(t *testing.T) {
 		machine := newMachine(0, "a", "b", "c")
 		lend(machine, at, "b", quota.Borrow{Slot: 1, Sequence: 3})
--- a/core/quota/votes.go
+++ b/core/quota/votes.go
@@ -44,6 +44,9 @@
 // lend replies to a request for this daemon's vote. A daemon that has just started may
 // have lent its vote before, so it waits for that lease to end.
 func (quota *Quota) lend(from string, borrow Borrow) {
+	if borrow.Slot >= slots {
+		return
+	}
 	current := quota.lent[borrow.Slot]
 	if borrow.Return {
 		if current != nil && current.to == from && borrow.Sequence >= current.sequence {
