--- a/core/quota/owner.go
+++ b/core/quota/owner.go
@@ -15,7 +15,7 @@
 	// limits the requests for tokens of a workspace over its quota to 50 a second from each
 	// daemon.
 	minPause = 20 * time.Millisecond
-	// maxPause is the longest one. It bounds how long a daemon refuses while tokens are
+	// maxPause is the longest one, also where the next token is expected later. It bounds how long a daemon refuses while tokens are
 	// left, because others that were told to come earlier had no more requests.
 	maxPause = time.Second
 	// maxPending limits the requests for tokens that wait for votes of a slot.
@@ -101,6 +101,8 @@
 	workspace string
 	tokens    int
 	at        time.Duration
+	// fallback is set if the daemon does not reach the one that it should ask.
+	fallback bool
 }
 
 // applyLimits gives the buckets the limits of a new table. A lower rate or burst applies
@@ -203,7 +205,7 @@
 	bucket.cap(votes)
 	wait := !final && quota.now-request.at < voteWait && quota.isAwaitingVotes(owned)
 	if votes < bucket.terms.minVotes {
-		if !wait {
+		if !wait && !quota.relay(request) {
 			quota.decline(request, voteLease/4)
 		}
 		return !wait
@@ -212,6 +214,9 @@
 	if tokens == 0 && wait {
 		return false
 	}
+	if tokens == 0 && votes < majorityVotes && quota.relay(request) {
+		return true
+	}
 	bucket.tokens -= float64(tokens)
 	grant := Grant{Workspace: request.workspace, Sequence: request.sequence, Tokens: tokens}
 	if tokens < request.tokens {
@@ -229,7 +234,7 @@
 		return maxPause, maxPause
 	}
 	next := quota.now + seconds(math.Max(0, 1-bucket.tokens)/rate)
-	bucket.promisedAt = min(max(next, bucket.promisedAt+seconds(1/rate)), quota.now+maxPause)
+	bucket.promisedAt = min(max(next, bucket.promisedAt+seconds(1/rate)), max(next, quota.now+maxPause))
 	// The spread of a workspace with many daemons is the time that the tokens promised to
 	// these take; that of one daemon, the time of the tokens that it lacks.
 	spread = max(bucket.promisedAt-quota.now, seconds(float64(missing)/rate))
--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -392,6 +392,13 @@
 		is.True(second.RetryAfter >= first.RetryAfter+300*time.Millisecond) // a token comes every 333 ms
 		is.True(third.RetryAfter > second.RetryAfter)
 	})
+	t.Run("a rate below one a second names the time of its next token", func(t *testing.T) {
+		machine := soleOwner(t)
+		slow := map[string]quota.Limit{"few": {Rate: 0.1, Burst: 1}}
+		machine.Update(quota.FleetChanged{At: at, Members: []quota.Member{{ID: "a", Live: true}, {ID: "b", Live: true}}, Limits: slow, Joined: true})
+		reply := grants(machine.Update(ask(2, 9)))[0]
+		is.New(t).True(reply.RetryAfter > 9*time.Second && reply.RetryAfter <= 10*time.Second)
+	})
 	t.Run("an owner that was frozen while its votes went to another one grants nothing", func(t *testing.T) {
 		machine := soleOwner(t)
 		at = 23 * time.Second
@@ -433,6 +440,10 @@
 		times[decide.Decision.RetryAfter] = true
 	}
 	is.Equal(len(times), 10)
+	peek := machine.Update(quota.TokenWanted{At: at, ID: 50, Workspace: "few", Peek: true})[0].(quota.Decide)
+	is.Equal(peek.Decision.Verdict, quota.OverQuota)
+	peek = machine.Update(quota.TokenWanted{At: at, ID: 51, Workspace: "large", Peek: true})[0].(quota.Decide)
+	is.Equal(peek.Decision.Verdict, quota.Granted)
 	at += 301 * time.Millisecond
 	_, asks := want(99)[0].(quota.Send)
 	is.True(asks)
@@ -462,3 +473,47 @@
 		expectBound(t, network)
 	}
 }
+
+// ends returns how many requests of all workspaces were granted and how many were refused.
+func (network *network) ends() (granted, refused int) {
+	for workspace := range network.limits {
+		granted += network.granted[workspace]
+		refused += network.refused[workspace] + network.unreachable[workspace]
+	}
+	return granted, refused
+}
+
+// TestCutBetweenDataCentres guards against refusals while two data centres do not reach each
+// other and all daemons are alive: the owner is reached through a third one.
+func TestCutBetweenDataCentres(t *testing.T) {
+	limits := map[string]quota.Limit{}
+	for index := range 40 {
+		limits[fmt.Sprintf("w%d", index)] = quota.Limit{Rate: 20, Burst: 20}
+	}
+	network := newNetwork(1, 60, limits)
+	network.transit = 250 * time.Millisecond
+	for workspace := range limits {
+		network.load(workspace, 20/1.6, network.now+20*time.Second, network.anywhere)
+	}
+	network.run(5 * time.Second)
+	const dataCentres = 6
+	network.cut = func(from, to int) bool {
+		return min(from%dataCentres, to%dataCentres) == 0 && max(from%dataCentres, to%dataCentres) == 1
+	}
+	network.run(15 * time.Second)
+	granted, refused := network.ends()
+	t.Logf("granted %d, refused %d", granted, refused)
+	is.New(t).True(refused*100 < granted)
+	expectBound(t, network)
+}
+
+// TestLoss guards against refusals because single datagrams are lost.
+func TestLoss(t *testing.T) {
+	network := newNetwork(1, 60, limitsOfTest)
+	network.loss = 0.05
+	overload(network, 1/1.6, network.now+30*time.Second, network.anywhere)
+	network.run(31 * time.Second)
+	granted, refused := network.ends()
+	t.Logf("granted %d, refused %d", granted, refused)
+	is.New(t).True(refused*100 < granted)
+}
--- a/io/caller/caller.go
+++ b/io/caller/caller.go
@@ -239,6 +239,9 @@
 	if request.regions != nil && len(service.membersIn(request.regions)) == 0 {
 		return request.noTargetInRegions(now)
 	}
+	if refusal := handler.checkQuota(request); refusal != nil {
+		return refusal
+	}
 	if err := request.readBodyByDeadline(writer, original); err != nil {
 		return bodyProblem(err)
 	}
