platform: the remaining warm-up time of health responses is in milliseconds

Callers of the fares deployment were refused for want of capacity long after all instances had come back: a target that answered a health check while it was cold counted as cold for 2145 s instead of 2.145 s and got 12 requests a second from then on.

--- a/io/dialect/dialect.go
+++ b/io/dialect/dialect.go
@@ -108,7 +108,7 @@
 		Workspace:        "Ibislift-Workspace",
 		FormatRetryAfter: FormatSeconds,
 		ParseRateLimit:   RateLimitHeader("Ibislift-Rate-Limit"),
-		ParseWarmup:      WarmupHeader("Ibislift-Warmup-Remaining"),
+		ParseWarmup:      WarmupHeader("Ibislift-Warmup-Remaining", time.Second),
 		Leaving:          LeavingHeader("Ibislift-Leaving"),
 		ReadyPath:        "/ready",
 	}
@@ -134,14 +134,15 @@
 // taken for a mistake, since it would limit the upstream for as long.
 const MaxWarmup = time.Hour
 
-// WarmupHeader returns a Dialect.ParseWarmup for a header that holds decimal seconds.
-func WarmupHeader(name string) func(http.Header) (time.Duration, bool) {
+// WarmupHeader returns a Dialect.ParseWarmup for a header that holds a decimal number of
+// the given unit.
+func WarmupHeader(name string, unit time.Duration) func(http.Header) (time.Duration, bool) {
 	return func(header http.Header) (time.Duration, bool) {
-		seconds, err := strconv.ParseFloat(strings.TrimSpace(header.Get(name)), 64)
+		number, err := strconv.ParseFloat(strings.TrimSpace(header.Get(name)), 64)
 		if err != nil {
 			return 0, false
 		}
-		return WarmupSeconds(seconds)
+		return WarmupSeconds(number * unit.Seconds())
 	}
 }
 
