--- a/core/quota/cost_test.go
+++ b/core/quota/cost_test.go
@@ -33,10 +33,10 @@
 	t.Helper()
 	network := newNetwork(1, size, deployment())
 	total := 0.0
-	for workspace, limit := range network.limits {
+	for _, limit := range network.limits {
 		total += limit.Rate * demand
-		network.load(workspace, limit.Rate*demand, network.now+20*time.Second, network.anywhere)
 	}
+	network.loadAll(demand, 20*time.Second, network.anywhere)
 	network.run(10 * time.Second)
 	before := network.messages
 	network.run(10 * time.Second)
@@ -56,9 +56,7 @@
 func TestIdleWorkspaces(t *testing.T) {
 	is := is.New(t)
 	network := newNetwork(1, 12, deployment())
-	for workspace := range network.limits {
-		network.load(workspace, 2, network.now+3*time.Second, network.anywhere)
-	}
+	network.loadAll(1, 3*time.Second, network.anywhere)
 	network.run(80 * time.Second)
 	before := network.messages
 	network.run(10 * time.Second)
--- a/core/quota/network_test.go
+++ b/core/quota/network_test.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -301,6 +302,14 @@
 	})
 }
 
+// loadAll sends requests of every workspace at a multiple of its rate for a time.
+func (network *network) loadAll(factor float64, duration time.Duration, at func() int) {
+	// The order matters for the random numbers, which a seed is to reproduce.
+	for _, workspace := range slices.Sorted(maps.Keys(network.limits)) {
+		network.load(workspace, network.limits[workspace].Rate*factor, network.now+duration, at)
+	}
+}
+
 // anywhere chooses a daemon that is up.
 func (network *network) anywhere() int {
 	for range 100 {
--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -188,9 +188,7 @@
 // TestUsualDemand guards against refusals of requests within the quota.
 func TestUsualDemand(t *testing.T) {
 	network := newNetwork(1, 60, map[string]quota.Limit{"medium": {Rate: 20, Burst: 20}, "large": {Rate: 203, Burst: 203}})
-	for workspace, limit := range network.limits {
-		network.load(workspace, limit.Rate/1.6, network.now+60*time.Second, network.anywhere)
-	}
+	network.loadAll(1/1.6, 60*time.Second, network.anywhere)
 	network.run(61 * time.Second)
 	for workspace := range network.limits {
 		t.Logf("%s: granted %d, refused %d, unreachable %d", workspace, network.granted[workspace], network.refused[workspace], network.unreachable[workspace])
@@ -311,9 +309,7 @@
 // in each restart for an upgrade.
 func TestOrderlyStop(t *testing.T) {
 	network := newNetwork(1, 30, map[string]quota.Limit{"large": {Rate: 203, Burst: 203}, "medium": {Rate: 20, Burst: 20}})
-	for workspace, limit := range network.limits {
-		network.load(workspace, limit.Rate/1.6, network.now+40*time.Second, network.anywhere)
-	}
+	network.loadAll(1/1.6, 40*time.Second, network.anywhere)
 	network.run(5 * time.Second)
 	for range 8 {
 		for _, daemon := range network.daemons {
@@ -492,9 +488,7 @@
 	}
 	network := newNetwork(1, 60, limits)
 	network.transit = 250 * time.Millisecond
-	for workspace := range limits {
-		network.load(workspace, 20/1.6, network.now+20*time.Second, network.anywhere)
-	}
+	network.loadAll(1/1.6, 20*time.Second, network.anywhere)
 	network.run(5 * time.Second)
 	const dataCentres = 6
 	network.cut = func(from, to int) bool {
