player: workspaces, surges of a class or a workspace, calls at once

The player could not show who is served when a workspace or a class sends more than usual, nor calls that a run makes at the same time.

The gate gets the name of the workspace with a request (admit.Arrived.Workspace), and does not use it yet.

--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -46,6 +46,9 @@
 	// Class names the kind of request. The gate keeps a mean service time for each
 	// class. It may be empty.
 	Class string
+	// Workspace names the workspace that the request belongs to. It is empty if the
+	// request belongs to none, as the calls that a running request makes.
+	Workspace string
 	// MaxDelay is the largest delay with which this target is still the better
 	// choice than the second best. The delay is the additional time that the
 	// request takes because the upstream is not idle. 0 means that there is no
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -141,6 +141,7 @@
 		Rank:      int(head.GetRank()),
 		Objective: server.Gate.Now().Add(time.Duration(head.GetObjectiveMicroseconds()) * time.Microsecond),
 		Class:     head.GetClass(),
+		Workspace: head.GetWorkspace(),
 		MaxDelay:  time.Duration(head.GetPatienceMicroseconds()) * time.Microsecond,
 	}, head.GetFingerprint())
 	failed := true
--- a/standin/play/caller.go
+++ b/standin/play/caller.go
@@ -10,6 +10,7 @@
 type request struct {
 	simulation  *simulation
 	class       *Class
+	workspace   *workspace
 	zone        *Zone
 	startedAt   time.Time
 	attempts    int
@@ -17,6 +18,8 @@
 	impatient   bool
 	leavesEarly bool
 	finished    bool
+	// refused is set if the last attempt was refused.
+	refused bool
 	// previous is the request that was sent before this one on the same
 	// connection. Its response must arrive first. onFinish holds the functions
 	// to call when this request has finished.
@@ -72,9 +75,22 @@
 // startRequest draws a request and sends it. A pipelined request is queued
 // behind the last one of the same caller.
 func (simulation *simulation) startRequest(zone *Zone) {
-	class := simulation.drawClass()
-	request := &request{simulation: simulation, class: class, zone: zone, startedAt: simulation.clock.now, maxRetries: class.MaxRetries}
-	caller := callerKey{zone, class, simulation.trafficRandom.IntN(max(1, zone.Callers))}
+	class, workspace := simulation.drawClass(), simulation.drawWorkspace()
+	for range simulation.drawCopies(class, workspace) {
+		delay := time.Duration(simulation.trafficRandom.Float64() * float64(surgeSpread))
+		simulation.clock.runAfter(delay, func() { simulation.startRequestOf(zone, class, workspace) })
+	}
+	simulation.startRequestOf(zone, class, workspace)
+}
+
+func (simulation *simulation) startRequestOf(zone *Zone, class *Class, workspace *workspace) {
+	request := &request{simulation: simulation, class: class, workspace: workspace, zone: zone, startedAt: simulation.clock.now, maxRetries: class.MaxRetries}
+	callers := zone.Callers
+	if workspace != nil {
+		workspace.tally.recordOffered(class)
+		callers = int(float64(callers) * workspace.share)
+	}
+	caller := callerKey{zone, class, workspace, simulation.trafficRandom.IntN(max(1, callers))}
 	if class.Pipelined {
 		request.previous = simulation.lastRequests[caller]
 		simulation.lastRequests[caller] = request
@@ -94,9 +110,10 @@
 
 // callerKey identifies a caller's connection for a class of requests.
 type callerKey struct {
-	zone   *Zone
-	class  *Class
-	number int
+	zone      *Zone
+	class     *Class
+	workspace *workspace
+	number    int
 }
 
 // drawClass draws the class of a request in proportion to the weights.
@@ -122,6 +139,9 @@
 	request.attempts++
 	if request.attempts > 1 {
 		simulation.tally(request.class).CallerRetries++
+		if request.refused {
+			simulation.tally(request.class).CameBack++
+		}
 	}
 	zone := request.zone
 	if simulation.modelRandom.Float64() < max(simulation.shiftedShares[""], simulation.shiftedShares[zone.Name]) {
@@ -134,7 +154,7 @@
 		if request.finished {
 			return
 		}
-		request.current = simulation.startExchange(ingress, request.class, remaining, func(response response) {
+		request.current = simulation.startExchange(ingress, request.class, request.workspace, remaining, func(response response) {
 			simulation.clock.runAfter(latency, func() { request.runInOrder(func() { request.receive(response) }) })
 		})
 	})
@@ -168,10 +188,17 @@
 			return
 		}
 		simulation.tally(class).recordResponse(elapsed, class, class.Value)
+		if request.workspace != nil {
+			request.workspace.tally.recordResponse(elapsed, class)
+		}
 		simulation.report.recordResponse(request.startedAt.Sub(simulation.startedAt), elapsed, elapsed <= milliseconds(class.Objective))
 		request.finish()
 		return
 	}
+	if response.refused && request.refused {
+		simulation.tally(class).RefusedAgain++
+	}
+	request.refused = response.refused
 	wait := retryPause
 	if response.refused {
 		wait = response.retryAfter
--- a/standin/play/daemon.go
+++ b/standin/play/daemon.go
@@ -123,9 +123,10 @@
 	} else {
 		daemon.subscribers[exchange.ingress] = &subscriber{requestedAt: now}
 	}
+	rank := exchange.workspace.rankOf(exchange.class)
 	arrived := admit.Arrived{
-		ID: attempt.id, At: now, Deadline: exchange.deadline, Important: exchange.class.Rank == 0,
-		Reserve: attempt.reserve, Rank: exchange.class.Rank, Class: exchange.class.Name, MaxDelay: attempt.maxDelay,
+		ID: attempt.id, At: now, Deadline: exchange.deadline, Important: rank == 0,
+		Reserve: attempt.reserve, Rank: rank, Workspace: exchange.workspace.name(), Class: exchange.class.Name, MaxDelay: attempt.maxDelay,
 	}
 	if daemon.simulation.policy.UseObjectives {
 		arrived.Objective = exchange.objective
@@ -223,15 +224,26 @@
 	daemon.upstream.accept(run)
 }
 
-// makeCalls makes the calls of a run one after the other, then resumes the run.
+// makeCalls makes the calls of a run, then resumes the run. It waits for calls that are
+// made at once before it makes the next.
 func (daemon *daemon) makeCalls(arrival *arrival, run *run) {
-	var pending []*Class
+	// Each element of pending is a number of calls that are made at once.
+	type calls struct {
+		class *Class
+		count int
+	}
+	var pending []calls
 	for _, call := range run.class.Calls {
 		if daemon.simulation.modelRandom.Float64() >= call.Share {
 			continue
 		}
+		class := daemon.simulation.classes[call.Class]
+		if call.AtOnce {
+			pending = append(pending, calls{class, call.Count})
+			continue
+		}
 		for range call.Count {
-			pending = append(pending, daemon.simulation.classes[call.Class])
+			pending = append(pending, calls{class, 1})
 		}
 	}
 	var next func()
@@ -240,15 +252,20 @@
 			daemon.upstream.resume(run, false)
 			return
 		}
-		class := pending[0]
+		calls := pending[0]
 		pending = pending[1:]
-		daemon.simulation.makeCall(daemon, class, arrival.attempt.exchange.deadline, func(succeeded bool) {
-			if !succeeded {
-				daemon.upstream.resume(run, true)
-				return
-			}
-			next()
-		})
+		open := calls.count
+		for range calls.count {
+			daemon.simulation.makeCall(daemon, calls.class, arrival.attempt.exchange.deadline, func(succeeded bool) {
+				open--
+				switch {
+				case !succeeded:
+					daemon.upstream.resume(run, true)
+				case open == 0:
+					next()
+				}
+			})
+		}
 	}
 	next()
 }
--- a/standin/play/exchange.go
+++ b/standin/play/exchange.go
@@ -26,6 +26,7 @@
 	simulation     *simulation
 	ingress        *daemon
 	class          *Class
+	workspace      *workspace
 	deadline       time.Time
 	objective      time.Time
 	callerDeadline time.Time
@@ -53,10 +54,10 @@
 }
 
 // startExchange accepts a request at an ingress. remaining is the time until the
-// caller's deadline.
-func (simulation *simulation) startExchange(ingress *daemon, class *Class, remaining time.Duration, onFinish func(response)) *exchange {
+// caller's deadline, workspace that of the caller; it is nil for a call of a run.
+func (simulation *simulation) startExchange(ingress *daemon, class *Class, workspace *workspace, remaining time.Duration, onFinish func(response)) *exchange {
 	now := simulation.clock.now
-	exchange := &exchange{simulation: simulation, ingress: ingress, class: class, onFinish: onFinish, callerDeadline: now.Add(remaining), deadline: now.Add(remaining)}
+	exchange := &exchange{simulation: simulation, ingress: ingress, class: class, workspace: workspace, onFinish: onFinish, callerDeadline: now.Add(remaining), deadline: now.Add(remaining)}
 	timeout := milliseconds(class.Timeout)
 	age := ingress.ageEstimator.Estimate(class.Name, timeout, remaining)
 	if timeout > 0 {
--- a/standin/play/fault.go
+++ b/standin/play/fault.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 
 	"ibislift/core/call"
 	"ibislift/core/kernel"
@@ -22,6 +23,11 @@
 	case "burst":
 		simulation.burstFactors[fault.Zone] = fault.Factor
 		return func() { delete(simulation.burstFactors, fault.Zone) }
+	case "surge":
+		simulation.surges = append(simulation.surges, &fault)
+		return func() {
+			simulation.surges = slices.DeleteFunc(simulation.surges, func(surge *Fault) bool { return surge == &fault })
+		}
 	case "shift":
 		simulation.shiftedShares[fault.Zone] = fault.Share
 		return func() { delete(simulation.shiftedShares, fault.Zone) }
--- a/standin/play/report.go
+++ b/standin/play/report.go
@@ -29,6 +29,10 @@
 	// request, CallerRetries the retries of callers.
 	ExtraAttempts int
 	CallerRetries int
+	// CameBack counts the retries of callers after a refusal, RefusedAgain those of them
+	// that were refused again.
+	CameBack     int
+	RefusedAgain int
 	// CrossZoneBytes are the bytes of bodies that were sent to another zone of
 	// the region, CrossRegionBytes those to another region.
 	CrossZoneBytes   float64
@@ -71,6 +75,8 @@
 	// Classes holds a tally for each class, also for those that only runs call,
 	// in the order of the scenario.
 	Classes []*Tally
+	// Workspaces holds a tally for each workspace, the largest first.
+	Workspaces []*WorkspaceTally
 	// SlotSeconds is the total time for which runs held slots, in seconds. Slots
 	// is the number of slots.
 	SlotSeconds float64
@@ -187,6 +193,7 @@
 			tally.WastedSeconds, tally.ExtraAttempts, tally.CallerRetries, tally.CrossZoneBytes/1e6, tally.CrossRegionBytes/1e6)
 	}
 	_ = table.Flush()
+	report.writeWorkspaces(out)
 }
 
 // Compare prints one line per report, with its policy.
--- a/standin/play/scenario.go
+++ b/standin/play/scenario.go
@@ -25,7 +25,10 @@
 	Zones    []Zone    `json:"zones"`
 	Services []Service `json:"services"`
 	Classes  []Class   `json:"classes"`
-	Faults   []Fault   `json:"troubles,omitempty"`
+	// Workspaces are the workspaces that callers belong to. Without any, requests carry
+	// none.
+	Workspaces Workspaces `json:"workspaces,omitzero"`
+	Faults     []Fault    `json:"troubles,omitempty"`
 	// RetryRatio and RetrySlack are the retry budget of all daemons together.
 	RetryRatio float64 `json:"retryRatio"`
 	RetrySlack float64 `json:"retrySlack"`
@@ -37,6 +40,17 @@
 	RegionBytePrice float64 `json:"regionBytePrice"`
 }
 
+// Workspaces describes the workspaces of the callers. The one at position k, the first
+// being 1, sends a share of the requests that is proportional to k to the power of
+// -Exponent.
+type Workspaces struct {
+	Count    int     `json:"count"`
+	Exponent float64 `json:"exponent"`
+	// Ranks holds the ranks of the workspaces, which repeat from the first one when there
+	// are fewer. Without any, all have rank 0.
+	Ranks []int `json:"ranks,omitempty"`
+}
+
 // Links holds one-way latencies: within a zone, between zones of a region, between
 // regions, and between callers and daemons.
 type Links struct {
@@ -130,6 +144,8 @@
 	Class string  `json:"class"`
 	Count int     `json:"times"`
 	Share float64 `json:"share"`
+	// AtOnce makes the calls at the same time instead of one after the other.
+	AtOnce bool `json:"atOnce,omitempty"`
 }
 
 // Fault affects a part of the deployment for some time.
@@ -141,6 +157,10 @@
 	Share           float64 `json:"share,omitempty"`
 	// Service selects the affected targets. Empty means those of all services.
 	Service string `json:"service,omitempty"`
+	// Class and Workspace select the requests of a surge. Empty and 0 mean all of them;
+	// the largest workspace is 1.
+	Class     string `json:"class,omitempty"`
+	Workspace int    `json:"workspace,omitempty"`
 	// Factor is the strength of the fault. FaultKinds describes its meaning.
 	Factor float64 `json:"factor,omitempty"`
 }
@@ -148,6 +168,7 @@
 // FaultKinds holds the kinds of faults and the meaning of their share and factor.
 var FaultKinds = map[string]string{
 	"burst":        "the callers of a zone, or of all zones, send factor times as many requests",
+	"surge":        "the requests of a class, of a workspace, or of all are sent factor times as often",
 	"shift":        "a share of the callers of a zone, or of all zones, sends to the daemons of the next zone",
 	"leaveEarly":   "a share of the callers gives up after half of the objective",
 	"impatient":    "a share of the callers retries at once, whatever the retry time is, and factor times as often",
@@ -221,6 +242,8 @@
 		rejectIf(FaultKinds[fault.Kind] == "", "trouble %d: there is no kind %q", number+1, fault.Kind)
 		rejectIf(fault.Zone != "" && !zones[fault.Zone], "trouble %d: there is no zone %q", number+1, fault.Zone)
 		rejectIf(fault.Service != "" && !services[fault.Service], "trouble %d: there is no service %q", number+1, fault.Service)
+		rejectIf(fault.Class != "" && !classes[fault.Class], "trouble %d: there is no class %q", number+1, fault.Class)
+		rejectIf(fault.Workspace < 0 || fault.Workspace > scenario.Workspaces.Count, "trouble %d: there is no workspace %d", number+1, fault.Workspace)
 		rejectIf(fault.DurationSeconds <= 0, "trouble %d: forSeconds: must be above 0", number+1)
 	}
 	return problems.Err()
--- a/standin/play/simulation.go
+++ b/standin/play/simulation.go
@@ -49,6 +49,10 @@
 	impatientShare   float64
 	impatientFactor  float64
 	reportsLost      bool
+	// surges are the faults of kind surge that are in force.
+	surges []*Fault
+	// workspaces are the workspaces of the callers, the largest first.
+	workspaces []*workspace
 }
 
 // settleTime is how long the simulation continues after the last request.
@@ -73,6 +77,10 @@
 	for index := range scenario.Classes {
 		simulation.classes[scenario.Classes[index].Name] = &scenario.Classes[index]
 	}
+	simulation.workspaces = newWorkspaces(scenario.Workspaces)
+	for _, workspace := range simulation.workspaces {
+		simulation.report.Workspaces = append(simulation.report.Workspaces, &workspace.tally)
+	}
 	simulation.build()
 	for index := range scenario.Zones {
 		simulation.scheduleRequests(&scenario.Zones[index])
@@ -170,7 +178,7 @@
 	remaining := min(milliseconds(class.Deadline), deadline.Sub(startedAt))
 	tally := simulation.tally(class)
 	tally.Offered++
-	simulation.startExchange(daemon, class, remaining, func(response response) {
+	simulation.startExchange(daemon, class, nil, remaining, func(response response) {
 		elapsed := simulation.clock.now.Sub(startedAt)
 		switch {
 		case response.succeeded:
