admit: a queue order by cost to callers, where requests carry workspaces

The new order is by rank, objective, calls of running requests and how much of the slots the workspace uses compared to what it usually uses and an equal part of the capacity. Full queues refuse the end of the same order. A workspace that is served less than half as often as all counts as most urgent.

The profile field queueOrder selects it.

--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -199,6 +199,8 @@
 	slowness float64
 	// token is what the request has taken of the rate limit at started.
 	token token
+	// charged is the slot time that the workspace has been charged for at started.
+	charged time.Duration
 }
 
 // Gate is the admission control of one upstream. Set the exported fields before
@@ -213,8 +215,11 @@
 	// while requests arrive, before the gate emits MeasureSlowness. 0 means that
 	// the slowness comes with the upstream's responses only.
 	MaxSlownessAge time.Duration
+	// Order is the order in which requests are served. The zero value means OrderCost.
+	Order Order
 
 	estimator
+	shares      shares
 	rateLimiter rateLimiter
 	// lastArrivalAt is when the last request arrived, measureRequestedAt when
 	// the gate last emitted MeasureSlowness.
@@ -250,6 +255,7 @@
 	case Finished:
 		return gate.finish(event)
 	case Ticked:
+		gate.shares.prune(event.At)
 		effects := append(gate.expire(event.At), gate.fillSlots(event.At)...)
 		effects = append(effects, gate.decideMeasured(event.At, false)...)
 		return append(effects, gate.measureSlowness(event.At)...)
@@ -271,6 +277,9 @@
 	case UpstreamStarted:
 		gate.rateLimiter.start(event)
 		return nil
+	case OrderSelected:
+		gate.Order = event.Order
+		return nil
 	case Resized:
 		gate.Slots = event.Slots
 		gate.QueueBound = event.QueueBound
@@ -337,19 +346,19 @@
 	wait := gate.expectedWait(arrived)
 	serviceTime := gate.expectedServiceTime(arrived.At, arrived.Class)
 	if arrived.At.Add(wait + serviceTime/2).After(arrived.Deadline) {
-		return refuse(arrived.ID, ReasonDeadline, wait)
+		return gate.turnAway(arrived, arrived.At, ReasonDeadline, wait)
 	}
 	if extra := wait + gate.slowdown(arrived); arrived.MaxDelay > 0 && extra > arrived.MaxDelay {
 		return refuse(arrived.ID, ReasonSlower, wait)
 	}
 	if gate.isTooBusy(arrived, wait) {
-		return refuse(arrived.ID, ReasonBusy, wait)
+		return gate.turnAway(arrived, arrived.At, ReasonBusy, wait)
 	}
 	var effects []Effect
 	if !gate.canStart(arrived.At) && len(gate.queue) >= gate.QueueBound {
 		displaced, done := gate.displace(arrived, wait)
 		if !done {
-			return refuse(arrived.ID, ReasonQueueFull, wait)
+			return gate.turnAway(arrived, arrived.At, ReasonQueueFull, wait)
 		}
 		effects = displaced
 	}
@@ -392,6 +401,7 @@
 // revoke refuses a request that holds a reservation, and frees its slot.
 func (gate *Gate) revoke(id uint64, reason Reason, at time.Time) []Effect {
 	gate.rateLimiter.giveBack(gate.requests[id].token)
+	gate.settle(gate.requests[id], at)
 	delete(gate.requests, id)
 	gate.slotsInUse--
 	return append(refuse(id, reason, gate.rateLimiter.delay(at, 1)), gate.fillSlots(at)...)
@@ -418,6 +428,7 @@
 	}
 	delete(gate.requests, finished.ID)
 	gate.slotsInUse--
+	gate.settle(request, finished.At)
 	if !finished.Failed {
 		took := finished.At.Sub(request.started)
 		gate.serviceTime = movingAverage(gate.serviceTime, took)
--- a/core/admit/queue.go
+++ b/core/admit/queue.go
@@ -12,6 +12,12 @@
 	arrived Arrived
 	// missesObjective is set if the request can no longer meet its objective.
 	missesObjective bool
+	// isCall, rank and overUse are set for OrderCost only: whether the request is a call
+	// of a running request, its rank, and how much its workspace uses compared to what it
+	// may use.
+	isCall  bool
+	rank    int
+	overUse float64
 }
 
 // ordinaryRank is the smallest and thus most urgent rank of the requests that are
@@ -61,10 +67,9 @@
 func (gate *Gate) sortedQueue(at time.Time) []queueEntry {
 	sorted := make([]queueEntry, 0, len(gate.queue))
 	for _, id := range gate.queue {
-		arrived := gate.requests[id].arrived
-		sorted = append(sorted, queueEntry{arrived: arrived, missesObjective: gate.missesObjective(at, arrived)})
+		sorted = append(sorted, gate.entry(at, gate.requests[id].arrived))
 	}
-	slices.SortFunc(sorted, compare)
+	slices.SortFunc(sorted, gate.comparison())
 	return sorted
 }
 
@@ -103,10 +108,10 @@
 
 // expectedWait returns the expected time until an arriving request gets a slot.
 func (gate *Gate) expectedWait(arrived Arrived) time.Duration {
-	newcomer := queueEntry{arrived: arrived, missesObjective: gate.missesObjective(arrived.At, arrived)}
+	newcomer, comparison := gate.entry(arrived.At, arrived), gate.comparison()
 	ahead := 0
 	for _, queued := range gate.sortedQueue(arrived.At) {
-		if compare(queued, newcomer) < 0 {
+		if comparison(queued, newcomer) < 0 {
 			ahead++
 		}
 	}
@@ -134,12 +139,16 @@
 // A request without an objective of its own may wait until its deadline. One that
 // can still meet its objective is refused if the wait would use more than the part
 // of its spare time that maxWaitDivisor allows. One that can no longer meet it is
-// refused if it has to wait at all.
+// refused if it has to wait at all. With OrderCost, a request is not refused while a less
+// urgent one is queued, unless it would miss its objective because of the wait.
 func (gate *Gate) isTooBusy(arrived Arrived, wait time.Duration) bool {
 	if arrived.Objective.IsZero() || !arrived.Objective.Before(arrived.Deadline) || !gate.hasStandingQueue(arrived.At) {
 		return false
 	}
 	spare := arrived.Objective.Sub(arrived.At) - gate.optimisticServiceTime(arrived.At, arrived.Class)
+	if gate.ordersByCost() && gate.hasLessUrgentQueued(arrived) {
+		return spare > 0 && wait > spare
+	}
 	if spare <= 0 {
 		return wait > 0
 	}
@@ -154,13 +163,15 @@
 		return nil, false
 	}
 	last := sorted[len(sorted)-1]
-	newcomer := queueEntry{arrived: arrived, missesObjective: gate.missesObjective(arrived.At, arrived)}
-	moreUrgent := cmp.Or(compareBool(newcomer.missesObjective, last.missesObjective), cmp.Compare(newcomer.arrived.effectiveRank(), last.arrived.effectiveRank())) < 0
-	if !moreUrgent {
+	if !gate.isMoreUrgent(gate.entry(arrived.At, arrived), last) {
 		return nil, false
 	}
 	gate.removeQueued(last.arrived.ID)
-	return refuse(last.arrived.ID, ReasonQueueFull, wait), true
+	if gate.ordersByCost() {
+		// The displaced request would have been the last one.
+		wait = gate.startDelay(arrived.At, len(sorted))
+	}
+	return gate.turnAway(last.arrived, arrived.At, ReasonQueueFull, wait), true
 }
 
 // fillSlots gives free slots to queued requests in the order of sortedQueue. It
@@ -172,7 +183,7 @@
 		next := gate.sortedQueue(at)[0].arrived
 		if at.Add(gate.expectedServiceTime(at, next.Class) / 2).After(next.Deadline) {
 			gate.removeQueued(next.ID)
-			effects = append(effects, refuse(next.ID, ReasonDeadline, gate.startDelay(at, 1))...)
+			effects = append(effects, gate.turnAway(next, at, ReasonDeadline, gate.startDelay(at, 1))...)
 			continue
 		}
 		gate.dequeue(next.ID)
@@ -194,6 +205,9 @@
 	request.token = gate.rateLimiter.take()
 	request.started = at
 	request.slowness = gate.slownessAt(at)
+	request.charged = gate.expectedServiceTime(at, arrived.Class)
+	gate.shares.charge(arrived.Workspace, at, request.charged)
+	gate.shares.count(arrived.Workspace, at, true)
 	if arrived.Reserve {
 		request.stage = stageReserved
 		return Grant{ID: arrived.ID}
@@ -214,7 +228,7 @@
 		if startsAt.Add(gate.expectedServiceTime(at, queued.arrived.Class) / 2).After(queued.arrived.Deadline) {
 			ahead--
 			gate.removeQueued(queued.arrived.ID)
-			effects = append(effects, refuse(queued.arrived.ID, ReasonDeadline, gate.startDelay(at, ahead+1))...)
+			effects = append(effects, gate.turnAway(queued.arrived, at, ReasonDeadline, gate.startDelay(at, ahead+1))...)
 		}
 	}
 	return effects
--- a/core/profile/check.go
+++ b/core/profile/check.go
@@ -4,6 +4,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"ibislift/core/admit"
 )
 
 // Limits of the fields of a profile.
@@ -42,6 +44,7 @@
 		checkDuration("slowStart", time.Duration(profile.SlowStart), 0, time.Hour),
 		checkRange("crashLimit.crashes", float64(profile.CrashLimit.Crashes), 1, maxCrashes),
 		checkDuration("crashLimit.blockFor", time.Duration(profile.CrashLimit.BlockFor), time.Second, 24*time.Hour),
+		checkQueueOrder(profile.QueueOrder),
 	} {
 		if fieldError != nil {
 			return Error.Wrap(fieldError)
@@ -57,6 +60,13 @@
 	return &FieldError{Path: "policy", Reason: strconv.Quote(policy) + " is not a known policy"}
 }
 
+func checkQueueOrder(order admit.Order) *FieldError {
+	if order == admit.OrderCost || order == admit.OrderObjective {
+		return nil
+	}
+	return &FieldError{Path: "queueOrder", Reason: strconv.Quote(string(order)) + " is neither cost nor objective"}
+}
+
 func checkRange(path string, value, low, high float64) *FieldError {
 	if value >= low && value <= high {
 		return nil
--- a/core/profile/profile.go
+++ b/core/profile/profile.go
@@ -29,6 +29,8 @@
 	"time"
 
 	"github.com/zeebo/errs"
+
+	"ibislift/core/admit"
 )
 
 // Error is the class of all errors that this package returns.
@@ -114,6 +116,9 @@
 	Ejection        Ejection        `json:"ejection"`
 	SlowStart       Duration        `json:"slowStart"`
 	CrashLimit      CrashLimit      `json:"crashLimit"`
+	// QueueOrder is the order in which the gates of the service serve queued requests:
+	// admit.OrderCost or admit.OrderObjective.
+	QueueOrder admit.Order `json:"queueOrder"`
 }
 
 // Default returns the profile of a service that has selected none.
@@ -132,6 +137,7 @@
 		Ejection:        Ejection{ConsecutiveFailures: 5, BaseTime: Duration(time.Second), MaxFraction: 0.5},
 		SlowStart:       Duration(10 * time.Second),
 		CrashLimit:      CrashLimit{Crashes: 2, BlockFor: Duration(time.Minute)},
+		QueueOrder:      admit.OrderCost,
 	}
 }
 
--- a/core/profile/profile_test.go
+++ b/core/profile/profile_test.go
@@ -27,6 +27,7 @@
 		"unknown policy":            {`{"policy": "magic"}`, "policy"},
 		"text after the JSON value": {`{} {}`, "$"},
 		"empty":                     {``, "$"},
+		"unknown queue order":       {`{"queueOrder": "newest"}`, "queueOrder"},
 		"negative number":           {`{"queueBound": -1}`, "queueBound"},
 	} {
 		t.Run(name, func(t *testing.T) { requireFieldError(t, example.text, example.field) })
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -403,4 +403,5 @@
 	}
 	rules := profile.FromView(view, announcement.Service)
 	daemon.gate.Resize(announcement.Slots, rules.QueueBound)
+	daemon.gate.SetOrder(rules.QueueOrder)
 }
--- a/daemon/upstream.go
+++ b/daemon/upstream.go
@@ -28,6 +28,7 @@
 	}
 	rules := profile.FromView(view, announcement.Service)
 	daemon.gate.Resize(announcement.Slots, rules.QueueBound)
+	daemon.gate.SetOrder(rules.QueueOrder)
 	daemon.control.send(kernel.UpstreamAnnounced{Target: announcement.Target(), Instance: announcement.Instance})
 }
 
--- a/io/upstream/gate.go
+++ b/io/upstream/gate.go
@@ -93,6 +93,11 @@
 	})
 }
 
+// SetOrder sets the order in which requests are served.
+func (gate *Gate) SetOrder(order admit.Order) {
+	gate.apply(func() []admit.Effect { return gate.machine.Update(admit.OrderSelected{Order: order}) })
+}
+
 // Admission tracks one request through the gate.
 type Admission struct {
 	gate        *Gate
--- a/standin/play/daemon.go
+++ b/standin/play/daemon.go
@@ -62,6 +62,7 @@
 		trackers: map[string]*route.Tracker{}, budgets: map[string]*call.Budget{},
 	}
 	daemon.gate.Headroom = simulation.scenario.Headroom
+	daemon.gate.Order = simulation.policy.QueueOrder
 	daemon.gate.MaxSlownessAge = simulation.policy.MaxSlownessAge
 	daemon.update(admit.Resized{At: simulation.clock.now, Slots: service.Slots, QueueBound: simulation.policy.QueueBound})
 	daemon.upstream.start()
--- a/standin/play/policy.go
+++ b/standin/play/policy.go
@@ -4,6 +4,7 @@
 	"sort"
 	"time"
 
+	"ibislift/core/admit"
 	"ibislift/core/route"
 )
 
@@ -32,6 +33,8 @@
 	// MaxSlownessAge is how old a target's reported slowness may become before
 	// its gate probes the target. 0 means that gates send no probes.
 	MaxSlownessAge time.Duration
+	// QueueOrder is the order of the gates. Empty means that of the product.
+	QueueOrder admit.Order
 	// ExactLoad gives each ingress the current load of every gate, which no real
 	// system can do. Losses that remain are due to a lack of capacity.
 	ExactLoad bool
@@ -52,6 +55,7 @@
 	"withoutMeasuring": {RoutePolicy: route.LeastTime, UseObjectives: true, UseGates: true, QueueBound: 64, Retries: true, EstimateRetryAfter: true, Reports: true},
 	"withoutComeback":  {RoutePolicy: route.LeastTime, UseObjectives: true, UseGates: true, QueueBound: 64, Retries: true, Reports: true, MaxSlownessAge: maxSlownessAge},
 	"withoutRetries":   {RoutePolicy: route.LeastTime, UseObjectives: true, UseGates: true, QueueBound: 64, EstimateRetryAfter: true, Reports: true, MaxSlownessAge: maxSlownessAge},
+	"byObjective":      {RoutePolicy: route.LeastTime, UseObjectives: true, UseGates: true, QueueBound: 64, Retries: true, EstimateRetryAfter: true, Reports: true, MaxSlownessAge: maxSlownessAge, QueueOrder: admit.OrderObjective},
 	"adaptive":         {RoutePolicy: "adaptive", UseGates: true, QueueBound: 64, Retries: true},
 	"roundRobin":       {RoutePolicy: "roundRobin"},
 	"random":           {RoutePolicy: "random"},
