--- a/standin/play/workspace_test.go
+++ b/standin/play/workspace_test.go
@@ -58,3 +58,66 @@
 	}
 	is.New(t).True(medianWith(true) < medianWith(false)-0.03)
 }
+
+// servedTwice simulates a scenario with the product's order of queues and with
+// OrderObjective.
+func servedTwice(t *testing.T, scenario *play.Scenario) (current, earlier *play.Report) {
+	t.Helper()
+	return simulate(t, scenario, play.Current), simulate(t, scenario, "byObjective")
+}
+
+// othersServed returns how often the requests of all workspaces but one are served.
+func othersServed(report *play.Report, number int) float64 {
+	served, offered := 0, 0
+	for _, tally := range report.Workspaces {
+		if tally.Number != number {
+			served += tally.Served
+			offered += tally.Offered
+		}
+	}
+	return float64(served) / float64(offered)
+}
+
+func servedFraction(tally *play.Tally) float64 {
+	return float64(tally.InTime+tally.Late) / float64(tally.Awaited())
+}
+
+// TestHotWorkspace guards against a surge of one workspace that costs the others, and
+// against a hot workspace that is hardly served at all.
+func TestHotWorkspace(t *testing.T) {
+	for name, hot := range map[string]play.Fault{
+		"the second largest": {Kind: "surge", Workspace: 2, Factor: 25}, "a small one": {Kind: "surge", Workspace: 8, Factor: 130},
+	} {
+		t.Run(name, func(t *testing.T) {
+			current, earlier := servedTwice(t, withFault(withWorkspaces(smallScenario()), hot))
+			mean, least := current.WorstTenth()
+			t.Logf("others %.3f, before %.3f; hot %.3f, all %.3f, worst tenth %.3f", othersServed(current, hot.Workspace),
+				othersServed(earlier, hot.Workspace), current.Workspaces[hot.Workspace-1].ServedFraction(), current.ServedFraction(), mean)
+			is := is.New(t)
+			is.True(othersServed(current, hot.Workspace) >= othersServed(earlier, hot.Workspace)+0.05)
+			is.True(least >= current.ServedFraction()/4)
+		})
+	}
+}
+
+// TestUrgentClass guards against a class of urgent requests with a short objective that is
+// refused while less urgent ones with a long objective wait.
+func TestUrgentClass(t *testing.T) {
+	check, upload := class("check", 1), class("upload", 1)
+	check.Rank, check.ServiceTime, check.Objective, check.Deadline, check.Timeout, check.MaxRetries = 0, 60, 200, 2500, 0, 1
+	upload.Rank, upload.ServiceTime, upload.Objective, upload.Deadline, upload.Timeout, upload.MaxRetries = 2, 190, 2000, 6000, 0, 1
+	for name, factor := range map[string]float64{"a burst of uploads": 2.5, "a large burst of uploads": 5} {
+		t.Run(name, func(t *testing.T) {
+			scenario := withNoise(withWorkspaces(smallScenario()))
+			scenario.Classes = []play.Class{check, upload}
+			current, earlier := servedTwice(t, withFault(scenario, play.Fault{Kind: "surge", Class: "upload", Factor: factor}))
+			urgent, other := findTally(current, "check"), findTally(current, "upload")
+			t.Logf("check %.3f (before %.3f), upload %.3f (before %.3f), credit %.3f and %.3f", servedFraction(urgent), servedFraction(findTally(earlier, "check")),
+				servedFraction(other), servedFraction(findTally(earlier, "upload")), urgent.Credit/float64(urgent.Awaited()), other.Credit/float64(other.Awaited()))
+			is := is.New(t)
+			is.True(servedFraction(urgent) >= servedFraction(findTally(earlier, "check")))
+			is.True(servedFraction(urgent) >= servedFraction(other)-0.05)
+			is.True(urgent.Credit/float64(urgent.Awaited()) >= other.Credit/float64(other.Awaited())-0.15)
+		})
+	}
+}
--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -386,4 +386,26 @@
   'case !inTime && (!waiting || server.lateAccepts >= maxLateAccepts):' 'case !inTime:' ./io/http1
 mutant "a drain that is requested while the first announcement is held is forgotten" io/upstream/announce.go \
   'monitor.held.announcement.Draining = monitor.held.present' '' ./io/upstream
+mutant "a hot workspace costs the others" core/admit/cost.go \
+  'cmp.Compare(one.overUse, other.overUse),' '' ./core/admit
+mutant "a late urgent request goes behind less urgent ones" core/admit/cost.go \
+  'cmp.Compare(one.rank, other.rank),' '' ./core/admit
+mutant "calls of running requests wait behind new requests" core/admit/cost.go \
+  'compareBool(!one.isCall, !other.isCall),' '' ./core/admit
+mutant "a workspace of a low rank is starved" core/admit/cost.go \
+  'entry.isCall || gate.isNeglected(arrived.Workspace, at)' 'entry.isCall' ./core/admit
+mutant "an urgent request is refused for a short wait while less urgent ones wait" core/admit/queue.go \
+  'gate.ordersByCost() && gate.hasLessUrgentQueued(arrived)' 'false' ./core/admit
+mutant "the order by cost is in force without workspaces" core/admit/cost.go \
+  'gate.Order != OrderObjective && gate.shares.inUse()' 'gate.Order != OrderObjective' ./core/admit
+mutant "the profile cannot select the earlier order" core/admit/cost.go \
+  'gate.Order != OrderObjective && gate.shares.inUse()' 'gate.shares.inUse()' ./core/admit
+mutant "the use of workspaces is kept for ever" core/admit/share.go \
+  '&& share.started+share.refused < idleCount' '&& share.started < 0' ./core/admit
+mutant "the use of any number of workspaces is kept" core/admit/share.go \
+  'if len(shares.byWorkspace) >= maxShares {
+			return nil' 'if false {
+			return nil' ./core/admit
+mutant "a workspace is charged for the estimate only" core/admit/cost.go \
+  'at.Sub(request.started)-request.charged)' '0)' ./core/admit
 exit $living
