--- a/core/admit/measure.go
+++ b/core/admit/measure.go
@@ -29,9 +29,12 @@
 // are rare, no response shows that the upstream has become slow, and a run takes
 // much longer than a measurement.
 func (gate *Gate) shouldMeasureFirst(arrived Arrived) bool {
-	if gate.MaxSlownessAge <= 0 || gate.slowness <= 0 || arrived.MaxDelay <= 0 || gate.warmupLimiter.isLimited(arrived.At) {
+	if gate.MaxSlownessAge <= 0 || gate.slowness <= 0 || arrived.MaxDelay <= 0 {
 		return false
 	}
+	if gate.warmupLimiter.isLimited(arrived.At) {
+		return false // probes are rare then
+	}
 	if arrived.At.Sub(gate.slownessReportedAt) < gate.MaxSlownessAge {
 		return false
 	}
--- a/core/pick/pick.go
+++ b/core/pick/pick.go
@@ -131,8 +131,10 @@
 	var untried, lost []kernel.Member
 	for _, member := range members {
 		switch {
-		case picker.Tracker.IsLeaving(member.ID, member.Target.StartedAt) || picker.isEvacuated(member):
+		case picker.Tracker.IsLeaving(member.ID, member.Target.StartedAt):
 			// It gets nothing new.
+		case picker.isEvacuated(member):
+			// Its data centre gets nothing.
 		case !picker.tried[member.ID]:
 			untried = append(untried, member)
 		case picker.lost[member.ID]:
--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -446,7 +446,7 @@
 mutant "a deletion is not passed on" platform/store.go \
   'result.Deleted = append(result.Deleted, full)' '_ = full' ./platform
 mutant "an ingress sends to an evacuated data centre" core/pick/pick.go \
-  '|| picker.isEvacuated(member):' '|| false:' ./core/pick
+  'case picker.isEvacuated(member):' 'case false:' ./core/pick
 mutant "the gate opens before the evacuation is known" daemon/upstream.go \
   '	daemon.applyEvacuation(view)
 ' '' ./daemon
