--- a/core/pick/pick.go
+++ b/core/pick/pick.go
@@ -136,8 +136,10 @@
 		switch {
 		case !IsAllowed(picker.Regions, member):
 			// It must get neither the request nor its body.
-		case picker.Tracker.IsLeaving(member.ID, member.Target.StartedAt) || picker.isEvacuated(member):
+		case picker.Tracker.IsLeaving(member.ID, member.Target.StartedAt):
 			// It gets nothing new.
+		case picker.isEvacuated(member):
+			// Its data centre gets nothing.
 		case !picker.tried[member.ID]:
 			untried = append(untried, member)
 		case picker.lost[member.ID]:
