--- a/cmd/ibislift/checkconfig_test.go
+++ b/cmd/ibislift/checkconfig_test.go
@@ -30,6 +30,14 @@
 	return written.String(), 0
 }
 
+// readTestFile returns the content of a file.
+func readTestFile(t *testing.T, path string) string {
+	t.Helper()
+	content, err := os.ReadFile(path)
+	is.New(t).NoErr(err)
+	return string(content)
+}
+
 // A deployment script goes on or stops by the exit code.
 func TestExitCodesOfCheckConfig(t *testing.T) {
 	for name, test := range map[string]struct {
@@ -42,7 +50,7 @@
 		"an error":                         {strings.Replace(soundTable, `"host":"h",`, ``, 1), "", exitCheckErrors},
 		"an error and a warning":           {strings.NewReplacer(`"host":"h",`, ``, `"one":{}`, ``).Replace(soundTable), "", exitCheckErrors},
 		"a text that is not JSON":          {"version: 2", "", exitCheckErrors},
-		"the platform's form":              {`{"version":"r2","resources":[{"resource-type":"routes","metadata":{"name":"a"},"spec":{}}]}`, "", exitCheckErrors},
+		"the platform's form":              {readTestFile(t, "../../platform/testdata/incompleteRoute.json"), "", exitCheckErrors},
 		"a version that is not newer":      {strings.Replace(soundTable, `"h"`, `"i"`, 1), soundTable, exitCheckErrors},
 		"one in force that cannot be read": {soundTable, "version: 1", exitCheckErrors},
 	} {
