quota: a cache in each region grants tokens without a trip to the owner

With regions 30 ms apart two thirds of the requests waited 60 ms for their token, a third of the objective of the most urgent class.

For each slot the first live daemon of a region in the hash order, its cache, keeps the region's demand of 75 ms and two standard deviations in advance, while the demand is one a second or more and the owner's bucket has a quarter of the burst left. The others of the region ask it first and get the rest of the token's lease. Without a token it says at once that it has asked the owner and passes the reply on. Without any reply for 15 ms the owner is asked directly.

Tokens in a cache count against the size of their bucket until they are reported as used, returned or expired. Renewing their lease and putting them back therefore leave the bound as it is. Leases are renewed only with enough votes.

An owner that still expects votes no longer replies to a request for several tokens with a part of them and a refusal.

--- a/core/quota/fleet.go
+++ b/core/quota/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"encoding/binary"
+	"maps"
 	"slices"
 	"time"
 
@@ -31,6 +32,9 @@
 	// known holds the members that may be voters, and when each was last in the view.
 	known map[string]time.Duration
 	live  map[string]bool
+	// region holds the live members of this daemon's region. It is empty if the daemon has
+	// none or is alone in it.
+	region map[string]bool
 	// cached holds the order of the slots in use. It is cleared when members change.
 	cached map[uint32]*seats
 }
@@ -39,6 +43,8 @@
 type seats struct {
 	voters     []string
 	candidates []string
+	// cache is the daemon that keeps tokens of the slot for this daemon's region.
+	cache string
 }
 
 func (fleet *fleet) knows(id string) bool {
@@ -47,7 +53,7 @@
 }
 
 // update replaces the live members and adds to those that are known.
-func (fleet *fleet) update(now time.Duration, members []Member) {
+func (fleet *fleet) update(now time.Duration, self string, members []Member) {
 	if fleet.known == nil {
 		fleet.known = map[string]time.Duration{}
 	}
@@ -72,10 +78,29 @@
 			delete(fleet.known, id)
 		}
 	}
-	if changed || len(live) != len(fleet.live) {
+	region := regionOf(self, members)
+	if changed || len(live) != len(fleet.live) || !maps.Equal(region, fleet.region) {
 		fleet.cached = nil
 	}
-	fleet.live = live
+	fleet.live, fleet.region = live, region
+}
+
+// regionOf returns the live members of the region of a daemon, if there are several.
+func regionOf(self string, members []Member) map[string]bool {
+	index := slices.IndexFunc(members, func(member Member) bool { return member.ID == self })
+	if index < 0 || members[index].Region == "" {
+		return nil
+	}
+	region := map[string]bool{}
+	for _, member := range members {
+		if member.Live && member.Region == members[index].Region {
+			region[member.ID] = true
+		}
+	}
+	if len(region) < 2 {
+		return nil
+	}
+	return region
 }
 
 // ranked is a member with its place in the hash order of a slot.
@@ -117,7 +142,7 @@
 	if found := fleet.cached[slot]; found != nil {
 		return found
 	}
-	voters, live := ranking{size: committeeSize}, ranking{size: candidates}
+	voters, live, cache := ranking{size: committeeSize}, ranking{size: candidates}, ranking{size: 1}
 	var digest xxhash.Digest
 	var prefix [4]byte
 	binary.LittleEndian.PutUint32(prefix[:], slot)
@@ -130,8 +155,14 @@
 		if fleet.live[id] {
 			live.add(member)
 		}
+		if fleet.region[id] {
+			cache.add(member)
+		}
 	}
 	found := &seats{voters: voters.ids(), candidates: live.ids()}
+	if len(cache.first) > 0 {
+		found.cache = cache.first[0].id
+	}
 	if fleet.cached == nil {
 		fleet.cached = map[uint32]*seats{}
 	}
--- a/core/quota/holder.go
+++ b/core/quota/holder.go
@@ -54,6 +54,10 @@
 type stock struct {
 	tokens  int
 	expires time.Duration
+	// from is the daemon that granted the tokens, since when they are here. Both are empty
+	// for tokens whose lease cannot be renewed.
+	from  string
+	since time.Duration
 }
 
 // waiter is a request that waits for a token, or a daemon that waits for one because it does
@@ -74,6 +78,12 @@
 	late     bool
 	again    bool
 	tried    []string
+	// regional is set for a request to the cache of the region, queued when that has asked
+	// the owner.
+	regional bool
+	queued   bool
+	// advance is how many of the tokens the owner need not grant.
+	advance int
 }
 
 // holding is what a daemon has of a workspace whose requests it gets.
@@ -94,6 +104,10 @@
 	// demand is the average of requests a second until countedAt.
 	demand    float64
 	countedAt time.Duration
+	// scarceUntil is until when the owner is asked for no tokens for the region in advance.
+	scarceUntil time.Duration
+	// cacheMissed is set when the last request to the cache of the region had no reply.
+	cacheMissed bool
 }
 
 func (quota *Quota) holding(workspace string) *holding {
@@ -113,7 +127,7 @@
 	}
 	holding := quota.holding(wanted.Workspace)
 	if !wanted.Immediate {
-		holding.countRequest(quota.now)
+		holding.countRequests(quota.now, 1)
 	}
 	quota.dropExpired(holding)
 	switch {
@@ -143,7 +157,7 @@
 		quota.effects = append(quota.effects, Decide{ID: wanted.ID})
 		return
 	}
-	holding.countRequest(quota.now)
+	holding.countRequests(quota.now, 1)
 	quota.refuse(wanted.Workspace, holding, wanted.ID)
 }
 
@@ -189,10 +203,10 @@
 	quota.decide(id, Decision{Verdict: holding.verdict, RetryAfter: retryAfter, Owner: holding.owner})
 }
 
-// countRequest updates the average demand.
-func (holding *holding) countRequest(now time.Duration) {
+// countRequests updates the average demand.
+func (holding *holding) countRequests(now time.Duration, count int) {
 	decay := math.Exp(-(now - holding.countedAt).Seconds() / demandTime.Seconds())
-	holding.demand = holding.demand*decay + 1/demandTime.Seconds()
+	holding.demand = holding.demand*decay + float64(count)/demandTime.Seconds()
 	holding.countedAt = now
 }
 
@@ -214,7 +228,7 @@
 		return
 	}
 	holding := quota.holding(returned.Workspace)
-	holding.add(stock{1, returned.Expires})
+	holding.add(stock{tokens: 1, expires: returned.Expires})
 	quota.serveWaiters(holding)
 }
 
@@ -224,7 +238,7 @@
 	switch {
 	case index < 0:
 		holding.stocks = append(holding.stocks, added)
-	case holding.stocks[index].expires == added.expires:
+	case holding.stocks[index].expires == added.expires && holding.stocks[index].from == added.from && holding.stocks[index].since == added.since:
 		holding.stocks[index].tokens += added.tokens
 	default:
 		holding.stocks = slices.Insert(holding.stocks, index, added)
@@ -235,23 +249,50 @@
 func (quota *Quota) serveWaiters(holding *holding) {
 	quota.dropExpired(holding)
 	holding.waiters = slices.DeleteFunc(holding.waiters, func(waiter waiter) bool {
-		if waiter.relay != nil {
-			return quota.grantRelayed(holding, waiter.relay)
+		switch {
+		case waiter.relay == nil:
+			return quota.spend(holding, waiter.id)
+		case waiter.relay.regional:
+			return quota.grantRegional(holding, waiter.relay)
 		}
-		return quota.spend(holding, waiter.id)
+		return quota.grantRelayed(holding, waiter.relay)
 	})
 }
 
-// asked returns the number of tokens that a reply is expected for. None is expected from a
-// daemon that has not replied lately.
+// wants returns the number of tokens that a waiter can use.
+func (waiter waiter) wants() int {
+	if waiter.relay != nil && waiter.relay.regional {
+		return waiter.relay.tokens
+	}
+	return 1
+}
+
+// wanted returns the number of tokens that the waiters can use.
+func (holding *holding) wanted() int {
+	wanted := 0
+	for _, waiter := range holding.waiters {
+		wanted += waiter.wants()
+	}
+	return wanted
+}
+
+// asked returns the number of tokens that a reply is expected for, without those that a
+// cache has requested in advance. None is expected from a daemon that has not replied lately.
 func (quota *Quota) asked(holding *holding) int {
-	asked := 0
+	asked, _ := quota.expected(holding)
+	return asked
+}
+
+// expected returns the number of tokens that have been requested, for requests and for a
+// cache.
+func (quota *Quota) expected(holding *holding) (asked, advance int) {
 	for _, ask := range holding.asks {
 		if !ask.late && !ask.again && !quota.isSuspect(ask.to) {
-			asked += ask.tokens
+			asked += ask.tokens - ask.advance
+			advance += ask.advance
 		}
 	}
-	return asked
+	return asked, advance
 }
 
 // held returns the number of tokens at this daemon.
@@ -266,16 +307,20 @@
 // askForWaiters asks for the tokens that the waiting requests lack, and for those to keep
 // in advance.
 func (quota *Quota) askForWaiters(workspace string, holding *holding) {
-	missing := len(holding.waiters) - quota.asked(holding)
+	asked, advance := quota.expected(holding)
+	missing := holding.wanted() - asked
 	if missing <= 0 || len(holding.asks) >= maxAsks {
 		return
 	}
-	quota.ask(workspace, holding, missing+quota.advance(holding), nil)
+	quota.ask(workspace, holding, missing+max(0, quota.advance(workspace, holding)-advance))
 }
 
 // advance returns the number of tokens to keep in advance: the demand of half a lease, or
-// none if the demand is small or the quota is used up.
-func (quota *Quota) advance(holding *holding) int {
+// none if the demand is small or the quota is used up. A cache keeps those of its region.
+func (quota *Quota) advance(workspace string, holding *holding) int {
+	if quota.cachesFor(slotOf(workspace)) {
+		return quota.cacheSize(holding)
+	}
 	lease := quota.Settings.lease()
 	decay := math.Exp(-(quota.now - holding.countedAt).Seconds() / demandTime.Seconds())
 	expected := holding.demand * decay * lease.Seconds()
@@ -287,16 +332,24 @@
 
 // stockUp asks for tokens in advance when half of them are used.
 func (quota *Quota) stockUp(workspace string, holding *holding) {
-	wanted := quota.advance(holding)
-	missing := wanted - holding.held() - quota.asked(holding)
+	wanted := quota.advance(workspace, holding)
+	asked, advance := quota.expected(holding)
+	missing := wanted - holding.held() - max(0, asked-holding.wanted()) - advance
 	if missing > 0 && 2*missing >= wanted && len(holding.asks) < maxAsks {
-		quota.ask(workspace, holding, missing, nil)
+		quota.ask(workspace, holding, missing)
 	}
 }
 
-// ask asks the first daemon of the order that has not been tried. It reports whether there
+// ask asks the cache of the region for tokens or, if there is none, the owner.
+func (quota *Quota) ask(workspace string, holding *holding, tokens int) {
+	if !quota.askCache(workspace, holding, tokens) {
+		quota.askOwner(workspace, holding, tokens, nil)
+	}
+}
+
+// askOwner asks the first daemon of the order that has not been tried. It reports whether there
 // is one. Daemons that have not replied lately come last.
-func (quota *Quota) ask(workspace string, holding *holding, tokens int, tried []string) bool {
+func (quota *Quota) askOwner(workspace string, holding *holding, tokens int, tried []string) bool {
 	slot := slotOf(workspace)
 	var to string
 	for _, candidate := range quota.fleet.seats(slot).candidates {
@@ -314,12 +367,17 @@
 		return false
 	}
 	ask := sentAsk{sequence: quota.nextSequence(), tokens: min(tokens, maxTokens), to: to, at: quota.now, tried: append(slices.Clone(tried), to)}
+	held := 0
+	if quota.cachesFor(slot) {
+		ask.advance = max(0, ask.tokens-max(0, holding.wanted()-quota.asked(holding)))
+		held = holding.heldFrom(to)
+	}
 	holding.asks = append(holding.asks, ask)
 	if to != quota.Self {
 		quota.counts.AsksSent++
 	}
 	isFallback := to != quota.fleet.seats(slot).candidates[0] && !holding.hasRelays()
-	quota.send(to, Ask{Workspace: workspace, Sequence: ask.sequence, Tokens: ask.tokens, Fallback: isFallback})
+	quota.send(to, Ask{Workspace: workspace, Sequence: ask.sequence, Tokens: ask.tokens, Fallback: isFallback, Advance: ask.advance, Held: held})
 	return true
 }
 
@@ -337,16 +395,31 @@
 		return
 	}
 	ask := holding.asks[index]
+	holding.cacheMissed = holding.cacheMissed && !ask.regional
+	if grant.Queued {
+		holding.asks[index].queued = true
+		return
+	}
 	holding.asks = slices.Delete(holding.asks, index, index+1)
 	if grant.Declined {
 		quota.askNext(grant, holding, ask)
 		return
 	}
 	holding.owner = from
+	expires := ask.at + quota.Settings.lease()
+	if grant.Renewed > 0 {
+		holding.extend(from, ask, grant.Renewed, expires)
+	}
+	if grant.Lease > 0 {
+		expires = min(expires, ask.at+grant.Lease)
+	}
 	if tokens := min(grant.Tokens, ask.tokens); tokens > 0 {
-		holding.add(stock{tokens, ask.at + quota.Settings.lease()})
+		holding.add(stock{tokens: tokens, expires: expires, from: from, since: quota.now})
 		quota.serveWaiters(holding)
 	}
+	if grant.Tokens < ask.tokens && !ask.regional {
+		holding.scarceUntil = quota.now + scarcePause
+	}
 	if grant.Tokens >= ask.tokens || grant.RetryAfter == 0 {
 		// A relayed grant is for one request and does not say that the quota is used up.
 		quota.askForWaiters(grant.Workspace, holding)
@@ -360,11 +433,11 @@
 
 // askNext asks the next daemon after one that lacks votes.
 func (quota *Quota) askNext(grant Grant, holding *holding, ask sentAsk) {
-	missing := len(holding.waiters) - quota.asked(holding)
+	missing := holding.wanted() - quota.asked(holding)
 	if missing <= 0 {
 		return
 	}
-	if !quota.ask(grant.Workspace, holding, missing, ask.tried) {
+	if !quota.askOwner(grant.Workspace, holding, missing, ask.tried) {
 		quota.giveUp(grant.Workspace, holding, ask.to, max(unreachablePause, grant.RetryAfter))
 	}
 }
@@ -377,9 +450,14 @@
 	quota.refuseExcess(workspace, holding)
 }
 
-// refuseExcess refuses the waiting requests for which no tokens are requested.
+// refuseExcess refuses the waiting requests for which no tokens are requested. Those that a
+// cache has requested in advance may arrive after the refusal of others.
 func (quota *Quota) refuseExcess(workspace string, holding *holding) {
-	keep := min(len(holding.waiters), quota.asked(holding))
+	asked, advance := quota.expected(holding)
+	keep := 0
+	for left := asked + advance; keep < len(holding.waiters) && left > 0; keep++ {
+		left -= holding.waiters[keep].wants()
+	}
 	refused := slices.Clone(holding.waiters[keep:])
 	holding.waiters = holding.waiters[:keep]
 	for _, waiter := range refused {
@@ -405,6 +483,7 @@
 		quota.dropExpired(holding)
 		quota.checkAsks(workspace, holding)
 		quota.endWaits(holding)
+		quota.renewCache(workspace, holding)
 		if holding.limited && quota.now-holding.lastRefusal > limitedTime {
 			holding.limited = false
 			quota.notify(Notify{Kind: NoticeUnlimited, Workspace: workspace, Member: holding.owner})
@@ -421,12 +500,16 @@
 	holding.asks = slices.DeleteFunc(holding.asks, func(ask sentAsk) bool { return quota.now-ask.at >= MaxWait })
 	var late []sentAsk
 	for index := range holding.asks {
-		if ask := &holding.asks[index]; !ask.late && quota.now-ask.at >= askTimeout {
+		if ask := &holding.asks[index]; !ask.late && quota.now-ask.at >= ask.timeout() {
 			ask.late = true
 			late = append(late, *ask)
 		}
 	}
 	for _, ask := range late {
+		if ask.regional {
+			quota.bypassCache(workspace, holding, ask)
+			continue
+		}
 		if _, before := quota.suspects[ask.to]; before || ask.again || len(ask.tried) > 1 {
 			quota.suspect(workspace, ask.to)
 		}
@@ -434,14 +517,14 @@
 			continue
 		}
 		tried := ask.tried
-		if missing := len(holding.waiters) - quota.asked(holding); missing > 0 {
+		if missing := holding.wanted() - quota.asked(holding); missing > 0 {
 			if len(tried) == 1 && len(holding.asks) < maxAsks {
 				again := sentAsk{sequence: quota.nextSequence(), tokens: missing, to: tried[0], at: quota.now, again: true, tried: tried}
 				holding.asks = append(holding.asks, again)
 				quota.counts.AsksSent++
 				quota.send(tried[0], Ask{Workspace: workspace, Sequence: again.sequence, Tokens: missing})
 			}
-			quota.ask(workspace, holding, missing, tried)
+			quota.askOwner(workspace, holding, missing, tried)
 		}
 	}
 }
--- a/core/quota/owner.go
+++ b/core/quota/owner.go
@@ -92,6 +92,8 @@
 	// of its own, one token apart.
 	promisedAt time.Duration
 	usedAt     time.Duration
+	// reserves holds the tokens that caches of regions may have.
+	reserves map[string]*reserve
 }
 
 // ask is a request for tokens.
@@ -103,6 +105,11 @@
 	at        time.Duration
 	// fallback is set if the daemon does not reach the one that it should ask.
 	fallback bool
+	// regional, advance, held and returned are those of Ask.
+	regional bool
+	advance  int
+	held     int
+	returned int
 }
 
 // applyLimits gives the buckets the limits of a new table. A lower rate or burst applies
@@ -136,17 +143,21 @@
 	votes := quota.votes(owned)
 	for _, bucket := range owned.buckets {
 		bucket.tokens += min(bucket.terms.rate*elapsed, bucket.terms.fillRate*held/count)
-		bucket.cap(votes)
+		bucket.cap(votes, quota.now)
 	}
 }
 
-// cap drops the tokens that the votes do not cover.
-func (bucket *bucket) cap(votes float64) {
+// limit returns the number of tokens that the votes cover.
+func (bucket *bucket) limit(votes float64) float64 {
 	if votes < bucket.terms.minVotes {
-		bucket.tokens = min(bucket.tokens, votes*bucket.terms.burst)
-		return
+		return votes * bucket.terms.burst
 	}
-	bucket.tokens = min(bucket.tokens, max(1, votes*bucket.terms.burst))
+	return max(1, votes*bucket.terms.burst)
+}
+
+// cap drops the tokens that the votes do not cover. Those that caches may have count too.
+func (bucket *bucket) cap(votes float64, now time.Duration) {
+	bucket.tokens = min(bucket.tokens, max(0, bucket.limit(votes)-bucket.reserved(now)))
 }
 
 // creditIdle adds what the buckets would have got from a vote that nobody had.
@@ -177,7 +188,7 @@
 // answer replies to a request for tokens, or keeps it until the voters have replied.
 func (quota *Quota) answer(request ask) {
 	limit, limited := quota.limits[request.workspace]
-	if !limited || quota.stopping || !quota.joined || request.tokens < 1 {
+	if !limited || quota.stopping || !quota.joined || request.tokens+request.held < 1 {
 		quota.decline(request, 0)
 		return
 	}
@@ -202,7 +213,7 @@
 		return true
 	}
 	votes := quota.votes(owned)
-	bucket.cap(votes)
+	bucket.cap(votes, quota.now)
 	wait := !final && quota.now-request.at < voteWait && quota.isAwaitingVotes(owned)
 	if votes < bucket.terms.minVotes {
 		if !wait && !quota.relay(request) {
@@ -210,17 +221,23 @@
 		}
 		return !wait
 	}
-	tokens := min(request.tokens, maxTokens, int(bucket.tokens))
-	if tokens == 0 && wait {
+	needed := request.tokens - request.advance
+	tokens := min(needed, maxTokens, int(bucket.tokens))
+	if tokens < needed && wait {
 		return false
 	}
-	if tokens == 0 && votes < majorityVotes && quota.relay(request) {
+	if tokens == 0 && needed > 0 && votes < majorityVotes && quota.relay(request) {
 		return true
 	}
+	renewed := quota.renew(bucket, request, votes)
+	spare := int(max(0, bucket.tokens-float64(tokens)-plentyPart*votes*bucket.terms.burst))
+	advance := min(request.advance, spare, maxTokens-tokens)
+	quota.keep(bucket, request, advance)
+	tokens += advance
 	bucket.tokens -= float64(tokens)
-	grant := Grant{Workspace: request.workspace, Sequence: request.sequence, Tokens: tokens}
-	if tokens < request.tokens {
-		grant.RetryAfter, grant.Spread = quota.promise(bucket, votes, request.tokens-tokens)
+	grant := Grant{Workspace: request.workspace, Sequence: request.sequence, Tokens: tokens, Renewed: renewed}
+	if tokens < needed {
+		grant.RetryAfter, grant.Spread = quota.promise(bucket, votes, needed-tokens)
 	}
 	quota.send(request.from, grant)
 	return true
--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -11,8 +11,9 @@
 // availability only: usually the first live member in the hash order, and the next ones
 // if that one does not reply.
 //
-// The other daemons ask the owner for tokens, which have a short lease, and keep a few in
-// advance where demand is steady. A daemon that is told that the quota is used up refuses
+// The other daemons ask for tokens, which have a short lease, and keep a few in advance where
+// demand is steady. Where members have regions, one daemon of each region, the cache of the
+// slot, keeps tokens for the region in advance, and is asked before the owner. A daemon that is told that the quota is used up refuses
 // requests itself until the next token is expected.
 //
 // # Usage
@@ -55,6 +56,9 @@
 	ID   string
 	Live bool
 	Left bool
+	// Region is where the daemon runs. The daemons of a region share a cache of tokens, unless
+	// it is empty.
+	Region string
 }
 
 // Verdict is the result of a request for a token.
@@ -190,6 +194,16 @@
 	Sequence  uint64
 	Tokens    int
 	Fallback  bool
+	// Regional is set if the daemon is asked as the cache of the sender's region. It then
+	// borrows no votes.
+	Regional bool
+	// Advance is how many of Tokens the sender, a cache, has no requests for yet. They are
+	// granted only while the bucket has plenty. Held is how many tokens of the owner it has;
+	// it asks to have their lease renewed.
+	Advance int
+	Held    int
+	// Returned is how many tokens a cache returns. There is no reply to that.
+	Returned int
 }
 
 // Grant is the reply to Ask. If fewer tokens than requested are granted, RetryAfter is the
@@ -202,6 +216,13 @@
 	RetryAfter time.Duration
 	Spread     time.Duration
 	Declined   bool
+	// Lease is the remaining lease of the tokens, counted from before they were requested;
+	// zero stands for a whole one.
+	Lease time.Duration
+	// Renewed is how many of the tokens in Ask.Held have a new lease.
+	Renewed int
+	// Queued is set if a cache has no tokens and has asked the owner. The reply follows.
+	Queued bool
 }
 
 // Borrow asks a voter for its vote of a slot or, with Return, returns it. Idle is then the
@@ -299,7 +320,7 @@
 	}
 	switch event := event.(type) {
 	case FleetChanged:
-		quota.fleet.update(quota.now, event.Members)
+		quota.fleet.update(quota.now, quota.Self, event.Members)
 		quota.limits = event.Limits
 		quota.joined = event.Joined
 		quota.applyLimits()
@@ -332,7 +353,11 @@
 	case Ask:
 		quota.counts.AsksReceived++
 		if quota.isNew(from, message.Sequence) {
-			quota.answer(ask{from: from, sequence: message.Sequence, workspace: message.Workspace, tokens: message.Tokens, at: quota.now, fallback: message.Fallback})
+			quota.receiveAsk(ask{
+				from: from, sequence: message.Sequence, workspace: message.Workspace, tokens: message.Tokens, at: quota.now, fallback: message.Fallback,
+				regional: message.Regional, advance: max(0, min(message.Advance, message.Tokens)), held: max(0, message.Held),
+				returned: max(0, message.Returned),
+			})
 		}
 	case Grant:
 		quota.receiveGrant(from, message)
@@ -343,6 +368,17 @@
 	}
 }
 
+func (quota *Quota) receiveAsk(request ask) {
+	switch {
+	case request.returned > 0:
+		quota.takeBack(request)
+	case request.regional:
+		quota.answerRegion(request)
+	default:
+		quota.answer(request)
+	}
+}
+
 func (quota *Quota) tick() {
 	quota.tickHoldings()
 	quota.tickOwned()
--- a/core/quota/relay.go
+++ b/core/quota/relay.go
@@ -60,6 +60,7 @@
 		quota.decline(request, unreachablePause)
 		return
 	}
+	holding.lastRefusal = quota.now
 	retryAfter := max(minPause, holding.expectedAt-quota.now)
 	quota.send(request.from, Grant{Workspace: request.workspace, Sequence: request.sequence, RetryAfter: retryAfter, Spread: holding.spread})
 }
--- a/core/quota/votes.go
+++ b/core/quota/votes.go
@@ -251,7 +251,7 @@
 	}
 	votes := quota.votes(owned)
 	for _, bucket := range owned.buckets {
-		bucket.cap(votes)
+		bucket.cap(votes, quota.now)
 		unused = min(unused, seconds(bucket.tokens/max(1e-9, bucket.terms.rate*votes)))
 	}
 	return unused
--- a/io/peer/quota.go
+++ b/io/peer/quota.go
@@ -73,11 +73,13 @@
 	case quota.Ask:
 		datagram.QuotaRequests = append(datagram.QuotaRequests, &peerpb.QuotaRequest{
 			Workspace: message.Workspace, Sequence: message.Sequence, Tokens: uint32(message.Tokens), Fallback: message.Fallback,
+			Regional: message.Regional, Advance: uint32(message.Advance), Held: uint32(message.Held), Returned: uint32(message.Returned),
 		})
 	case quota.Grant:
 		datagram.QuotaGrants = append(datagram.QuotaGrants, &peerpb.QuotaGrant{
 			Workspace: message.Workspace, Sequence: message.Sequence, Tokens: uint32(message.Tokens), Declined: message.Declined,
 			RetryAfterMicroseconds: message.RetryAfter.Microseconds(), SpreadMicroseconds: message.Spread.Microseconds(),
+			LeaseMicroseconds: message.Lease.Microseconds(), Renewed: uint32(message.Renewed), Queued: message.Queued,
 		})
 	case quota.Borrow:
 		datagram.QuotaVoteRequests = append(datagram.QuotaVoteRequests, &peerpb.QuotaVoteRequest{
@@ -97,12 +99,14 @@
 	for _, request := range datagram.GetQuotaRequests() {
 		messages = append(messages, quota.Ask{
 			Workspace: request.GetWorkspace(), Sequence: request.GetSequence(), Tokens: int(request.GetTokens()), Fallback: request.GetFallback(),
+			Regional: request.GetRegional(), Advance: int(request.GetAdvance()), Held: int(request.GetHeld()), Returned: int(request.GetReturned()),
 		})
 	}
 	for _, grant := range datagram.GetQuotaGrants() {
 		messages = append(messages, quota.Grant{
 			Workspace: grant.GetWorkspace(), Sequence: grant.GetSequence(), Tokens: int(grant.GetTokens()), Declined: grant.GetDeclined(),
 			RetryAfter: microseconds(grant.GetRetryAfterMicroseconds()), Spread: microseconds(grant.GetSpreadMicroseconds()),
+			Lease: microseconds(grant.GetLeaseMicroseconds()), Renewed: int(grant.GetRenewed()), Queued: grant.GetQueued(),
 		})
 	}
 	for _, request := range datagram.GetQuotaVoteRequests() {
--- a/io/quotas/quotas.go
+++ b/io/quotas/quotas.go
@@ -222,7 +222,7 @@
 	for _, member := range view.Members {
 		quotas.addresses[member.ID] = member.PeerAddress
 		dead := member.State == kernel.MemberDead
-		members = append(members, quota.Member{ID: member.ID, Live: !dead && !member.Leaving, Left: dead && member.Leaving})
+		members = append(members, quota.Member{ID: member.ID, Live: !dead && !member.Leaving, Left: dead && member.Leaving, Region: member.Region})
 	}
 	// The change of the fleet alone makes no effects.
 	_ = quotas.machine.Update(quota.FleetChanged{At: quotas.now(), Members: members, Limits: quotas.limits, Joined: view.Synced})
