quota: callers are told when votes are lent again after an outage

After all instances had lost power, no request of a workspace was served for about two seconds, and callers who came back after the 200 ms that they were told used up their retries meanwhile. A daemon that has just started knows that no vote is lent until the leases of the time before have ended; its refusals now name that time.

--- a/core/quota/holder.go
+++ b/core/quota/holder.go
@@ -138,7 +138,7 @@
 	case quota.now < holding.refuseUntil:
 		quota.refuse(wanted.Workspace, holding, wanted.ID)
 	case len(holding.waiters) >= maxWaiting:
-		quota.decide(wanted.ID, Decision{Verdict: Unreachable, RetryAfter: unreachablePause, Owner: holding.owner})
+		quota.decide(wanted.ID, Decision{Verdict: Unreachable, RetryAfter: quota.unreachableDelay(), Owner: holding.owner})
 	default:
 		holding.waiters = append(holding.waiters, waiter{id: wanted.ID, deadline: min(wanted.Deadline, quota.now+MaxWait)})
 		quota.askForWaiters(wanted.Workspace, holding)
@@ -362,7 +362,7 @@
 	}
 	if to == "" || len(tried) >= maxTried {
 		if len(holding.asks) == 0 {
-			quota.giveUp(workspace, holding, "", unreachablePause)
+			quota.giveUp(workspace, holding, "", quota.unreachableDelay())
 		}
 		return false
 	}
@@ -438,10 +438,17 @@
 		return
 	}
 	if !quota.askOwner(grant.Workspace, holding, missing, ask.tried) {
-		quota.giveUp(grant.Workspace, holding, ask.to, max(unreachablePause, grant.RetryAfter))
+		quota.giveUp(grant.Workspace, holding, ask.to, max(quota.unreachableDelay(), grant.RetryAfter))
 	}
 }
 
+// unreachableDelay returns when a request is to be sent again for which no owner was found.
+// After an outage of the whole fleet no votes are lent until the leases of the time before
+// have ended, so the caller need not try earlier.
+func (quota *Quota) unreachableDelay() time.Duration {
+	return max(unreachablePause, quota.StartedAt+voteLease+borrowInterval-quota.now)
+}
+
 // giveUp refuses the requests for which no further owner can be asked.
 func (quota *Quota) giveUp(workspace string, holding *holding, owner string, retryAfter time.Duration) {
 	holding.verdict, holding.spread, holding.owner = Unreachable, retryAfter, owner
@@ -549,7 +556,7 @@
 			quota.decline(*waiter.relay, unreachablePause)
 			return true
 		}
-		quota.decide(waiter.id, Decision{Verdict: Unreachable, RetryAfter: unreachablePause, Owner: holding.owner})
+		quota.decide(waiter.id, Decision{Verdict: Unreachable, RetryAfter: quota.unreachableDelay(), Owner: holding.owner})
 		return true
 	})
 }
--- a/core/quota/rules_test.go
+++ b/core/quota/rules_test.go
@@ -195,6 +195,23 @@
 	})
 }
 
+// TestOutage guards against callers that use up their retries while no vote can be lent yet,
+// after all daemons have been restarted.
+func TestOutage(t *testing.T) {
+	machine := newMachine(0, "b")
+	const at = 100 * time.Millisecond
+	machine.Update(quota.TokenWanted{At: at, ID: 1, Workspace: "few", Deadline: 10 * time.Second})
+	for now := at; now < time.Second; now += quota.TickInterval {
+		for _, effect := range machine.Update(quota.Ticked{At: now}) {
+			if decide, isDecide := effect.(quota.Decide); isDecide {
+				is.New(t).True(now+decide.Decision.RetryAfter >= 1200*time.Millisecond)
+				return
+			}
+		}
+	}
+	t.Error("the request was not decided")
+}
+
 // TestRelay guards against tokens that are passed on after a part of their lease, which the
 // daemon that gets them would count from its own request.
 func TestRelay(t *testing.T) {
