quota: a cache that has asked the owner is not suspected

A daemon whose owner was dead also took the cache of its region for dead: that one had replied that it had asked, but had no token within 150 ms. Only a cache that sends nothing at all is suspected now.

Two mutants; the tests that catch them are TestCache and TestReserve.

--- a/core/quota/cache.go
+++ b/core/quota/cache.go
@@ -70,10 +70,12 @@
 // bypassCache asks the owner in place of a cache that does not reply. A single datagram may
 // have been lost, so the cache is suspected when a second request gets no reply either.
 func (quota *Quota) bypassCache(workspace string, holding *holding, ask sentAsk) {
-	if _, before := quota.suspects[ask.to]; before || holding.cacheMissed {
-		quota.suspect(workspace, ask.to)
+	if !ask.queued {
+		if _, before := quota.suspects[ask.to]; before || holding.cacheMissed {
+			quota.suspect(workspace, ask.to)
+		}
+		holding.cacheMissed = true
 	}
-	holding.cacheMissed = true
 	if missing := holding.wanted() - quota.asked(holding); missing > 0 && len(holding.asks) < maxAsks {
 		quota.askOwner(workspace, holding, missing, nil)
 	}
--- a/core/quota/cache_test.go
+++ b/core/quota/cache_test.go
@@ -197,3 +197,91 @@
 		is.New(t).Equal(reply, quota.Grant{Workspace: "few", Sequence: 1, RetryAfter: 300 * time.Millisecond, Spread: time.Second})
 	})
 }
+
+// TestReserve guards against a bucket that grants again what a cache still has, and against
+// tokens that are put back twice.
+func TestReserve(t *testing.T) {
+	sequence := uint64(1)
+	at := 21 * time.Second
+	// update passes an event to the owner, and lends it the vote of b.
+	update := func(machine *quota.Quota, event quota.Event) []quota.Effect {
+		effects := machine.Update(event)
+		for _, effect := range effects {
+			send, _ := effect.(quota.Send)
+			if borrow, isBorrow := send.Message.(quota.Borrow); isBorrow && send.To == "b" {
+				machine.Update(quota.MessageReceived{At: at, From: "b", Message: quota.Lend{Slot: borrow.Slot, Sequence: borrow.Sequence, Lent: true}})
+			}
+		}
+		return effects
+	}
+	ask := func(machine *quota.Quota, ask quota.Ask) []quota.Grant {
+		sequence++
+		ask.Workspace, ask.Sequence = "few", sequence
+		return grants(update(machine, quota.MessageReceived{At: at, From: "b", Message: ask}))
+	}
+	// hold gives a cache three of the five tokens, whose lease is renewed for two seconds.
+	hold := func(t *testing.T) *quota.Quota {
+		t.Helper()
+		is := is.New(t)
+		machine := soleOwner(t)
+		at = 20 * time.Second
+		ask(machine, quota.Ask{Tokens: 1}) // renews the votes
+		at += time.Second
+		is.Equal(ask(machine, quota.Ask{Tokens: 9, Advance: 9})[0].Tokens, 3) // a quarter of the burst stays
+		for range 10 {
+			at += 200 * time.Millisecond
+			update(machine, quota.Ticked{At: at})
+			is.Equal(ask(machine, quota.Ask{Held: 3})[0].Renewed, 3)
+		}
+		return machine
+	}
+	t.Run("what a cache has is not refilled", func(t *testing.T) {
+		is.New(t).Equal(ask(hold(t), quota.Ask{Tokens: 9})[0].Tokens, 2)
+	})
+	t.Run("what it has used is refilled", func(t *testing.T) {
+		machine := hold(t)
+		at += 200 * time.Millisecond
+		is.New(t).Equal(ask(machine, quota.Ask{Held: 1})[0].Renewed, 1)
+		for range 5 {
+			at += 200 * time.Millisecond
+			update(machine, quota.Ticked{At: at})
+		}
+		is.New(t).True(ask(machine, quota.Ask{Tokens: 9})[0].Tokens >= 4)
+	})
+	t.Run("what it returns is granted to others once", func(t *testing.T) {
+		is := is.New(t)
+		machine := hold(t)
+		is.Equal(len(ask(machine, quota.Ask{Returned: 3})), 0)
+		is.Equal(len(ask(machine, quota.Ask{Returned: 3})), 0)
+		is.Equal(ask(machine, quota.Ask{Tokens: 9})[0].Tokens, 5)
+		is.Equal(len(ask(machine, quota.Ask{Returned: 3})), 0)
+		is.Equal(ask(machine, quota.Ask{Tokens: 9})[0].Tokens, 0)
+	})
+	t.Run("a lease that has ended is not renewed", func(t *testing.T) {
+		machine := hold(t)
+		at += 260 * time.Millisecond
+		is.New(t).Equal(ask(machine, quota.Ask{Tokens: 1, Held: 3})[0].Renewed, 0)
+	})
+}
+
+// TestKilledOwner guards against caches that make service resume later after a kill of the
+// owner.
+func TestKilledOwner(t *testing.T) {
+	// refusedAfter returns the refusals in the seconds after the kill.
+	refusedAfter := func(seed uint64, regionless bool) int {
+		network := newNetwork(seed, 60, map[string]quota.Limit{"large": {Rate: 203, Burst: 203}})
+		network.setRegionless(regionless)
+		network.load("large", 203/1.6, network.now+20*time.Second, network.anywhere)
+		network.run(10 * time.Second)
+		network.kill(rankedMembers(network, "large")[0])
+		network.run(10 * time.Second)
+		return network.refused["large"] + network.unreachable["large"]
+	}
+	with, without := 0, 0
+	for seed := range uint64(6) {
+		one, other := refusedAfter(seed, false), refusedAfter(seed, true)
+		t.Logf("seed %d: %d refused with caches, %d without", seed, one, other)
+		with, without = with+one, without+other
+	}
+	is.New(t).True(with <= without+without/20)
+}
--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -500,6 +500,10 @@
   'case inForce && current.to != from:' 'case false:' ./core/quota
 mutant "each side of a partition has a whole quota" core/quota/fleet.go \
   'if member.Left {' 'if !member.Live {' ./core/quota
+mutant "a cached token has a whole lease again" core/quota/cache.go \
+  'lease := min(quota.Settings.lease(), last.expires-request.at)' 'lease := quota.Settings.lease()' ./core/quota
+mutant "a bucket refills what caches still have" core/quota/owner.go \
+  'bucket.limit(votes)-bucket.reserved(now)' 'bucket.limit(votes)' ./core/quota
 mutant "a request that did not run keeps its token" io/caller/exchange.go \
   'exchange.returnToken()' '' ./io/caller
 exit $living
