quota: votes are not divided among many daemons after a start of all

After a power failure of all machines requests were refused as quotaUnavailable for up to 2.7 s after the last daemon had started, although votes are free after 1.2 s. Daemons that have just started decline, so several candidates of a slot had been asked for tokens, and all of them borrowed at the same moment. Each got too few of the votes to grant, until their lease ended.

A vote that an earlier process may have lent now counts as lent to nobody, so the voter notes who asks for it meanwhile and keeps it for the first in the hash order. A daemon that is not the first borrows 100 ms later after its start. When a vote is free has not changed, so neither has the bound.

The wait of 1.2 s itself is left as it is: nothing that survives a kill says how long the lease of an earlier loan still lasts.

The order in which TestOneDaemon starts its load no longer depends on a map.

--- a/core/quota/cache_test.go
+++ b/core/quota/cache_test.go
@@ -113,9 +113,8 @@
 func TestOneDaemon(t *testing.T) {
 	for index := range regions {
 		network := newNetwork(1, 60, map[string]quota.Limit{"medium": {Rate: 20, Burst: 20}, "large": {Rate: 203, Burst: 203}})
-		overloadOf := func() int { return 30 + index }
-		for workspace, limit := range network.limits {
-			network.load(workspace, 1.5*limit.Rate, network.now+30*time.Second, overloadOf)
+		for _, workspace := range []string{"medium", "large"} {
+			network.load(workspace, 1.5*network.limits[workspace].Rate, network.now+30*time.Second, func() int { return 30 + index })
 		}
 		network.run(30 * time.Second)
 		for workspace := range network.limits {
--- a/core/quota/votes.go
+++ b/core/quota/votes.go
@@ -16,6 +16,11 @@
 	// maxBorrowInterval with each request that gets no reply, since the voter may be dead.
 	borrowInterval    = 100 * time.Millisecond
 	maxBorrowInterval = 800 * time.Millisecond
+	// startDelay is how much later after its start a daemon borrows votes of slots for which it
+	// is not the first in the hash order. After a start of the whole fleet all that have been
+	// asked for tokens would otherwise borrow at once, and each have too few votes until the
+	// lease has ended. It exceeds a trip to another region.
+	startDelay = 100 * time.Millisecond
 	// loanMemory is how long a voter remembers the end of a loan. After that the vote counts
 	// as unused for that long, which fills the bucket of any burst that lasts less.
 	loanMemory = time.Minute
@@ -59,13 +64,10 @@
 	refuse := func(left time.Duration) {
 		quota.send(from, Lend{Slot: borrow.Slot, Sequence: borrow.Sequence, Left: left})
 	}
-	freeAt := quota.StartedAt + voteLease
-	if quota.now < freeAt {
-		refuse(freeAt - quota.now)
-		return
-	}
 	if current == nil {
-		current = &loan{until: max(freeAt, quota.now-loanMemory)}
+		// A loan of an earlier process counts as one to nobody, so that the vote is kept for
+		// the first of those who ask for it meanwhile.
+		current = &loan{until: max(quota.StartedAt+voteLease, quota.now-loanMemory)}
 		quota.lent[borrow.Slot] = current
 	}
 	inForce := quota.now < current.until
@@ -144,6 +146,9 @@
 	if quota.stopping || !quota.joined || quota.now < quota.StartedAt+voteLease {
 		return
 	}
+	if quota.now < quota.StartedAt+voteLease+startDelay && slices.Index(quota.fleet.seats(owned.slot).candidates, quota.Self) != 0 {
+		return
+	}
 	quota.matchVoters(owned)
 	for _, vote := range slices.Clone(owned.votes) {
 		interval := min(borrowInterval<<min(vote.misses, 8), maxBorrowInterval)
