--- a/core/quota/cache_test.go
+++ b/core/quota/cache_test.go
@@ -284,3 +284,33 @@
 	}
 	is.New(t).True(with <= without+without/20)
 }
+
+// TestWithoutCache guards against a trip to a cache that saves none: members without regions,
+// a region with one daemon, and a region whose daemon is the owner.
+func TestWithoutCache(t *testing.T) {
+	asksCache := func(t *testing.T, region func(*daemon, *daemon) string) bool {
+		t.Helper()
+		network := newNetwork(1, 9, limitsOfTest)
+		ranked := rankedMembers(network, "few")
+		var members []quota.Member
+		for _, daemon := range network.daemons {
+			members = append(members, quota.Member{ID: daemon.id, Live: true, Region: region(daemon, ranked[0])})
+		}
+		machine := &quota.Quota{Self: ranked[8].id, Settings: network.settings}
+		machine.Update(quota.FleetChanged{Members: members, Limits: limitsOfTest, Joined: true})
+		send := machine.Update(quota.TokenWanted{At: time.Minute, ID: 1, Workspace: "few", Deadline: 2 * time.Minute})[0].(quota.Send)
+		return send.Message.(quota.Ask).Regional
+	}
+	t.Run("another region than the owner's", func(t *testing.T) {
+		is.New(t).True(asksCache(t, func(daemon, owner *daemon) string { return fmt.Sprint(daemon == owner) }))
+	})
+	t.Run("no regions", func(t *testing.T) {
+		is.New(t).True(!asksCache(t, func(*daemon, *daemon) string { return "" }))
+	})
+	t.Run("one daemon in each region", func(t *testing.T) {
+		is.New(t).True(!asksCache(t, func(daemon, _ *daemon) string { return daemon.id }))
+	})
+	t.Run("the owner's region", func(t *testing.T) {
+		is.New(t).True(!asksCache(t, func(*daemon, *daemon) string { return "one" }))
+	})
+}
--- a/io/quotas/quotas_test.go
+++ b/io/quotas/quotas_test.go
@@ -31,14 +31,15 @@
 // settings are those of a deployment.
 var settings = quota.Settings{Window: 5 * time.Second, Overshoot: 0.1, Slack: 20}
 
-// newFleet starts daemons on loopback addresses that have joined each other.
-func newFleet(t *testing.T, size int) []*instance {
+// newFleet starts daemons on loopback addresses that have joined each other. region returns
+// the region of each.
+func newFleet(t *testing.T, size int, region func(number int) string) []*instance {
 	t.Helper()
 	view := &kernel.View{Synced: true, Routes: &routes.Table{Workspaces: []routes.Workspace{*acme}}}
 	for number := range size {
 		listener, err := net.ListenPacket("udp", "127.0.0.1:0")
 		is.New(t).NoErr(err)
-		view.Members = append(view.Members, kernel.Member{ID: fmt.Sprintf("d%d", number), State: kernel.MemberAlive, PeerAddress: listener.LocalAddr().String()})
+		view.Members = append(view.Members, kernel.Member{ID: fmt.Sprintf("d%d", number), State: kernel.MemberAlive, PeerAddress: listener.LocalAddr().String(), Region: region(number)})
 		is.New(t).NoErr(listener.Close())
 	}
 	var fleet []*instance
@@ -62,6 +63,8 @@
 	return fleet
 }
 
+func noRegion(int) string { return "" }
+
 // take takes tokens at all daemons, more often than the quota allows, and returns how many
 // were granted and by which daemons.
 func take(fleet []*instance, duration time.Duration) (granted int64, owners map[string]bool) {
@@ -92,7 +95,7 @@
 // together grant more than the quota, or too little, or nothing after the owner's end.
 func TestQuotasOverLoopback(t *testing.T) {
 	is := is.New(t)
-	fleet := newFleet(t, 5)
+	fleet := newFleet(t, 5, noRegion)
 	_, _ = take(fleet, 2*time.Second) // until the votes are lent and the buckets fill
 	started := time.Now()
 	granted, owners := take(fleet, 3*time.Second)
@@ -116,9 +119,29 @@
 	is.True(float64(granted) >= 0.5*acme.Rate*3) // four of five votes, and a busy machine
 }
 
+// TestCacheOverLoopback guards against daemons and caches of their regions that do not
+// understand each other.
+func TestCacheOverLoopback(t *testing.T) {
+	is := is.New(t)
+	fleet := newFleet(t, 6, func(number int) string { return fmt.Sprint(number % 2) })
+	_, _ = take(fleet[:1], 2*time.Second) // until the votes are lent and the buckets fill
+	granted, deciders := 0, map[string]bool{}
+	for round := range 60 { // 30 requests a second of the 50 that are allowed
+		decision := fleet[round%len(fleet)].Take(context.Background(), acme, time.Now().Add(time.Second))
+		if decision.Verdict == quota.Granted {
+			granted++
+			deciders[decision.Owner] = true
+		}
+		time.Sleep(33 * time.Millisecond)
+	}
+	t.Logf("granted %d of 60, decided by %v", granted, deciders)
+	is.True(granted >= 48) // a busy machine delays datagrams
+	is.Equal(len(deciders), 2)
+}
+
 // TestWithdrawnRequest guards against a wait that outlasts the caller.
 func TestWithdrawnRequest(t *testing.T) {
-	fleet := newFleet(t, 2)
+	fleet := newFleet(t, 2, noRegion)
 	fleet[1].stop()
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
