--- a/io/quotas/quotas_test.go
+++ b/io/quotas/quotas_test.go
@@ -37,14 +37,15 @@
 // addresses.
 var fleetCount atomic.Int64
 
-// newFleet starts daemons on loopback addresses that have joined each other.
-func newFleet(t *testing.T, size int) []*instance {
+// newFleet starts daemons on loopback addresses that have joined each other. region returns
+// the region of each.
+func newFleet(t *testing.T, size int, region func(number int) string) []*instance {
 	t.Helper()
 	fleetNumber := fleetCount.Add(1)
 	view := &kernel.View{Synced: true, Routes: &routes.Table{Workspaces: []routes.Workspace{*acme}}}
 	for number := range size {
 		address := fmt.Sprintf("127.%d.%d.%d:8001", 201+os.Getpid()%50, fleetNumber, 10+number)
-		view.Members = append(view.Members, kernel.Member{ID: fmt.Sprintf("d%d", number), State: kernel.MemberAlive, PeerAddress: address})
+		view.Members = append(view.Members, kernel.Member{ID: fmt.Sprintf("d%d", number), State: kernel.MemberAlive, PeerAddress: address, Region: region(number)})
 	}
 	var fleet []*instance
 	for _, member := range view.Members {
@@ -67,6 +68,8 @@
 	return fleet
 }
 
+func noRegion(int) string { return "" }
+
 // take takes tokens at all daemons, more often than the quota allows, and returns how many
 // were granted, also by the daemon that granted them.
 func take(fleet []*instance, duration time.Duration) (granted int, byOwner map[string]int) {
@@ -96,7 +99,7 @@
 // together grant more than the quota, or too little, or nothing after the owner's end.
 func TestQuotasOverLoopback(t *testing.T) {
 	is := is.New(t)
-	fleet := newFleet(t, 5)
+	fleet := newFleet(t, 5, noRegion)
 	_, _ = take(fleet, 4*time.Second) // until the votes are lent, and those of other daemons have lapsed
 	started := time.Now()
 	granted, byOwner := take(fleet, 3*time.Second)
@@ -123,9 +126,29 @@
 	is.True(float64(granted) >= 0.5*acme.Rate*3) // four of five votes, and a busy machine
 }
 
+// TestCacheOverLoopback guards against daemons and caches of their regions that do not
+// understand each other.
+func TestCacheOverLoopback(t *testing.T) {
+	is := is.New(t)
+	fleet := newFleet(t, 6, func(number int) string { return fmt.Sprint(number % 2) })
+	_, _ = take(fleet[:1], 2*time.Second) // until the votes are lent and the buckets fill
+	granted, deciders := 0, map[string]bool{}
+	for round := range 60 { // 30 requests a second of the 50 that are allowed
+		decision := fleet[round%len(fleet)].Take(context.Background(), acme, time.Now().Add(time.Second))
+		if decision.Verdict == quota.Granted {
+			granted++
+			deciders[decision.Owner] = true
+		}
+		time.Sleep(33 * time.Millisecond)
+	}
+	t.Logf("granted %d of 60, decided by %v", granted, deciders)
+	is.True(granted >= 48) // a busy machine delays datagrams
+	is.Equal(len(deciders), 2)
+}
+
 // TestWithdrawnRequest guards against a wait that outlasts the caller.
 func TestWithdrawnRequest(t *testing.T) {
-	fleet := newFleet(t, 2)
+	fleet := newFleet(t, 2, noRegion)
 	fleet[1].stop()
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
