--- a/core/quota/network_test.go
+++ b/core/quota/network_test.go
@@ -112,13 +112,13 @@
 
 // regions and delays are those of the deployments that the quotas are designed for.
 const (
-	regions         = 3
-	crossDelay      = 30 * time.Millisecond
-	maxInsideDelay  = 1400 * time.Microsecond
-	startUp         = 4 * time.Second
-	testWindow      = 5 * time.Second
-	detectionMin    = 2 * time.Second
-	detectionSpread = 5 * time.Second
+	regions           = 3
+	crossDelay        = 30 * time.Millisecond
+	maxInsideDelay    = 1400 * time.Microsecond
+	startUp           = 4 * time.Second
+	testWindow        = 5 * time.Second
+	shortestDetection = 2 * time.Second
+	detectionSpread   = 5 * time.Second
 )
 
 func newNetwork(seed uint64, size int, limits map[string]quota.Limit) *network {
@@ -348,7 +348,7 @@
 }
 
 func (network *network) detection() time.Duration {
-	return detectionMin + time.Duration(network.random.Int64N(int64(detectionSpread)))
+	return shortestDetection + time.Duration(network.random.Int64N(int64(detectionSpread)))
 }
 
 // restartIfUp replaces the process of a daemon that is up.
