--- a/core/quota/owner.go
+++ b/core/quota/owner.go
@@ -15,8 +15,9 @@
 	// limits the requests for tokens of a workspace over its quota to 50 a second from each
 	// daemon.
 	minPause = 20 * time.Millisecond
-	// maxPause is the longest one, also where the next token is expected later. It bounds how long a daemon refuses while tokens are
-	// left, because others that were told to come earlier had no more requests.
+	// maxPause is the longest one, also where the next token is expected later. It bounds how
+	// long a daemon refuses while tokens are left, because others that were told to come
+	// earlier had no more requests.
 	maxPause = time.Second
 	// maxPending limits the requests for tokens that wait for votes of a slot.
 	maxPending = 256
