--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -528,4 +528,12 @@
 			return nil' ./core/admit
 mutant "a workspace is charged for the estimate only" core/admit/cost.go \
   'at.Sub(request.started)-request.charged)' '0)' ./core/admit
+mutant "a long body is sent before a slot is granted" io/caller/attempt.go \
+  'return send.Reserve && !exchange.request.streamed' 'return false && !exchange.request.streamed' ./io/caller
+mutant "a gate that has just started expects no wait" core/admit/admit.go \
+  'gate.assumeServiceTime(arrived)' '' ./core/admit
+mutant "callers return before a vote can be lent" core/quota/holder.go \
+  'return max(unreachablePause, quota.StartedAt+voteLease+borrowInterval-quota.now)' 'return unreachablePause' ./core/quota
+mutant "the header of the remaining warm-up is read in seconds" platform/headers.go \
+  'dialect.WarmupHeader(headerWarmup, time.Millisecond)' 'dialect.WarmupHeader(headerWarmup, time.Second)' ./platform
 exit $living
