io/peer: the reporter always closes its socket at its end

Run returned with a datagram read between the two steps of the cancellation, when the context had an error but had not started the function that closes the socket; the deferred stop then dropped that function.

Ruled out: a drain that does not end, another process at the port. Of the other uses of context.AfterFunc none relies on it alone to close something.

Run closes the socket itself. TestReporterClosesItsSocketWhenADatagramArrives AtTheEnd failed before ("address already in use") and passes now; a mutant guards it.

--- a/io/peer/report.go
+++ b/io/peer/report.go
@@ -91,7 +91,9 @@
 // Run receives reports until the context ends.
 func (reporter *Reporter) Run(ctx context.Context) {
 	stop := context.AfterFunc(ctx, func() { _ = reporter.socket.Close() })
-	defer stop()
+	// If a datagram arrives while the context ends, stop may keep the function above from
+	// running, and the socket would stay open.
+	defer func() { stop(); _ = reporter.socket.Close() }()
 	buffer := make([]byte, maxDatagramBytes)
 	for {
 		count, from, err := reporter.socket.ReadFromUDPAddrPort(buffer)
--- a/io/peer/report_test.go
+++ b/io/peer/report_test.go
@@ -89,6 +89,33 @@
 	})
 }
 
+// cancellingContext is a context that has an error but has not run its AfterFunc functions
+// yet, as between the two steps of a cancellation.
+type cancellingContext struct{ context.Context }
+
+func (cancellingContext) Err() error { return context.Canceled }
+
+// Guards against a socket that stays open, so that a daemon that is started again at the
+// address can't listen.
+func TestReporterClosesItsSocketWhenADatagramArrivesAtTheEnd(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.ListenPacket("udp", "127.0.0.1:0")
+	is.NoErr(err)
+	address := listener.LocalAddr().String()
+	is.NoErr(listener.Close())
+	reporter := &peer.Reporter{Self: "gate"}
+	is.NoErr(reporter.Listen(address))
+	sender, err := net.Dial("udp", address)
+	is.NoErr(err)
+	defer func() { _ = sender.Close() }()
+	_, err = sender.Write([]byte("report"))
+	is.NoErr(err)
+	reporter.Run(cancellingContext{context.Background()})
+	listener, err = net.ListenPacket("udp", address)
+	is.NoErr(err)
+	is.NoErr(listener.Close())
+}
+
 func TestReportsAreBounded(t *testing.T) {
 	sent := 0
 	gate := &peer.Reporter{
--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -95,6 +95,8 @@
   'claims.notices.Go(func() { claims.notifyClosed(coordinator, closed) })' 'claims.notices.Wait(); claims.notices.Go(func() { claims.notifyClosed(coordinator, closed) })' ./daemon
 mutant "gates never request the slowness of their upstream" core/admit/measure.go \
   'if gate.MaxSlownessAge <= 0' 'if true' ./core/admit ./standin/play
+mutant "the socket of a reporter may stay open after its end" io/peer/report.go \
+  'defer func() { stop(); _ = reporter.socket.Close() }()' 'defer stop()' ./io/peer
 mutant "load reports have no rate limit" io/peer/report.go \
   'if !reporter.byteLimiter.AllowN(at, len(datagram)+datagramOverhead) {' 'if false {' ./io/peer
 mutant "a request is sent to the same target twice" core/pick/pick.go \
