admit, call, caller: ingresses mark the calls of running requests

A gate took each request without a workspace for a call that a running request makes, so a flood on a route that needs no key went before everything.

The ingress marks a request without a key (CallHead.call) only while requests of other classes run on its own upstream, at most two at a time for each of them (core/call/runcalls.go). Other requests without a workspace have the rank of their route and share one entry in the use of slots; Arrived.Call replaces the derived isCall.

--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -49,6 +49,9 @@
 	// Workspace names the workspace that the request belongs to. It is empty if the
 	// request belongs to none, as the calls that a running request makes.
 	Workspace string
+	// Call is set if the ingress takes the request for a call that a running request
+	// makes.
+	Call bool
 	// MaxDelay is the largest delay with which this target is still the better
 	// choice than the second best. The delay is the additional time that the
 	// request takes because the upstream is not idle. 0 means that there is no
--- a/core/admit/cost.go
+++ b/core/admit/cost.go
@@ -63,7 +63,8 @@
 )
 
 // isNeglected reports whether the requests of a workspace are served much less often than
-// all requests.
+// all requests. Those of no workspace never are, since shares does not count them: a flood
+// of them, most of which is refused, would otherwise go before all others.
 func (gate *Gate) isNeglected(workspace string, at time.Time) bool {
 	share := gate.shares.byWorkspace[workspace]
 	if share == nil {
@@ -73,17 +74,13 @@
 	return share.started+share.refused >= minDecided && share.servedFraction() < minServedShare*gate.shares.all.servedFraction()
 }
 
-// isCall reports whether a request is a call of a running request, where requests carry
-// workspaces.
-func (arrived Arrived) isCall() bool { return arrived.Workspace == "" }
-
 // hasLessUrgentQueued reports whether a new request of a higher rank is queued than the
 // new request that arrives. A call is never in this position: it is refused early, so that
 // the daemon that makes it can try another target while the call can still be in time.
 func (gate *Gate) hasLessUrgentQueued(arrived Arrived) bool {
-	return !arrived.isCall() && slices.ContainsFunc(gate.queue, func(id uint64) bool {
+	return !arrived.Call && slices.ContainsFunc(gate.queue, func(id uint64) bool {
 		queued := gate.requests[id].arrived
-		return !queued.isCall() && queued.effectiveRank() > arrived.effectiveRank()
+		return !queued.Call && queued.effectiveRank() > arrived.effectiveRank()
 	})
 }
 
@@ -91,12 +88,14 @@
 func (gate *Gate) entry(at time.Time, arrived Arrived) queueEntry {
 	entry := queueEntry{arrived: arrived, missesObjective: gate.missesObjective(at, arrived)}
 	if gate.ordersByCost() {
-		entry.isCall = arrived.isCall()
+		entry.isCall = arrived.Call
 		entry.rank = arrived.effectiveRank()
 		if entry.isCall || gate.isNeglected(arrived.Workspace, at) {
 			entry.rank = mostUrgentRank
 		}
-		entry.overUse = gate.shares.overUse(arrived.Workspace, at, gate.capacity())
+		if !entry.isCall {
+			entry.overUse = gate.shares.overUse(arrived.Workspace, at, gate.capacity())
+		}
 	}
 	return entry
 }
@@ -123,9 +122,17 @@
 	) < 0
 }
 
+// charge adds slot time, which may be negative, to the use of a request's workspace. Calls
+// of running requests are not charged.
+func (gate *Gate) charge(arrived Arrived, at time.Time, amount time.Duration) {
+	if !arrived.Call {
+		gate.shares.charge(arrived.Workspace, at, amount)
+	}
+}
+
 // settle replaces the estimated slot time of a finished request by the actual one.
 func (gate *Gate) settle(request *request, at time.Time) {
-	gate.shares.charge(request.arrived.Workspace, at, at.Sub(request.started)-request.charged)
+	gate.charge(request.arrived, at, at.Sub(request.started)-request.charged)
 }
 
 // turnAway refuses a request for want of capacity.
--- a/core/admit/cost_test.go
+++ b/core/admit/cost_test.go
@@ -23,13 +23,23 @@
 	return &line{gate: admit.Gate{Slots: 1, QueueBound: bound}, now: time.Unix(1_800_000_000, 0)}
 }
 
-// arrive lets a request arrive that has an objective and a deadline after some time.
+// arrive lets a request arrive that has an objective and a deadline after some time. One
+// without a workspace is a call of a running request.
 func (line *line) arrive(workspace, class string, rank int, objective, deadline time.Duration) (uint64, []admit.Effect) {
+	return line.arriveAs(admit.Arrived{Workspace: workspace, Call: workspace == "", Class: class, Rank: rank}, objective, deadline)
+}
+
+// arriveAs is arrive for a request that may be keyless, and not be a call.
+func (line *line) arriveAs(arrived admit.Arrived, objective, deadline time.Duration) (uint64, []admit.Effect) {
 	line.lastID++
-	return line.lastID, line.gate.Update(admit.Arrived{
-		ID: line.lastID, At: line.now, Workspace: workspace, Class: class, Rank: rank, Important: rank == 0,
-		Objective: line.now.Add(objective), Deadline: line.now.Add(deadline),
-	})
+	arrived.ID, arrived.At, arrived.Important = line.lastID, line.now, arrived.Rank == 0
+	arrived.Objective, arrived.Deadline = line.now.Add(objective), line.now.Add(deadline)
+	return line.lastID, line.gate.Update(arrived)
+}
+
+// addKeyless lets a new request without a workspace arrive that has much time.
+func (line *line) addKeyless(rank int) (uint64, []admit.Effect) {
+	return line.arriveAs(admit.Arrived{Class: "any", Rank: rank}, time.Minute, time.Hour)
 }
 
 // add lets a request arrive that has much time.
@@ -166,6 +176,55 @@
 	})
 }
 
+// TestKeylessRequests guards against a flood on a route that needs no key, whose requests
+// went before all others as if they were calls of running requests.
+func TestKeylessRequests(t *testing.T) {
+	t.Run("a keyless request waits behind requests of a more urgent rank", func(t *testing.T) {
+		line := newLine(8)
+		running := line.add("a", 1)
+		line.addKeyless(2)
+		urgent := line.add("b", 1)
+		requireNext(t, line.finish(running, time.Millisecond), urgent)
+	})
+	t.Run("keyless requests share one entry in the use of slots", func(t *testing.T) {
+		line := newLine(8)
+		line.run("a", "any", 10*time.Millisecond)
+		for range 5 {
+			id, _ := line.addKeyless(1)
+			line.finish(id, 100*time.Millisecond)
+		}
+		running := line.add("a", 1)
+		line.addKeyless(1)
+		other := line.add("a", 1)
+		requireNext(t, line.finish(running, time.Millisecond), other)
+	})
+	t.Run("calls are not charged to that entry", func(t *testing.T) {
+		line := newLine(8)
+		for range 2 { // the first one's charge is an estimate without any measurement
+			line.run("a", "any", 200*time.Millisecond)
+		}
+		for range 5 {
+			line.run("", "any", 100*time.Millisecond)
+		}
+		running := line.add("", 1)
+		line.add("a", 1)
+		keyless, _ := line.addKeyless(1)
+		requireNext(t, line.finish(running, time.Millisecond), keyless)
+	})
+	t.Run("a refused flood does not count as neglected", func(t *testing.T) {
+		line := newLine(1)
+		running := line.add("a", 1)
+		queued := line.add("a", 1)
+		is := is.New(t)
+		for range 5 {
+			flooding, effects := line.addKeyless(9)
+			is.Equal(refusal(effects).ID, flooding)
+			requireNext(t, line.finish(running, time.Millisecond), queued)
+			running, queued = queued, line.add("a", 1)
+		}
+	})
+}
+
 // TestBusyOrderCost guards against a class of urgent requests that is refused for a short
 // wait while less urgent requests with long objectives wait: uploads rose to 2.5 times
 // their rate, and checks were served less often than they were.
@@ -230,7 +289,7 @@
 				Class: rapid.SampledFrom([]string{"", "read", "write"}).Draw(t, "class"), Reserve: rapid.Bool().Draw(t, "reserve"),
 				MaxDelay: time.Duration(rapid.SampledFrom([]int{0, 0, 50, 1000}).Draw(t, "maxDelay")) * time.Millisecond,
 			}
-			arrived.Important = arrived.Rank == 0
+			arrived.Important, arrived.Call = arrived.Rank == 0, rapid.Bool().Draw(t, "call")
 			withWorkspace := arrived
 			withWorkspace.Workspace = workspace()
 			compareEffects(t, gate.Update(withWorkspace), other.Update(arrived))
--- a/core/admit/queue.go
+++ b/core/admit/queue.go
@@ -208,7 +208,7 @@
 	request.started = at
 	request.slowness = gate.slownessAt(at)
 	request.charged = gate.expectedServiceTime(at, arrived.Class)
-	gate.shares.charge(arrived.Workspace, at, request.charged)
+	gate.charge(arrived, at, request.charged)
 	gate.shares.count(arrived.Workspace, at, true)
 	if arrived.Reserve {
 		request.stage = stageReserved
--- a/core/admit/share.go
+++ b/core/admit/share.go
@@ -54,6 +54,10 @@
 	return share.started / max(idleCount, share.started+share.refused)
 }
 
+// noWorkspace is the name under which the requests of no workspace, other than calls of
+// running requests, share one entry.
+const noWorkspace = ""
+
 // shares holds the use of an upstream's slots by workspaces. A workspace that is idle has
 // no entry.
 type shares struct {
@@ -66,16 +70,25 @@
 }
 
 // inUse reports whether requests carry workspaces.
-func (shares *shares) inUse() bool { return len(shares.byWorkspace) > 0 }
+func (shares *shares) inUse() bool {
+	if _, found := shares.byWorkspace[noWorkspace]; found {
+		return len(shares.byWorkspace) > 1
+	}
+	return len(shares.byWorkspace) > 0
+}
 
 // of returns the share of a workspace at a time, and creates it unless too many are known.
+// The requests of no workspace always have one while requests carry workspaces.
 func (shares *shares) of(workspace string, at time.Time) *share {
 	known := shares.byWorkspace[workspace]
 	if known == nil {
+		if workspace == noWorkspace && !shares.inUse() {
+			return nil
+		}
 		if len(shares.byWorkspace) >= maxShares {
 			shares.prune(at)
 		}
-		if len(shares.byWorkspace) >= maxShares {
+		if len(shares.byWorkspace) >= maxShares && workspace != noWorkspace {
 			return nil
 		}
 		if shares.byWorkspace == nil {
@@ -93,9 +106,6 @@
 
 // charge adds slot-seconds, which may be negative, to the use of a workspace.
 func (shares *shares) charge(workspace string, at time.Time, amount time.Duration) {
-	if workspace == "" {
-		return
-	}
 	if share := shares.of(workspace, at); share != nil {
 		share.recent = max(0, share.recent+amount.Seconds())
 		share.usual = max(0, share.usual+amount.Seconds())
@@ -103,8 +113,10 @@
 }
 
 // count records that a request of a workspace was started or refused for want of capacity.
+// Those of no workspace do not count: if a flood of them were refused, no workspace would
+// seem to be served less often than all.
 func (shares *shares) count(workspace string, at time.Time, started bool) {
-	if workspace == "" {
+	if workspace == noWorkspace {
 		return
 	}
 	share := shares.of(workspace, at)
--- a/core/admit/share_test.go
+++ b/core/admit/share_test.go
@@ -52,4 +52,30 @@
 		shares.count("", start, false)
 		is.New(t).True(!shares.inUse())
 	})
+	t.Run("the requests without a workspace share one entry", func(t *testing.T) {
+		// Guards against a flood of them that counts as using nothing, also where more
+		// workspaces are known than have an entry.
+		is := is.New(t)
+		var shares shares
+		for number := range maxShares {
+			shares.charge(fmt.Sprint(number), start, time.Second)
+		}
+		for range 10 {
+			shares.charge("", start, time.Second)
+		}
+		is.Equal(len(shares.byWorkspace), maxShares+1)
+		is.True(shares.overUse("", start, 7) > shares.overUse("1", start, 7))
+	})
+	t.Run("the entry of the requests without a workspace does not count as a workspace", func(t *testing.T) {
+		// Guards against the order by cost that stays in force after the workspaces have
+		// left.
+		is := is.New(t)
+		var shares shares
+		shares.charge("a", start, time.Second)
+		later := start.Add(10 * usualUseTime)
+		shares.charge("", later, time.Second)
+		shares.prune(later)
+		is.True(!shares.inUse())
+		is.Equal(len(shares.byWorkspace), 1)
+	})
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -225,6 +225,8 @@
 		SharedBudget:  func() *call.SharedBudget { return daemon.liveSettings.Load().sharedRetryBudget() },
 		ReportTo:      daemon.Settings.PeerAddress,
 		Splitter:      &routes.Splitter{Daemon: daemon.Settings.Name},
+
+		RunningExcept: daemon.gate.RunningExcept,
 	}
 }
 
--- a/io/caller/attempt.go
+++ b/io/caller/attempt.go
@@ -105,6 +105,7 @@
 		PatienceMicroseconds:  exchange.maxDelay.Microseconds(),
 		ObjectiveMicroseconds: request.objective.Sub(exchange.handler.Now()).Microseconds(),
 		Workspace:             request.workspaceName(),
+		Call:                  exchange.isCall,
 		RateLimit:             peer.EncodeRateLimit(exchange.service.tracker.RateLimit(send.Target)),
 	}
 	if name := exchange.handler.Dialect.CallerService; name != "" {
--- a/io/caller/caller.go
+++ b/io/caller/caller.go
@@ -83,8 +83,13 @@
 	Quotas Quotas
 	// Splitter divides the requests of a route among its destinations.
 	Splitter *routes.Splitter
+	// RunningExcept returns how many requests of other classes than the given one run on
+	// the local upstream. Requests that these may have made are marked as calls. If it is
+	// nil, none is.
+	RunningExcept func(class string) int
 
 	services services
+	runCalls runCalls
 	// lastHealth is the last result of AssessHealth, which is called by one
 	// goroutine only.
 	lastHealth   map[string]route.Health
--- a/io/caller/exchange.go
+++ b/io/caller/exchange.go
@@ -51,6 +51,8 @@
 	hedgeDue bool
 	// hedging is set while a hedge is sent.
 	hedging bool
+	// isCall is set if the request is marked as a call that a running request makes.
+	isCall bool
 }
 
 // run processes the request until its response is complete.
@@ -74,6 +76,7 @@
 		Method: exchange.original.Method, Path: exchange.original.URL.Path,
 		Workspace: exchange.request.workspaceName(), Regions: exchange.request.regions,
 	}
+	exchange.markCall()
 	defer exchange.cleanUp()
 	exchange.hedgeAt = exchange.arrived.Add(exchange.picker.HedgeDelay(exchange.arrived))
 	exchange.apply(call.RequestArrived{})
@@ -188,6 +191,7 @@
 		attempt.cancel(exchange)
 	}
 	exchange.returnToken()
+	exchange.endCall()
 	exchange.handler.Records.add(exchange.record)
 	if exchange.claiming {
 		go exchange.awaitLateClaim()
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -144,6 +144,7 @@
 		Objective: server.Gate.Now().Add(time.Duration(head.GetObjectiveMicroseconds()) * time.Microsecond),
 		Class:     head.GetClass(),
 		Workspace: head.GetWorkspace(),
+		Call:      head.GetCall(),
 		MaxDelay:  time.Duration(head.GetPatienceMicroseconds()) * time.Microsecond,
 	}, head.GetFingerprint())
 	failed := true
--- a/io/upstream/gate.go
+++ b/io/upstream/gate.go
@@ -188,6 +188,19 @@
 	gate.running[id] = fingerprint
 }
 
+// RunningExcept returns how many requests of other classes run on the upstream.
+func (gate *Gate) RunningExcept(class string) int {
+	gate.mutex.Lock()
+	defer gate.mutex.Unlock()
+	count := 0
+	for id := range gate.running {
+		if pending := gate.pending[id]; pending != nil && pending.class != class {
+			count++
+		}
+	}
+	return count
+}
+
 // apply runs an update with the mutex held and performs its effects.
 func (gate *Gate) apply(update func() []admit.Effect) {
 	gate.mutex.Lock()
--- a/standin/play/caller.go
+++ b/standin/play/caller.go
@@ -76,6 +76,9 @@
 // behind the last one of the same caller.
 func (simulation *simulation) startRequest(zone *Zone) {
 	class, workspace := simulation.drawClass(), simulation.drawWorkspace()
+	if class.Keyless {
+		workspace = nil
+	}
 	for range simulation.drawCopies(class, workspace) {
 		delay := time.Duration(simulation.trafficRandom.Float64() * float64(surgeSpread))
 		simulation.clock.runAfter(delay, func() { simulation.startRequestOf(zone, class, workspace) })
--- a/standin/play/daemon.go
+++ b/standin/play/daemon.go
@@ -34,6 +34,7 @@
 
 	trackers     map[string]*route.Tracker
 	budgets      map[string]*call.Budget
+	runCalls     call.RunCalls
 	routePolicy  route.Policy
 	ageEstimator pick.AgeEstimator
 }
@@ -97,6 +98,17 @@
 	return daemon.budgets[service]
 }
 
+// runningExcept returns how many requests of other classes run on the target.
+func (daemon *daemon) runningExcept(class *Class) int {
+	running := 0
+	for _, arrival := range daemon.arrivals {
+		if arrival.run != nil && arrival.attempt.exchange.class != class {
+			running++
+		}
+	}
+	return running
+}
+
 // wake ticks the gate after a time, unless that is about to happen anyway.
 func (daemon *daemon) wake(after time.Duration) {
 	if daemon.woken {
@@ -128,7 +140,7 @@
 	rank := exchange.workspace.rankOf(exchange.class)
 	arrived := admit.Arrived{
 		ID: attempt.id, At: now, Deadline: exchange.deadline, Important: rank == 0,
-		Reserve: attempt.reserve, Rank: rank, Workspace: exchange.workspace.name(), Class: exchange.class.Name, MaxDelay: attempt.maxDelay,
+		Reserve: attempt.reserve, Rank: rank, Workspace: exchange.workspace.name(), Call: exchange.isCall, Class: exchange.class.Name, MaxDelay: attempt.maxDelay,
 	}
 	if daemon.simulation.policy.UseObjectives {
 		arrived.Objective = exchange.objective
--- a/standin/play/exchange.go
+++ b/standin/play/exchange.go
@@ -39,6 +39,9 @@
 	nextMaxDelay time.Duration
 	finished     bool
 	onFinish     func(response)
+	// isKeyless is set if the request may be a call of a run, and isCall if the ingress marks
+	// it as one.
+	isKeyless, isCall bool
 }
 
 // attempt is a request sent to one target.
@@ -55,10 +58,12 @@
 }
 
 // startExchange accepts a request at an ingress. remaining is the time until the
-// caller's deadline, workspace that of the caller; it is nil for a call of a run.
+// caller's deadline, workspace that of the caller; it is nil for a call of a run and for a
+// request without a key.
 func (simulation *simulation) startExchange(ingress *daemon, class *Class, workspace *workspace, remaining time.Duration, onFinish func(response)) *exchange {
 	now := simulation.clock.now
 	exchange := &exchange{simulation: simulation, ingress: ingress, class: class, workspace: workspace, onFinish: onFinish, arrivedAt: now, callerDeadline: now.Add(remaining), deadline: now.Add(remaining)}
+	exchange.markCall()
 	timeout := milliseconds(class.Timeout)
 	age := ingress.ageEstimator.Estimate(class.Name, timeout, remaining)
 	if timeout > 0 {
@@ -87,6 +92,24 @@
 	return exchange
 }
 
+// markCall marks a request without a workspace as a call of a run, as the ingress of the
+// product does.
+func (exchange *exchange) markCall() {
+	if exchange.workspace != nil || len(exchange.simulation.workspaces) == 0 {
+		return
+	}
+	exchange.isKeyless = true
+	exchange.isCall = exchange.ingress.runCalls.Begin(exchange.class.Name, exchange.ingress.runningExcept(exchange.class)) || exchange.simulation.policy.KeylessAreCalls
+}
+
+// end ends the exchange.
+func (exchange *exchange) end() {
+	exchange.finished = true
+	if exchange.isKeyless {
+		exchange.ingress.runCalls.End(exchange.class.Name, exchange.isCall)
+	}
+}
+
 func earlier(one, other time.Time) time.Time {
 	if other.Before(one) {
 		return other
@@ -219,7 +242,7 @@
 // relay passes a response on to the caller. The response of a failed run comes
 // without the run.
 func (exchange *exchange) relay(attempt *attempt) {
-	exchange.finished = true
+	exchange.end()
 	for _, other := range exchange.attempts {
 		other.cancel()
 	}
@@ -243,7 +266,7 @@
 }
 
 func (exchange *exchange) finish(finish call.Finish) {
-	exchange.finished = true
+	exchange.end()
 	for _, attempt := range exchange.attempts {
 		attempt.cancel()
 	}
--- a/standin/play/policy.go
+++ b/standin/play/policy.go
@@ -35,6 +35,9 @@
 	MaxSlownessAge time.Duration
 	// QueueOrder is the order of the gates. Empty means that of the product.
 	QueueOrder admit.Order
+	// KeylessAreCalls lets gates take each request without a workspace for a call of a
+	// run, as earlier versions do.
+	KeylessAreCalls bool
 	// ExactLoad gives each ingress the current load of every gate, which no real
 	// system can do. Losses that remain are due to a lack of capacity.
 	ExactLoad bool
@@ -56,6 +59,7 @@
 	"withoutComeback":  {RoutePolicy: route.LeastTime, UseObjectives: true, UseGates: true, QueueBound: 64, Retries: true, Reports: true, MaxSlownessAge: maxSlownessAge},
 	"withoutRetries":   {RoutePolicy: route.LeastTime, UseObjectives: true, UseGates: true, QueueBound: 64, EstimateRetryAfter: true, Reports: true, MaxSlownessAge: maxSlownessAge},
 	"byObjective":      {RoutePolicy: route.LeastTime, UseObjectives: true, UseGates: true, QueueBound: 64, Retries: true, EstimateRetryAfter: true, Reports: true, MaxSlownessAge: maxSlownessAge, QueueOrder: admit.OrderObjective},
+	"keylessAreCalls":  {RoutePolicy: route.LeastTime, UseObjectives: true, UseGates: true, QueueBound: 64, Retries: true, EstimateRetryAfter: true, Reports: true, MaxSlownessAge: maxSlownessAge, KeylessAreCalls: true},
 	"adaptive":         {RoutePolicy: "adaptive", UseGates: true, QueueBound: 64, Retries: true},
 	"roundRobin":       {RoutePolicy: "roundRobin"},
 	"random":           {RoutePolicy: "random"},
--- a/standin/play/scenario.go
+++ b/standin/play/scenario.go
@@ -142,8 +142,10 @@
 	MaxRetries int `json:"retries,omitempty"`
 	// Pipelined requests of a caller share one connection without waiting for
 	// each other, and their responses arrive in order.
-	Pipelined bool   `json:"pipelined,omitempty"`
-	Calls     []Call `json:"calls,omitempty"`
+	Pipelined bool `json:"pipelined,omitempty"`
+	// Keyless requests of callers belong to no workspace.
+	Keyless bool   `json:"keyless,omitempty"`
+	Calls   []Call `json:"calls,omitempty"`
 }
 
 // Call is a call that a share of the runs of a class makes half way through.
--- a/standin/play/workspace_test.go
+++ b/standin/play/workspace_test.go
@@ -78,6 +78,22 @@
 	return float64(served) / float64(offered)
 }
 
+// TestKeylessFlood guards against a flood of requests that need no key, which costs the
+// callers of workspaces because gates take it for calls of running requests.
+func TestKeylessFlood(t *testing.T) {
+	scenario := withWorkspaces(smallScenario())
+	flood, inner := class("flood", 0.2), class("stock", 0)
+	flood.Keyless, inner.ServiceTime, inner.Objective = true, 30, 200
+	scenario.Classes = append(scenario.Classes, flood, inner)
+	scenario.Classes[0].Calls = []play.Call{{Class: "stock", Count: 2, Share: 1, AtOnce: true}}
+	withFault(scenario, play.Fault{Kind: "surge", Class: "flood", Factor: 30})
+	marked, all := simulate(t, scenario, play.Current), simulate(t, scenario, "keylessAreCalls")
+	t.Logf("look %.3f (before %.3f), stock %.3f (%.3f), flood %.3f (%.3f)", servedFraction(findTally(marked, "look")), servedFraction(findTally(all, "look")),
+		servedFraction(findTally(marked, "stock")), servedFraction(findTally(all, "stock")), servedFraction(findTally(marked, "flood")), servedFraction(findTally(all, "flood")))
+	is := is.New(t)
+	is.True(servedFraction(findTally(marked, "look")) >= servedFraction(findTally(all, "look"))+0.1)
+}
+
 func servedFraction(tally *play.Tally) float64 {
 	return float64(tally.InTime+tally.Late) / float64(tally.Awaited())
 }
--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -538,4 +538,26 @@
   'return max(unreachablePause, quota.StartedAt+voteLease+borrowInterval-quota.now)' 'return unreachablePause' ./core/quota
 mutant "the header of the remaining warm-up is read in seconds" platform/headers.go \
   'dialect.WarmupHeader(headerWarmup, time.Millisecond)' 'dialect.WarmupHeader(headerWarmup, time.Second)' ./platform
+mutant "a gate takes each request without a workspace for a call" core/admit/cost.go \
+  'entry.isCall = arrived.Call' 'entry.isCall = arrived.Workspace == ""' ./core/admit
+mutant "a refused flood of keyless requests goes first" core/admit/share.go \
+  'if workspace == noWorkspace {
+		return
+	}' '' ./core/admit
+mutant "keyless requests have no entry where many workspaces send" core/admit/share.go \
+  'len(shares.byWorkspace) >= maxShares && workspace != noWorkspace' 'len(shares.byWorkspace) >= maxShares' ./core/admit
+mutant "calls are charged to the keyless requests" core/admit/cost.go \
+  'if !arrived.Call {' 'if true {' ./core/admit
+mutant "any number of keyless requests is marked" core/call/runcalls.go \
+  'exceeds > 0 || calls.excess > maxExcess || runCalls.marked >= callsPerRun*running' 'false' ./core/call
+mutant "a flood keeps the marks of its class" core/call/runcalls.go \
+  'calls.excess > maxExcess' 'false' ./core/call
+mutant "an ingress does not send the mark of a call" io/caller/attempt.go \
+  'Call:                  exchange.isCall,' '' ./io/caller
+mutant "a gate does not read the mark of a call" io/peer/server.go \
+  'Call:      head.GetCall(),' '' ./io/caller
+mutant "a gate does not read the workspace" io/peer/server.go \
+  'Workspace: head.GetWorkspace(),' '' ./io/caller
+mutant "a mark is never given back" io/caller/exchange.go \
+  'exchange.endCall()' '' ./io/caller
 exit $living
