admit, upstream, caller: a refusal says whether rank or use was the cause

An operator saw "refused (attempt 0: busy)" while other requests of the class were served, and could not tell why this one was not.

A refusal for want of capacity carries its cause (core/admit/cause.go): the requests before it by rank and by use, the use of its workspace relative to its share, and whether it was displaced. The gate sends it as a text of at most 100 bytes (Refusal.cause, field 5); the record for GET /explain and the line "request ended" contain it: "refused (attempt 0: queueFull, displaced, workspace uses 3.1 times its share)". Three counters without labels: ibislift_gate_refused_by_rank_total, ibislift_gate_refused_by_use_total, ibislift_gate_displaced_total.

--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -122,6 +122,7 @@
 	ID         uint64
 	Reason     Reason
 	RetryAfter time.Duration
+	Cause      Cause
 }
 
 // Drained reports that no request is left at a draining gate.
--- a/core/admit/cost.go
+++ b/core/admit/cost.go
@@ -137,6 +137,19 @@
 
 // turnAway refuses a request for want of capacity.
 func (gate *Gate) turnAway(arrived Arrived, at time.Time, reason Reason, retryAfter time.Duration) []Effect {
+	return gate.turnAwayFor(arrived, at, reason, retryAfter, gate.cause(at, arrived))
+}
+
+// turnAwayFor is turnAway with a given cause.
+func (gate *Gate) turnAwayFor(arrived Arrived, at time.Time, reason Reason, retryAfter time.Duration, cause Cause) []Effect {
 	gate.shares.count(arrived.Workspace, at, false)
-	return refuse(arrived.ID, reason, retryAfter)
+	return []Effect{Refuse{ID: arrived.ID, Reason: reason, RetryAfter: retryAfter, Cause: cause}}
+}
+
+// turnAwayDisplaced refuses a request that was removed from a full queue to make room for
+// a newcomer.
+func (gate *Gate) turnAwayDisplaced(displaced, newcomer Arrived, at time.Time, retryAfter time.Duration) []Effect {
+	cause := gate.cause(at, displaced, newcomer)
+	cause.Displaced = gate.ordersByCost()
+	return gate.turnAwayFor(displaced, at, ReasonQueueFull, retryAfter, cause)
 }
--- a/core/admit/queue.go
+++ b/core/admit/queue.go
@@ -172,7 +172,7 @@
 		// The displaced request would have been the last one.
 		wait = gate.startDelay(arrived.At, len(sorted))
 	}
-	return gate.turnAway(last.arrived, arrived.At, ReasonQueueFull, wait), true
+	return gate.turnAwayDisplaced(last.arrived, arrived, arrived.At, wait), true
 }
 
 // fillSlots gives free slots to queued requests in the order of sortedQueue. It
--- a/core/call/call.go
+++ b/core/call/call.go
@@ -48,8 +48,10 @@
 // never will. ReachedUpstream is set if the upstream itself refused; an
 // attempt that the gate refused did not reach it.
 type AttemptRefused struct {
-	Attempt         int
-	Reason          string
+	Attempt int
+	Reason  string
+	// Cause is what the gate says of the cause, for operators. It may be empty.
+	Cause           string
 	RetryAfter      time.Duration
 	ReachedUpstream bool
 }
--- a/daemon/gauges.go
+++ b/daemon/gauges.go
@@ -10,6 +10,7 @@
 	"ibislift/core/measure"
 	"ibislift/io/metrics"
 	"ibislift/io/peer"
+	"ibislift/io/upstream"
 )
 
 // registerGauges registers the metrics whose values are read at each scrape.
@@ -52,6 +53,17 @@
 	group.Add(daemon.meter.AddFloatGauge("ibislift.gate.rate.limit", "Requests a second that the upstream beside takes; -1 without a limit.", daemon.rateLimit))
 	group.Add(daemon.meter.AddFloatGauge("ibislift.gate.warmup.left.seconds", "How much longer the upstream beside is cold; 0 while it is warm.",
 		func() float64 { return daemon.gate.Load().WarmupLeft.Seconds() }))
+	for _, counter := range []struct {
+		name        string
+		description string
+		value       func(upstream.CauseCounts) uint64
+	}{
+		{"ibislift.gate.refused.by.rank", "Requests refused behind requests of a more urgent rank.", func(counts upstream.CauseCounts) uint64 { return counts.ByRank }},
+		{"ibislift.gate.refused.by.use", "Requests refused behind requests of workspaces that use less.", func(counts upstream.CauseCounts) uint64 { return counts.ByUse }},
+		{"ibislift.gate.displaced", "Requests whose place in the full queue a more urgent one took.", func(counts upstream.CauseCounts) uint64 { return counts.Displaced }},
+	} {
+		group.Add(daemon.meter.AddCounter(counter.name, counter.description, func() int64 { return int64(counter.value(daemon.gate.CauseCounts())) }))
+	}
 	if daemon.DroppedLogLines != nil {
 		group.Add(daemon.meter.AddCounter("ibislift.log.dropped", "Log lines left out.",
 			func() int64 { return int64(daemon.DroppedLogLines()) }))
--- a/io/caller/attempt.go
+++ b/io/caller/attempt.go
@@ -206,6 +206,7 @@
 		return call.AttemptRefused{
 			Attempt:         attempt.index,
 			Reason:          frame.Refused.GetReason(),
+			Cause:           frame.Refused.GetCause(),
 			RetryAfter:      time.Duration(frame.Refused.GetRetryAfterMilliseconds()) * time.Millisecond,
 			ReachedUpstream: frame.Refused.GetReached(),
 		}
--- a/io/caller/record.go
+++ b/io/caller/record.go
@@ -194,7 +194,7 @@
 	case call.SlotGranted:
 		return "granted", fmt.Sprintf("attempt %d", event.Attempt)
 	case call.AttemptRefused:
-		return "refused", fmt.Sprintf("attempt %d: %s", event.Attempt, event.Reason)
+		return "refused", describeRefusal(event)
 	case call.AttemptLost:
 		return "lost", fmt.Sprintf("attempt %d, crashed %t, unsent %t", event.Attempt, event.Crashed, event.Unsent)
 	case call.ResponseStarted:
@@ -218,6 +218,18 @@
 	}
 }
 
+// maxCauseLength limits what a gate may say of the cause of a refusal, in bytes. Gates of
+// this version say up to 100.
+const maxCauseLength = 120
+
+func describeRefusal(refused call.AttemptRefused) string {
+	text := fmt.Sprintf("attempt %d: %s", refused.Attempt, refused.Reason)
+	if refused.Cause != "" {
+		text += ", " + strings.ToValidUTF8(refused.Cause[:min(len(refused.Cause), maxCauseLength)], "")
+	}
+	return text
+}
+
 // recordCandidates adds the candidates of a choice to the record.
 func (exchange *exchange) recordCandidates(candidates []route.Candidate, chosen int) {
 	step := Step{Event: "considered", Candidates: make([]Candidate, 0, len(candidates))}
--- a/io/caller/wire_test.go
+++ b/io/caller/wire_test.go
@@ -1,11 +1,14 @@
 package caller
 
 import (
+	"bytes"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
+	"unicode/utf8"
 
 	"github.com/matryer/is"
 
@@ -35,6 +38,7 @@
 type wire struct {
 	t       *testing.T
 	handler *Handler
+	logs    *bytes.Buffer
 	gate    *upstream.Gate
 	// started receives the path of each request that runs; finish ends one.
 	started chan string
@@ -77,7 +81,8 @@
 	member := newMember("n", 0, "one")
 	member.ForwardAddress = listener.Addr().String()
 	view := newView(t, []kernel.Member{member}, table)
-	wire.handler = withKeys(t).handler
+	ingress := withKeys(t)
+	wire.handler, wire.logs = ingress.handler, ingress.logs
 	wire.handler.View = func() *kernel.View { return view }
 	wire.handler.Meter = noMeter{}
 	wire.handler.Peers = &peer.Peers{Self: "n1"}
@@ -117,22 +122,26 @@
 	}
 }
 
+// use lets a workspace use the upstream for a time.
+func (wire *wire) use(workspace string, length time.Duration) {
+	wire.t.Helper()
+	is := is.New(wire.t)
+	wire.send("/"+workspace, workspace, 0)
+	is.Equal(wire.next(), "/"+workspace)
+	time.Sleep(length)
+	wire.finish <- struct{}{}
+	is.Equal(<-wire.done, http.StatusOK)
+}
+
 // TestOrderAcrossTheWire guards against a workspace, or the mark of a call, that is lost
 // between the ingress and the gate: the gate then has no order by cost.
 func TestOrderAcrossTheWire(t *testing.T) {
 	is := is.New(t)
 	wire := newWire(t)
 	// Both workspaces have used the upstream, the hot one for much longer.
-	for _, use := range []struct {
-		workspace string
-		length    time.Duration
-	}{{"other", time.Millisecond}, {"hot", time.Millisecond}, {"hot", 300 * time.Millisecond}} {
-		wire.send("/"+use.workspace, use.workspace, 0)
-		is.Equal(wire.next(), "/"+use.workspace)
-		time.Sleep(use.length)
-		wire.finish <- struct{}{}
-		is.Equal(<-wire.done, http.StatusOK)
-	}
+	wire.use("other", time.Millisecond)
+	wire.use("hot", time.Millisecond)
+	wire.use("hot", 300*time.Millisecond)
 	wire.send("/hot/running", "hot", 0)
 	is.Equal(wire.next(), "/hot/running")
 	wire.send("/hot/queued", "hot", 1)
@@ -176,3 +185,42 @@
 		is.New(t).True(!head.GetCall())
 	})
 }
+
+// TestRefusalAcrossTheWire guards against a refusal of which the daemon of the caller does
+// not say why the request was refused while others of its class were served.
+func TestRefusalAcrossTheWire(t *testing.T) {
+	is := is.New(t)
+	wire := newWire(t)
+	wire.gate.Resize(1, 1)
+	wire.use("other", time.Millisecond)
+	wire.use("hot", time.Millisecond)
+	wire.use("hot", 300*time.Millisecond)
+	wire.send("/hot/running", "hot", 0)
+	is.Equal(wire.next(), "/hot/running")
+	wire.send("/hot/queued", "hot", 1)
+	wire.send("/other/queued", "other", 1)
+	is.Equal(<-wire.done, http.StatusServiceUnavailable)
+	records := wire.handler.Records.Find("", "", 1)
+	is.Equal(records[0].Path, "/hot/queued")
+	detail := ""
+	for _, step := range records[0].Steps {
+		if step.Event == "refused" {
+			detail = step.Detail
+		}
+	}
+	is.True(strings.HasPrefix(detail, "attempt 0: queueFull, displaced, workspace uses "))
+	is.True(strings.HasSuffix(detail, " times its share"))
+	is.True(strings.Contains(wire.logs.String(), "refused (attempt 0: queueFull, displaced, workspace uses "))
+	is.Equal(wire.gate.CauseCounts(), upstream.CauseCounts{ByUse: 1, Displaced: 1})
+	wire.finish <- struct{}{}
+	is.Equal(wire.next(), "/other/queued")
+}
+
+// TestDescribeRefusal guards against a gate that fills the log and the records.
+func TestDescribeRefusal(t *testing.T) {
+	is := is.New(t)
+	is.Equal(describeRefusal(call.AttemptRefused{Attempt: 2, Reason: "busy"}), "attempt 2: busy")
+	long := describeRefusal(call.AttemptRefused{Reason: "busy", Cause: strings.Repeat("ä", 1000)})
+	is.True(len(long) <= len("attempt 0: busy, ")+maxCauseLength)
+	is.True(utf8.ValidString(long))
+}
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -110,6 +110,8 @@
 	class     string
 	// committedBody is the body that arrived with the commit.
 	committedBody []byte
+	// cause says why the gate refused the request.
+	cause admit.Cause
 }
 
 // ServeStream admits one request and sends it to the upstream. It returns an error
@@ -154,6 +156,7 @@
 		return err
 	}
 	if !decision.HandedOver {
+		stream.cause = decision.Cause
 		return server.refuse(stream, decision.Reason, decision.RetryAfter)
 	}
 	failed, err = server.execute(ctx, stream, head, deadline)
@@ -198,12 +201,13 @@
 	if byUpstream {
 		level = slog.LevelInfo
 	}
-	server.log(stream, level, "refused at the gate", "reason", string(reason), "retryAfter", retryAfter, "reached", byUpstream)
+	server.log(stream, level, "refused at the gate", "reason", string(reason), "retryAfter", retryAfter, "reached", byUpstream, "cause", stream.cause.String())
 	refusal := &peerpb.Refusal{
 		Reached:                byUpstream,
 		Reason:                 string(reason),
 		RetryAfterMilliseconds: retryAfter.Milliseconds(),
 		Load:                   encodeLoad(server.Gate.LoadForClass(stream.class)),
+		Cause:                  stream.cause.String(),
 	}
 	return Error.Wrap(stream.Send(&peerpb.AnswerFrame{Frame: &peerpb.AnswerFrame_Refused{Refused: refusal}}))
 }
--- a/io/upstream/gate.go
+++ b/io/upstream/gate.go
@@ -22,6 +22,8 @@
 	HandedOver bool
 	Reason     admit.Reason
 	RetryAfter time.Duration
+	// Cause says why the request was refused for want of capacity.
+	Cause admit.Cause
 }
 
 // Gate runs the admission control of one upstream and records which requests
@@ -53,8 +55,9 @@
 	// limit.
 	woken bool
 	// closed is set when a drain can no longer be ended.
-	closed     bool
-	handedOver atomic.Uint64
+	closed      bool
+	handedOver  atomic.Uint64
+	causeCounts CauseCounts
 }
 
 // pendingRequest is a request that has arrived and is not finished.
@@ -225,7 +228,8 @@
 	case admit.HandOver:
 		gate.deliver(effect.ID, Decision{HandedOver: true})
 	case admit.Refuse:
-		gate.deliver(effect.ID, Decision{Reason: effect.Reason, RetryAfter: effect.RetryAfter})
+		gate.causeCounts.add(effect.Cause)
+		gate.deliver(effect.ID, Decision{Reason: effect.Reason, RetryAfter: effect.RetryAfter, Cause: effect.Cause})
 	case admit.MeasureSlowness:
 		go gate.MeasureSlowness()
 	case admit.Wake:
--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -560,4 +560,14 @@
   'Workspace: head.GetWorkspace(),' '' ./io/caller
 mutant "a mark is never given back" io/caller/exchange.go \
   'exchange.endCall()' '' ./io/caller
+mutant "a refusal has no cause" io/peer/server.go \
+  'stream.cause = decision.Cause' '' ./io/caller
+mutant "an ingress keeps no cause of a refusal" io/caller/attempt.go \
+  'Cause:           frame.Refused.GetCause(),' '' ./io/caller
+mutant "the newcomer is not among the causes of a displacement" core/admit/cost.go \
+  'gate.cause(at, displaced, newcomer)' 'gate.cause(at, displaced)' ./core/admit
+mutant "refusals by use count as refusals by rank" core/admit/cause.go \
+  'cause.AheadByRank > 0 && cause.AheadByRank >= cause.AheadByUse' 'cause.AheadByRank >= 0' ./core/admit
+mutant "a gate says any number of bytes of a cause" io/caller/record.go \
+  'refused.Cause[:min(len(refused.Cause), maxCauseLength)]' 'refused.Cause' ./io/caller
 exit $living
