io/logs: the field cause of refusals

TestFieldsAreOneList failed since a refusal says whether rank or use was its cause: the field was in OPERATIONS.md, but not in the list of the sources.

--- a/io/logs/fields.go
+++ b/io/logs/fields.go
@@ -42,6 +42,7 @@
 
 	// At the gate.
 	"reason":     "why the request was refused",
+	"cause":      "what put the request behind others: rank, or the use of its workspace",
 	"retryAfter": "when the request may be sent again",
 	"reached":    "whether the upstream itself refused the request; if not, the gate did",
 	"running":    "number of requests that hold a slot",
