soak: the quota of a workspace

Nothing played quotas between processes with faults: the tests of core/quota run state machines in virtual time, and those of the daemon have no faults.

The upstreams' ledger has the time of each run. The soak counts the workspace's runs in all windows of 5 s (141 are allowed), and in 4 s after the recovery at least half of the rate must be served. Requests of the workspace are audited like the others.

--- a/cmd/soak/checks.go
+++ b/cmd/soak/checks.go
@@ -29,14 +29,16 @@
 
 // audit compares the responses that callers received with the requests that the
 // upstreams have run.
-func (trial *trial) audit(report *load.Report) {
+func (trial *trial) audit(reports ...*load.Report) {
 	runs, err := trial.running.RunCounts()
 	if err != nil {
 		trial.recordViolation("the ledger cannot be read: %v", err)
 		return
 	}
-	for _, finding := range report.Findings(runs) {
-		trial.recordViolation("%s", finding)
+	for _, report := range reports {
+		for _, finding := range report.Findings(runs) {
+			trial.recordViolation("%s", finding)
+		}
 	}
 }
 
--- a/cmd/soak/keys.go
+++ b/cmd/soak/keys.go
@@ -36,21 +36,27 @@
 	if !trial.usesKeys() {
 		return nil
 	}
-	return []string{"--route-object", tableName}
+	return append([]string{"--route-object", tableName}, quotaFlags()...)
 }
 
 // authorize adds the key that is valid at all times to a request.
 func (trial *trial) authorize(request *load.Request) {
 	if trial.usesKeys() {
-		request.Header = map[string]string{"Authorization": "Bearer " + steadyKey}
+		request.Header = authorization(steadyKey)
 	}
 }
 
-// tableWith returns a route table whose workspaces have the steady key and the given one.
+func authorization(key string) map[string]string {
+	return map[string]string{"Authorization": "Bearer " + key}
+}
+
+// tableWith returns a route table whose workspaces have the steady key, the given one, and
+// a quota.
 func (trial *trial) tableWith(version uint64, key string) routes.Table {
 	table := routes.Table{Version: version, Workspaces: []routes.Workspace{
 		{Name: "steady", Keys: []routes.KeyDigest{routes.DigestKey(steadyKey)}},
 		{Name: "changing", Keys: []routes.KeyDigest{routes.DigestKey(key)}},
+		{Name: "limited", Keys: []routes.KeyDigest{routes.DigestKey(quotaKey)}, Rate: quotaRate, Burst: quotaBurst},
 	}}
 	for _, service := range trial.running.Plan.Services {
 		destinations := []routes.Destination{{Service: service.Name, Weight: 1}}
@@ -173,7 +179,7 @@
 	service := trial.running.Plan.Services[0]
 	request := load.Request{
 		Address: instance.CallerAddress(), Service: service.Name, Method: http.MethodGet, Path: service.LookupPath, Deadline: keyTimeout,
-		Header: map[string]string{"Authorization": "Bearer " + key},
+		Header: authorization(key),
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), 2*keyTimeout)
 	defer cancel()
--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -32,13 +32,14 @@
 	length := app.Flag("length", "How long faults are injected for each seed.").Default("12s").Duration()
 	jobs := app.Flag("jobs", "Number of seeds to run at a time.").Default("2").Int()
 	targets := app.Flag("targets", "Targets of each of the two services.").Default("6").Int()
+	firstRegion := app.Flag("first-region", "Second number of the IP addresses in the first region; the jobs use three numbers each from there on. Soaks that run at the same time need different ones.").Default("60").Int()
 	safety := app.Flag("safety", "Check only promises that do not depend on the machine's speed.").Bool()
 	keep := app.Flag("keep", "Keep the logs even if no promise is violated.").Bool()
 	kingpin.MustParse(app.Parse(os.Args[1:]))
 	if *first == 0 {
 		*first = time.Now().Unix()
 	}
-	soak := &soak{programs: *programs, length: *length, targets: *targets, safety: *safety, keep: *keep}
+	soak := &soak{programs: *programs, firstRegion: *firstRegion, length: *length, targets: *targets, safety: *safety, keep: *keep}
 	if *file != "" {
 		listed, err := readSeeds(*file)
 		kingpin.FatalIfError(err, "seeds")
@@ -55,10 +56,12 @@
 // soak runs seeds and counts those with a violation.
 type soak struct {
 	programs string
-	length   time.Duration
-	targets  int
-	safety   bool
-	keep     bool
+	// firstRegion is the first region number of the first job.
+	firstRegion int
+	length      time.Duration
+	targets     int
+	safety      bool
+	keep        bool
 
 	mutex     sync.Mutex
 	completed int
@@ -138,7 +141,7 @@
 		fmt.Println("soak:", err)
 		return
 	}
-	trial := &trial{soak: soak, seed: seed, firstRegionNumber: 60 + 3*job, directory: filepath.Join(directory, "logs")}
+	trial := &trial{soak: soak, seed: seed, firstRegionNumber: soak.firstRegion + 3*job, directory: filepath.Join(directory, "logs")}
 	trial.run()
 	soak.mutex.Lock()
 	defer soak.mutex.Unlock()
--- a/cmd/soak/stops.go
+++ b/cmd/soak/stops.go
@@ -186,7 +186,7 @@
 	if answered == 0 || cut == 0 {
 		series.trial.recordViolation("planned stops met %d answered requests and %d at a connection's end", answered, cut)
 	}
-	series.trial.stopFigures = fmt.Sprintf("planned stops: %d answered, %d cut, %d expired", answered, cut, expired)
+	series.trial.recordFigure("planned stops: %d answered, %d cut, %d expired", answered, cut, expired)
 }
 
 // stopGracefully sends SIGTERM to a daemon and waits until it has ended.
--- a/cmd/soak/trial.go
+++ b/cmd/soak/trial.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"time"
 
@@ -48,8 +49,10 @@
 	violations []string
 	total      *load.Row
 	faults     int
-	// stopFigures describes what became of the requests to stopping daemons.
-	stopFigures string
+	// figures describe what the checks have measured.
+	figures []string
+	// quotaReports hold the responses to the workspace that has a quota.
+	quotaReports []*load.Report
 }
 
 // run starts the deployment, injects faults, waits for the recovery and checks the
@@ -69,11 +72,13 @@
 	report := trial.runWithFaults()
 	trial.awaitRecovery("the faults")
 	trial.checkRetryBudgets()
+	trial.checkQuotaServed()
 	trial.checkGracefulStop()
 	trial.checkStopSeries()
 	stopWatching()
 	stopChanging()
-	trial.audit(report)
+	trial.audit(append(trial.quotaReports, report)...)
+	trial.checkQuota()
 	trial.checkRetryBudgets()
 }
 
@@ -185,6 +190,7 @@
 	waitGroup.Go(trial.injectFaults)
 	waitGroup.Go(trial.runStatements)
 	waitGroup.Go(trial.runEvacuations)
+	waitGroup.Go(func() { trial.sendOverQuota("f", trial.soak.length+finalLoadTime) })
 	report := generator.Run(trial.soak.length + finalLoadTime)
 	waitGroup.Wait()
 	trial.total = report.Total("")
@@ -203,6 +209,12 @@
 	trial.violations = append(trial.violations, fmt.Sprintf("%.2fs: ", time.Since(trial.startedAt).Seconds())+fmt.Sprintf(format, arguments...))
 }
 
+func (trial *trial) recordFigure(format string, arguments ...any) {
+	trial.mutex.Lock()
+	defer trial.mutex.Unlock()
+	trial.figures = append(trial.figures, fmt.Sprintf(format, arguments...))
+}
+
 func (trial *trial) summary() string {
 	if trial.total == nil {
 		return "not started"
@@ -212,5 +224,5 @@
 		verdict = "VIOLATED"
 	}
 	return fmt.Sprintf("%s; %d faults, %d requests, %d whole, %d not run, %d unknown; %s", verdict, trial.faults,
-		trial.total.Requests, trial.total.Complete, trial.total.NotRun, trial.total.Unknown, trial.stopFigures)
+		trial.total.Requests, trial.total.Complete, trial.total.NotRun, trial.total.Unknown, strings.Join(trial.figures, "; "))
 }
--- a/standin/deployment/control.go
+++ b/standin/deployment/control.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"os"
 	"strings"
 	"time"
 
@@ -281,19 +280,3 @@
 	}
 	return Error.Wrap(response.Body.Close())
 }
-
-// RunCounts returns how often each attempt has run according to the upstreams'
-// ledger, by the value of upstream.AttemptIDHeader.
-func (running *Running) RunCounts() (map[string]int, error) {
-	text, err := os.ReadFile(running.Ledger)
-	if err != nil && !os.IsNotExist(err) {
-		return nil, Error.Wrap(err)
-	}
-	runs := map[string]int{}
-	for _, line := range strings.Split(string(text), "\n") {
-		if fields := strings.Fields(line); len(fields) == 3 {
-			runs[fields[2]]++
-		}
-	}
-	return runs, nil
-}
--- /dev/null
+++ b/standin/deployment/ledger.go
@@ -0,0 +1,64 @@
+package deployment
+
+import (
+	"os"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Run is a request that an upstream has started to run.
+type Run struct {
+	Upstream  string
+	Method    string
+	At        time.Time
+	AttemptID string
+}
+
+// Ledger is what the upstreams of a deployment have recorded; package upstream describes
+// the lines.
+type Ledger struct {
+	Runs []Run
+}
+
+// ParseLedger parses the text of a ledger. It skips other lines.
+func ParseLedger(text string) Ledger {
+	var ledger Ledger
+	for _, line := range strings.Split(text, "\n") {
+		fields := strings.Fields(line)
+		if len(fields) != 4 {
+			continue
+		}
+		microseconds, err := strconv.ParseInt(fields[2], 10, 64)
+		if err != nil {
+			continue
+		}
+		ledger.Runs = append(ledger.Runs, Run{Upstream: fields[0], Method: fields[1], At: time.UnixMicro(microseconds), AttemptID: fields[3]})
+	}
+	return ledger
+}
+
+// RunCounts returns how often each attempt has run, by the value of
+// upstream.AttemptIDHeader.
+func (ledger Ledger) RunCounts() map[string]int {
+	runs := map[string]int{}
+	for _, run := range ledger.Runs {
+		runs[run.AttemptID]++
+	}
+	return runs
+}
+
+// ReadLedger reads what the upstreams have recorded so far.
+func (running *Running) ReadLedger() (Ledger, error) {
+	text, err := os.ReadFile(running.Ledger)
+	if err != nil && !os.IsNotExist(err) {
+		return Ledger{}, Error.Wrap(err)
+	}
+	return ParseLedger(string(text)), nil
+}
+
+// RunCounts returns how often each attempt has run according to the upstreams' ledger.
+func (running *Running) RunCounts() (map[string]int, error) {
+	ledger, err := running.ReadLedger()
+	return ledger.RunCounts(), err
+}
--- a/standin/upstream/upstream.go
+++ b/standin/upstream/upstream.go
@@ -80,7 +80,8 @@
 	ServiceShape int
 	Seed         uint64
 	// Ledger receives a line for each request with AttemptIDHeader that starts to
-	// run: the server's name, the method and the value of the header.
+	// run: the server's name, the method, the time in microseconds since 1970 and the
+	// value of the header.
 	Ledger io.Writer
 	// Crash ends the upstream; if it is nil, the process exits.
 	Crash func()
@@ -201,7 +202,7 @@
 // recordStart records in the ledger that a request has started to run.
 func (server *Server) recordStart(request *http.Request) {
 	if attemptID := request.Header.Get(AttemptIDHeader); attemptID != "" && server.Ledger != nil {
-		_, _ = fmt.Fprintf(server.Ledger, "%s %s %s\n", server.Name, request.Method, attemptID)
+		_, _ = fmt.Fprintf(server.Ledger, "%s %s %d %s\n", server.Name, request.Method, time.Now().UnixMicro(), attemptID)
 	}
 }
 
--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -538,4 +538,12 @@
   'return max(unreachablePause, quota.StartedAt+voteLease+borrowInterval-quota.now)' 'return unreachablePause' ./core/quota
 mutant "the header of the remaining warm-up is read in seconds" platform/headers.go \
   'dialect.WarmupHeader(headerWarmup, time.Millisecond)' 'dialect.WarmupHeader(headerWarmup, time.Second)' ./platform
+mutant "the soak accepts more than a quota" cmd/soak/quotas.go \
+  'float64(most) <= quotaBound()' 'float64(most) <= 2*quotaBound()' ./cmd/soak
+mutant "the soak counts a shorter window than that of the quota" cmd/soak/quotas.go \
+  'at.Sub(times[begin]) >= window' 'at.Sub(times[begin]) >= window/2' ./cmd/soak
+mutant "the soak accepts a workspace that is hardly served" cmd/soak/quotas.go \
+  'minQuotaServed = 0.5' 'minQuotaServed = 0.4' ./cmd/soak
+mutant "the ledger has no times" standin/upstream/upstream.go \
+  'time.Now().UnixMicro(), attemptID' 'int64(0), attemptID' ./standin/deployment
 exit $living
