soak: cold targets

The upstream counts what it gets in a second and writes each new maximum into the ledger. All upstreams of the service are restarted together two or three times a trial, since a cold target gets hardly any request while others are warm.

The three mutants are caught.

--- a/cmd/soak/keys.go
+++ b/cmd/soak/keys.go
@@ -36,7 +36,7 @@
 	if !trial.usesKeys() {
 		return nil
 	}
-	return append([]string{"--route-object", tableName}, quotaFlags()...)
+	return append(append([]string{"--route-object", tableName}, quotaFlags()...), coldFlags()...)
 }
 
 // authorize adds the key that is valid at all times to a request.
@@ -51,9 +51,9 @@
 }
 
 // tableWith returns a route table whose workspaces have the steady key, the given one, and
-// a quota.
+// a quota. One of its services has a warm-up rate.
 func (trial *trial) tableWith(version uint64, key string) routes.Table {
-	table := routes.Table{Version: version, Workspaces: []routes.Workspace{
+	table := routes.Table{Version: version, Services: trial.coldServices(), Workspaces: []routes.Workspace{
 		{Name: "steady", Keys: []routes.KeyDigest{routes.DigestKey(steadyKey)}},
 		{Name: "changing", Keys: []routes.KeyDigest{routes.DigestKey(key)}},
 		{Name: "limited", Keys: []routes.KeyDigest{routes.DigestKey(quotaKey)}, Rate: quotaRate, Burst: quotaBurst},
--- a/cmd/soak/trial.go
+++ b/cmd/soak/trial.go
@@ -79,6 +79,7 @@
 	stopChanging()
 	trial.audit(append(trial.quotaReports, report)...)
 	trial.checkQuota()
+	trial.checkColdTargets()
 	trial.checkRetryBudgets()
 }
 
@@ -90,7 +91,7 @@
 		Name: fmt.Sprintf("soak%d", trial.seed), Regions: []string{"north", "south", "east"},
 		Services:          []deployment.Service{{Name: "log", LookupPath: "/logs/17", ChangePath: "/logs"}, {Name: "desk", LookupPath: "/entries/4", ChangePath: "/entries"}},
 		TargetsPerService: trial.soak.targets, Slots: 8, ServiceTime: 5 * time.Millisecond,
-		DataCentreLatency: time.Millisecond, RegionLatency: 15 * time.Millisecond,
+		ColdTime: trial.coldTime(), DataCentreLatency: time.Millisecond, RegionLatency: 15 * time.Millisecond,
 		FirstRegionNumber: trial.firstRegionNumber, WritesPerSecond: 300, WithoutLinks: trial.withoutLinks(), PlatformProxy: trial.proxyAddress(0),
 		Flags: append(append(trial.stopFlags(), trial.keyFlags()...), "--evacuation-prefix", evacuationPrefix),
 	}
@@ -190,6 +191,7 @@
 	waitGroup.Go(trial.injectFaults)
 	waitGroup.Go(trial.runStatements)
 	waitGroup.Go(trial.runEvacuations)
+	waitGroup.Go(trial.restartService)
 	waitGroup.Go(func() { trial.sendOverQuota("f", trial.soak.length+finalLoadTime) })
 	report := generator.Run(trial.soak.length + finalLoadTime)
 	waitGroup.Wait()
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -79,6 +79,7 @@
 	command.Flag("slots", "Number of requests that run concurrently.").Default("13").IntVar(&server.Slots)
 	command.Flag("service-time", "Mean service time.").Default("5ms").DurationVar(&server.ServiceTime)
 	command.Flag("service-shape", "Number of exponentially distributed parts of a service time.").Default("1").IntVar(&server.ServiceShape)
+	coldTime := command.Flag("cold-time", "How long after its start the upstream says that it is cold.").Duration()
 	command.Flag("seed", "Seed of the random service times.").Default("1").Uint64Var(&server.Seed)
 	commands[command.FullCommand()] = func(ctx context.Context) error {
 		if *ledger != "" {
@@ -88,7 +89,7 @@
 			}
 			server.Ledger = file
 		}
-		return runUpstream(ctx, server, *listen, *daemonAddress)
+		return runUpstream(ctx, server, *coldTime, *listen, *daemonAddress)
 	}
 }
 
@@ -97,11 +98,13 @@
 
 // runUpstream serves requests until the context is done, and asks the daemon to
 // drain the upstream before it stops.
-func runUpstream(ctx context.Context, server *upstream.Server, listen, daemonAddress string) error {
+func runUpstream(ctx context.Context, server *upstream.Server, coldTime time.Duration, listen, daemonAddress string) error {
 	serveCtx, stop := context.WithCancel(context.Background())
 	defer stop()
 	failed := make(chan error, 1)
-	go func() { failed <- serve(serveCtx, listen, server.Handler()) }()
+	handler := server.Handler()
+	server.SetSwitches(upstream.Switches{ColdFor: coldTime})
+	go func() { failed <- serve(serveCtx, listen, handler) }()
 	go server.Announce(serveCtx, daemonAddress, listen)
 	select {
 	case err := <-failed:
--- a/standin/deployment/deployment.go
+++ b/standin/deployment/deployment.go
@@ -40,6 +40,8 @@
 	// region, 127.R.D.N. Further regions count up from it. Deployments whose
 	// region numbers differ can run at the same time.
 	FirstRegionNumber int
+	// ColdTime is how long an upstream that was started again says that it is cold.
+	ColdTime time.Duration
 	// Flags are further command-line flags of every daemon.
 	Flags []string
 	// WritesPerSecond is the platform's limit on writes.
@@ -248,11 +250,17 @@
 // StartUpstream starts or restarts the upstream of an instance.
 func (running *Running) StartUpstream(instance *Instance) error {
 	plan := running.Plan
-	process, err := running.launch(instance.Name+".upstream", "standin", "upstream",
+	arguments := []string{
+		"upstream",
 		"--service", instance.Service, "--name", instance.Name, "--listen", instance.UpstreamAddress(),
 		"--daemon", instance.address(announcePort), "--slots", fmt.Sprint(plan.Slots),
 		"--service-time", plan.ServiceTime.String(), "--service-shape", fmt.Sprint(max(1, plan.ServiceShape)),
-		"--ledger", running.Ledger)
+		"--ledger", running.Ledger,
+	}
+	if instance.Upstream != nil {
+		arguments = append(arguments, "--cold-time", plan.ColdTime.String())
+	}
+	process, err := running.launch(instance.Name+".upstream", "standin", arguments...)
 	instance.Upstream = process
 	return err
 }
--- a/standin/deployment/ledger.go
+++ b/standin/deployment/ledger.go
@@ -19,13 +19,20 @@
 // the lines.
 type Ledger struct {
 	Runs []Run
+	// MostInASecond is the largest number of requests and health probes that an upstream
+	// got in a second while it was cold, by its name.
+	MostInASecond map[string]int
 }
 
 // ParseLedger parses the text of a ledger. It skips other lines.
 func ParseLedger(text string) Ledger {
-	var ledger Ledger
+	ledger := Ledger{MostInASecond: map[string]int{}}
 	for _, line := range strings.Split(text, "\n") {
 		fields := strings.Fields(line)
+		if len(fields) == 3 && fields[1] == "mostInASecond" {
+			most, _ := strconv.Atoi(fields[2])
+			ledger.MostInASecond[fields[0]] = max(ledger.MostInASecond[fields[0]], most)
+		}
 		if len(fields) != 4 {
 			continue
 		}
--- a/standin/deployment/ledger_test.go
+++ b/standin/deployment/ledger_test.go
@@ -31,4 +31,26 @@
 	is.Equal(run.Upstream, "log-1")
 	is.Equal(run.Method, http.MethodPost)
 	is.True(!run.At.Before(before) && !run.At.After(time.Now()))
+	is.Equal(ledger.MostInASecond, map[string]int{})
+}
+
+// TestLedgerOfColdUpstream guards against the loss of what a cold upstream got in a second
+// when its process is killed.
+func TestLedgerOfColdUpstream(t *testing.T) {
+	is := is.New(t)
+	var text bytes.Buffer
+	server := &upstream.Server{Service: "log", Name: "log-1", Slots: 1, Ledger: &text}
+	handler := server.Handler()
+	server.SetSwitches(upstream.Switches{ColdFor: time.Minute})
+	get := func(path string) {
+		handler.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodGet, path, nil))
+	}
+	get("/health") // says for the first time that the upstream is cold
+	is.Equal(ParseLedger(text.String()).MostInASecond, map[string]int{})
+	time.Sleep(150 * time.Millisecond) // until the daemon must know
+	get("/logs")
+	is.Equal(ParseLedger(text.String()).MostInASecond, map[string]int{"log-1": 1})
+	get("/health")
+	is.Equal(ParseLedger(text.String()).MostInASecond, map[string]int{"log-1": server.MostInASecond()})
+	is.Equal(server.MostInASecond(), 2)
 }
--- a/standin/upstream/statements.go
+++ b/standin/upstream/statements.go
@@ -97,7 +97,7 @@
 	defer server.mutex.Unlock()
 	server.arrived++
 	server.statements.count(time.Now())
-	server.warmup.count(time.Now())
+	server.countWarmup()
 }
 
 // state adds what the upstream says of its own state to the header of a response.
--- a/standin/upstream/upstream.go
+++ b/standin/upstream/upstream.go
@@ -81,7 +81,8 @@
 	Seed         uint64
 	// Ledger receives a line for each request with AttemptIDHeader that starts to
 	// run: the server's name, the method, the time in microseconds since 1970 and the
-	// value of the header.
+	// value of the header. While the upstream is cold, it also receives a line with the
+	// server's name, mostInASecond and that number whenever it grows.
 	Ledger io.Writer
 	// Crash ends the upstream; if it is nil, the process exits.
 	Crash func()
--- a/standin/upstream/warmup.go
+++ b/standin/upstream/warmup.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"fmt"
 	"net/http"
 	"strconv"
 	"time"
@@ -53,16 +54,21 @@
 	}
 }
 
-// count counts a request or a health probe that has arrived.
-func (warmup *warmup) count(at time.Time) {
+// count counts a request or a health probe that has arrived, and reports whether there have
+// never been more in a second.
+func (warmup *warmup) count(at time.Time) bool {
 	if !warmup.isCold(at) || warmup.saidAt.IsZero() || at.Sub(warmup.saidAt) < warmupNoticeTime {
-		return
+		return false
 	}
 	for len(warmup.arrivals) > 0 && at.Sub(warmup.arrivals[0]) > time.Second {
 		warmup.arrivals = warmup.arrivals[1:]
 	}
 	warmup.arrivals = append(warmup.arrivals, at)
-	warmup.most = max(warmup.most, len(warmup.arrivals))
+	if len(warmup.arrivals) <= warmup.most {
+		return false
+	}
+	warmup.most = len(warmup.arrivals)
+	return true
 }
 
 // MostInASecond returns the largest number of requests and health probes that the upstream
@@ -76,7 +82,15 @@
 func (server *Server) countProbe() {
 	server.mutex.Lock()
 	defer server.mutex.Unlock()
-	server.warmup.count(time.Now())
+	server.countWarmup()
+}
+
+// countWarmup counts a request or a health probe, and records a new maximum at once, since
+// the process may be killed while it is cold. The mutex must be held.
+func (server *Server) countWarmup() {
+	if server.warmup.count(time.Now()) && server.Ledger != nil {
+		_, _ = fmt.Fprintf(server.Ledger, "%s mostInASecond %d\n", server.Name, server.warmup.most)
+	}
 }
 
 // announceWarmup adds how long the upstream stays cold to an announcement.
--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -546,4 +546,10 @@
   'minQuotaServed = 0.5' 'minQuotaServed = 0.4' ./cmd/soak
 mutant "the ledger has no times" standin/upstream/upstream.go \
   'time.Now().UnixMicro(), attemptID' 'int64(0), attemptID' ./standin/deployment
+mutant "the soak accepts too many requests to a cold target" cmd/soak/cold.go \
+  'float64(most) > coldBound' 'float64(most) > 2*coldBound' ./cmd/soak
+mutant "a ledger keeps the last maximum of a cold target" standin/deployment/ledger.go \
+  'max(ledger.MostInASecond[fields[0]], most)' 'most' ./cmd/soak
+mutant "an upstream does not count probes while it is cold" standin/upstream/upstream.go \
+  'server.countProbe()' '' ./standin/deployment
 exit $living
