soak: the order of queues while capacity is scarce

What a gate serves first was tested in the player and in the gate's own tests, not between processes.

The urgent one must not be served less often by more than 5 in 100, and none less than a quarter as often as all. A phase in which nothing is scarce is a violation as well.

--- a/cmd/soak/keys.go
+++ b/cmd/soak/keys.go
@@ -50,14 +50,15 @@
 	return map[string]string{"Authorization": "Bearer " + key}
 }
 
-// tableWith returns a route table whose workspaces have the steady key, the given one, and
-// a quota. One of its services has a warm-up rate.
+// tableWith returns a route table whose workspaces have the steady key, the given one, a
+// quota and ranks. One of its services has a warm-up rate.
 func (trial *trial) tableWith(version uint64, key string) routes.Table {
 	table := routes.Table{Version: version, Services: trial.coldServices(), Workspaces: []routes.Workspace{
 		{Name: "steady", Keys: []routes.KeyDigest{routes.DigestKey(steadyKey)}},
 		{Name: "changing", Keys: []routes.KeyDigest{routes.DigestKey(key)}},
 		{Name: "limited", Keys: []routes.KeyDigest{routes.DigestKey(quotaKey)}, Rate: quotaRate, Burst: quotaBurst},
 	}}
+	table.Workspaces = append(table.Workspaces, rankedWorkspaces()...)
 	for _, service := range trial.running.Plan.Services {
 		destinations := []routes.Destination{{Service: service.Name, Weight: 1}}
 		table.Routes = append(table.Routes,
--- a/cmd/soak/quotas.go
+++ b/cmd/soak/quotas.go
@@ -55,7 +55,7 @@
 		NextRequest: trial.nextLimitedRequest,
 	}
 	report := generator.Run(length)
-	trial.quotaReports = append(trial.quotaReports, report)
+	trial.reports = append(trial.reports, report)
 	return report.Total("").Complete
 }
 
--- a/cmd/soak/stops.go
+++ b/cmd/soak/stops.go
@@ -62,8 +62,8 @@
 	order := random.Perm(len(instances))
 	stopped := len(instances)/3 + 1
 	if random.IntN(2) == 0 {
-		series.slowUpstreams(stopSlowFactor)
-		defer series.slowUpstreams(1)
+		trial.slowUpstreams(instances, stopSlowFactor)
+		defer trial.slowUpstreams(instances, 1)
 	}
 	var waitGroup sync.WaitGroup
 	for number, index := range order[:stopped] {
@@ -83,12 +83,12 @@
 	series.check()
 }
 
-// slowUpstreams multiplies the service time of all upstreams.
-func (series *stopSeries) slowUpstreams(factor float64) {
-	series.trial.recordEvent("upstreams take %.0f times their service time", factor)
-	for _, instance := range series.trial.running.Instances {
-		if err := series.trial.running.SetUpstreamSwitches(instance, upstream.Switches{SlowFactor: factor}); err != nil {
-			series.trial.recordViolation("the service time of %s was not set: %v", instance.Name, err)
+// slowUpstreams multiplies the service time of the upstreams of the instances.
+func (trial *trial) slowUpstreams(instances []*deployment.Instance, factor float64) {
+	trial.recordEvent("%d upstreams take %.0f times their service time", len(instances), factor)
+	for _, instance := range instances {
+		if err := trial.running.SetUpstreamSwitches(instance, upstream.Switches{SlowFactor: factor}); err != nil {
+			trial.recordViolation("the service time of %s was not set: %v", instance.Name, err)
 		}
 	}
 }
--- a/cmd/soak/trial.go
+++ b/cmd/soak/trial.go
@@ -51,8 +51,8 @@
 	faults     int
 	// figures describe what the checks have measured.
 	figures []string
-	// quotaReports hold the responses to the workspace that has a quota.
-	quotaReports []*load.Report
+	// reports hold the responses to the loads beside the main one.
+	reports []*load.Report
 }
 
 // run starts the deployment, injects faults, waits for the recovery and checks the
@@ -73,11 +73,12 @@
 	trial.awaitRecovery("the faults")
 	trial.checkRetryBudgets()
 	trial.checkQuotaServed()
+	trial.checkOrder()
 	trial.checkGracefulStop()
 	trial.checkStopSeries()
 	stopWatching()
 	stopChanging()
-	trial.audit(append(trial.quotaReports, report)...)
+	trial.audit(append(trial.reports, report)...)
 	trial.checkQuota()
 	trial.checkColdTargets()
 	trial.checkRetryBudgets()
--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -552,4 +552,10 @@
   'max(ledger.MostInASecond[fields[0]], most)' 'most' ./cmd/soak
 mutant "an upstream does not count probes while it is cold" standin/upstream/upstream.go \
   'server.countProbe()' '' ./standin/deployment
+mutant "the soak accepts an urgent workspace that is served less often" cmd/soak/order.go \
+  'patient.fraction()-maxRankLoss' 'patient.fraction()-2*maxRankLoss' ./cmd/soak
+mutant "the soak accepts a starved workspace" cmd/soak/order.go \
+  'minServedShare*all.fraction()' 'minServedShare*all.fraction()/2' ./cmd/soak
+mutant "the soak accepts that nothing is served" cmd/soak/order.go \
+  'all.complete == 0 || ' '' ./cmd/soak
 exit $living
