--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -570,4 +570,24 @@
   'cause.AheadByRank > 0 && cause.AheadByRank >= cause.AheadByUse' 'cause.AheadByRank >= 0' ./core/admit
 mutant "a gate says any number of bytes of a cause" io/caller/record.go \
   'refused.Cause[:min(len(refused.Cause), maxCauseLength)]' 'refused.Cause' ./io/caller
+mutant "the soak accepts more than a quota" cmd/soak/quotas.go \
+  'float64(most) <= quotaBound()' 'float64(most) <= 2*quotaBound()' ./cmd/soak
+mutant "the soak counts a shorter window than that of the quota" cmd/soak/quotas.go \
+  'at.Sub(times[begin]) >= window' 'at.Sub(times[begin]) >= window/2' ./cmd/soak
+mutant "the soak accepts a workspace that is hardly served" cmd/soak/quotas.go \
+  'minQuotaServed = 0.5' 'minQuotaServed = 0.4' ./cmd/soak
+mutant "the ledger has no times" standin/upstream/upstream.go \
+  'time.Now().UnixMicro(), attemptID' 'int64(0), attemptID' ./standin/deployment
+mutant "the soak accepts too many requests to a cold target" cmd/soak/cold.go \
+  'float64(most) > coldBound' 'float64(most) > 2*coldBound' ./cmd/soak
+mutant "a ledger keeps the last maximum of a cold target" standin/deployment/ledger.go \
+  'max(ledger.MostInASecond[fields[0]], most)' 'most' ./cmd/soak
+mutant "an upstream does not count probes while it is cold" standin/upstream/upstream.go \
+  'server.countProbe()' '' ./standin/deployment
+mutant "the soak accepts an urgent workspace that is served less often" cmd/soak/order.go \
+  'patient.fraction()-maxRankLoss' 'patient.fraction()-2*maxRankLoss' ./cmd/soak
+mutant "the soak accepts a starved workspace" cmd/soak/order.go \
+  'minServedShare*all.fraction()' 'minServedShare*all.fraction()/2' ./cmd/soak
+mutant "the soak accepts that nothing is served" cmd/soak/order.go \
+  'all.complete == 0 || ' '' ./cmd/soak
 exit $living
