--- a/io/upstream/gate_test.go
+++ b/io/upstream/gate_test.go
@@ -77,3 +77,27 @@
 		})
 	}
 }
+
+// TestRunningExcept guards against marks of calls that the runs of a flood allow: an
+// ingress marks as many requests as the runs of other classes can have made.
+func TestRunningExcept(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	gate := &upstream.Gate{Now: func() time.Time { return now }}
+	gate.Resize(2, 2)
+	is := is.New(t)
+	is.Equal(gate.RunningExcept("flood"), 0)
+	var admissions []*upstream.Admission
+	for _, class := range []string{"flood", "enrol", "enrol"} {
+		admissions = append(admissions, gate.Admit(admit.Arrived{Class: class, Deadline: now.Add(time.Second)}, ""))
+	}
+	for _, running := range admissions[:2] {
+		is.True(running.Wait(context.Background()).HandedOver)
+	}
+	is.Equal(gate.RunningExcept("flood"), 1) // the third request is queued
+	is.Equal(gate.RunningExcept("other"), 2)
+	admissions[1].Finish(false)
+	admissions[0].Finish(false)
+	is.True(admissions[2].Wait(context.Background()).HandedOver)
+	is.Equal(gate.RunningExcept("enrol"), 0)
+	is.Equal(gate.RunningExcept("flood"), 1)
+}
--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -570,4 +570,6 @@
   'cause.AheadByRank > 0 && cause.AheadByRank >= cause.AheadByUse' 'cause.AheadByRank >= 0' ./core/admit
 mutant "a gate says any number of bytes of a cause" io/caller/record.go \
   'refused.Cause[:min(len(refused.Cause), maxCauseLength)]' 'refused.Cause' ./io/caller
+mutant "the runs of a flood allow marks for the flood" io/upstream/gate.go \
+  'pending != nil && pending.class != class' 'pending != nil' ./io/upstream
 exit $living
