--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -590,4 +590,6 @@
   'minServedShare*all.fraction()' 'minServedShare*all.fraction()/2' ./cmd/soak
 mutant "the soak accepts that nothing is served" cmd/soak/order.go \
   'all.complete == 0 || ' '' ./cmd/soak
+mutant "the runs of a flood allow marks for the flood" io/upstream/gate.go \
+  'pending != nil && pending.class != class' 'pending != nil' ./io/upstream
 exit $living
