call: each class has its own limit of marks

The limit of two marks for each running request holds for each class, and a class loses its marks when more than half of its latest requests are in excess, before a quarter. A refusal looks at 64 queued requests for its cause, the default length of a queue.

--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -47,7 +47,7 @@
 	// class. It may be empty.
 	Class string
 	// Workspace names the workspace that the request belongs to. It is empty if the
-	// request belongs to none, as the calls that a running request makes.
+	// request belongs to none; see Call.
 	Workspace string
 	// Call is set if the ingress takes the request for a call that a running request
 	// makes.
--- a/core/admit/cause.go
+++ b/core/admit/cause.go
@@ -25,7 +25,8 @@
 	// Keyless is set for a request without a workspace that is not a call.
 	Keyless bool
 	// AheadByRank and AheadByUse are how many requests were to be served before it because
-	// their rank was more urgent, and because their workspaces used less.
+	// their rank was more urgent, and because their workspaces used less. Calls of running
+	// requests and requests of neglected workspaces have the most urgent rank.
 	AheadByRank, AheadByUse int
 	// OverUse is the recent use of the workspace as a multiple of what it may use.
 	OverUse float64
@@ -68,7 +69,7 @@
 
 // maxCounted limits how many queued requests cause looks at. A long queue whose requests
 // are all refused as late at once would otherwise cost its length squared.
-const maxCounted = 256
+const maxCounted = 64
 
 // cause returns why a request that is not queued is refused for want of capacity.
 // others are requests that go before it in addition to queued ones.
--- a/core/call/runcalls.go
+++ b/core/call/runcalls.go
@@ -2,17 +2,18 @@
 
 // Parameters of the marks of calls.
 const (
-	// callsPerRun is how many calls may be in flight for each running request. Runs make
-	// calls one after the other or two at once; a larger number lets more requests that no
-	// run has made go before the others.
+	// callsPerRun is how many calls of a class may be in flight for each running request.
+	// Runs that make one call after the other or two at once get marks for all of them; of
+	// three or four at once, two are marked. A larger number lets more requests that no run
+	// has made go before the others.
 	callsPerRun = 2
-	// excessWeight is the weight of one request in the part of a class's requests that no
-	// run can have made, and maxExcess the part from which on none of the class is marked.
-	// A flood loses the marks after ten requests in excess. Calls whose run was cancelled and
+	// excessWeight is the weight of one request in the part of a class's latest requests that
+	// no run can have made, and maxExcess the part above which none of the class is marked.
+	// A flood loses the marks after 22 requests in excess. Calls whose run was cancelled and
 	// that are still in flight are an excess too: 8 of 10,308 in the load player, scenario
-	// fares-heavy with seed 1.
+	// fares-heavy with seed 1. Runs that make four calls at once stay at 0.5.
 	excessWeight = 1.0 / 32
-	maxExcess    = 0.25
+	maxExcess    = 0.5
 	// idleExcess is the excess below which a class without requests in flight has no entry.
 	idleExcess = 0.01
 )
@@ -21,9 +22,10 @@
 // runs of its own upstream make. Such calls carry nothing that shows where they come
 // from, so a request counts as a call only while the upstream has running requests that
 // can make it, and only if the requests of its class have lately not been more than these
-// can make. The zero value is ready for use. RunCalls is not safe for concurrent use.
+// can make. The limit holds for each class: requests from outside that stay within it are
+// not told apart from calls, but they cannot use up the marks of another route. The zero
+// value is ready for use. RunCalls is not safe for concurrent use.
 type RunCalls struct {
-	marked  int
 	byClass map[string]*classCalls
 }
 
@@ -52,18 +54,11 @@
 	}
 	calls.excess += (exceeds - calls.excess) * excessWeight
 	calls.inFlight++
-	if exceeds > 0 || calls.excess > maxExcess || runCalls.marked >= callsPerRun*running {
-		return false
-	}
-	runCalls.marked++
-	return true
+	return exceeds == 0 && calls.excess <= maxExcess
 }
 
-// End records the end of a request, and whether it was marked.
-func (runCalls *RunCalls) End(class string, marked bool) {
-	if marked {
-		runCalls.marked--
-	}
+// End records the end of a request.
+func (runCalls *RunCalls) End(class string) {
 	calls := runCalls.byClass[class]
 	calls.inFlight--
 	if calls.inFlight == 0 && calls.excess < idleExcess {
--- a/io/caller/runcalls.go
+++ b/io/caller/runcalls.go
@@ -20,10 +20,10 @@
 }
 
 // end is RunCalls.End.
-func (runCalls *runCalls) end(class string, marked bool) {
+func (runCalls *runCalls) end(class string) {
 	runCalls.mutex.Lock()
 	defer runCalls.mutex.Unlock()
-	runCalls.machine.End(class, marked)
+	runCalls.machine.End(class)
 }
 
 // mayBeCall reports whether the request may be a call that a running request of the local
@@ -44,6 +44,6 @@
 // endCall lets another request be marked.
 func (exchange *exchange) endCall() {
 	if exchange.mayBeCall() {
-		exchange.handler.runCalls.end(exchange.request.class, exchange.isCall)
+		exchange.handler.runCalls.end(exchange.request.class)
 	}
 }
--- a/standin/play/exchange.go
+++ b/standin/play/exchange.go
@@ -106,7 +106,7 @@
 func (exchange *exchange) end() {
 	exchange.finished = true
 	if exchange.isKeyless {
-		exchange.ingress.runCalls.End(exchange.class.Name, exchange.isCall)
+		exchange.ingress.runCalls.End(exchange.class.Name)
 	}
 }
 
--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -549,9 +549,11 @@
 mutant "calls are charged to the keyless requests" core/admit/cost.go \
   'if !arrived.Call {' 'if true {' ./core/admit
 mutant "any number of keyless requests is marked" core/call/runcalls.go \
-  'exceeds > 0 || calls.excess > maxExcess || runCalls.marked >= callsPerRun*running' 'false' ./core/call
+  'exceeds == 0 && calls.excess <= maxExcess' 'true' ./core/call
 mutant "a flood keeps the marks of its class" core/call/runcalls.go \
-  'calls.excess > maxExcess' 'false' ./core/call
+  'exceeds == 0 && calls.excess <= maxExcess' 'exceeds == 0' ./core/call
+mutant "runs that make four calls at once lose the marks of all" core/call/runcalls.go \
+  'maxExcess    = 0.5' 'maxExcess    = 0.25' ./core/call
 mutant "an ingress does not send the mark of a call" io/caller/attempt.go \
   'Call:                  exchange.isCall,' '' ./io/caller
 mutant "a gate does not read the mark of a call" io/peer/server.go \
