core/withdraw, daemon: a daemon that is slow itself withdraws from callers

Cause: callers of an instance whose processor is slow for some seconds wait in its daemon, although the other daemons of the data centre could take them. The readiness check said only whether the daemon has its configuration.

If they are late by 20 ms and more, a tenth of the objective of the fastest class, for that long, it claims a withdrawal in its member record (field withdrawalOrder). Claims are ordered like Lamport clocks, with a hash of the name for those made at once; after a settle time of twice what a record takes, the first quarter of the data centre, or one of two to seven, answers readiness checks with 503. None does if more than half of the data centre claims, if it hears of no neighbour, or if that would take more than an eighth of its time; each withdrawal is counted with the second until the next check. It lasts 3 to 8 s. Targets stay in use and accepted requests are served. Status, explain, two log lines and two gauges tell of it. Without the flag nothing is measured and records are as before.

A record that differs only in its claim no longer makes the members' topology be computed again.

Conclusion: the decision and its wiring are whole and off by default.

--- a/cmd/ibislift/explainlog.go
+++ b/cmd/ibislift/explainlog.go
@@ -170,6 +170,9 @@
 			parts = append(parts, state.sentence)
 		}
 	}
+	if strings.Contains(ended.Steps, "arrived (withdrawn from callers") {
+		parts = append(parts, "the daemon that received it was slow itself and had withdrawn from callers")
+	}
 	for _, line := range lines {
 		if line.RequestID == ended.RequestID && line.Error != "" {
 			parts = append(parts, "the gate reported "+line.Error)
--- a/cmd/ibislift/explainlog_test.go
+++ b/cmd/ibislift/explainlog_test.go
@@ -57,6 +57,10 @@
 			[]string{endedLine("r", "notRun", "503", "0 arrived; 0 considered 2, t0: running 2 of 9, queued 1, slowness 1.00, cold, next in 83ms, failing 0.00, age 5ms; 1 refused (attempt 0: busy); 1 noTargetLeft")},
 			`the last as "busy"; a target was cold and took only its warm-up rate`,
 		},
+		"received by a daemon that had withdrawn": {
+			[]string{endedLine("r", "unknown", "504", "0 arrived (withdrawn from callers: timers have fired late by a mean of 60ms for 1s, and 1 of 12 daemons of the data centre are slow); 90 deadlinePassed")},
+			"the route's timeout or the caller's deadline passed; the daemon that received it was slow itself and had withdrawn from callers",
+		},
 		"other targets evacuated": {
 			[]string{endedLine("r", "notRun", "503", "1 refused (attempt 0: evacuated); 1 excluded (1 tried: t0, 3 evacuated: t1 t2 t3); 1 noTargetLeft")},
 			`the last as "evacuated"; targets were in evacuated data centres`,
--- a/cmd/ibislift/table.go
+++ b/cmd/ibislift/table.go
@@ -73,6 +73,9 @@
 	}
 	fmt.Printf("daemon %s, ready %t, watching the platform %t\n", status.Name, status.Ready, status.Watching)
 	fmt.Printf("platform %s; %d reads and %d writes from here\n", platform, status.PlatformCalls.Reads, status.PlatformCalls.Writes)
+	if withdrawal := status.Withdrawal; withdrawal != nil && withdrawal.Withdrawn {
+		fmt.Printf("withdrawn from callers since %s: %s\n", withdrawal.Since.Format(time.RFC3339), withdrawal.Reason)
+	}
 	fmt.Printf("gate: running %d, queued %d of %d slots; probes at least %s apart\n",
 		status.Load.Running, status.Load.Queued, status.Load.Slots, status.ProbeInterval)
 	var regions [][]string
--- a/core/kernel/kernel.go
+++ b/core/kernel/kernel.go
@@ -39,7 +39,7 @@
 
 // State is shared by all plug-ins. It has the daemon's settings, the table of
 // replicated records, and what the member plug-in derives from the membership:
-// Neighbours, DeadPeers, Watching, WatcherRank and ClaimCoordinators.
+// Neighbours, DeadPeers, DataCentreMembers, Watching, WatcherRank and ClaimCoordinators.
 type State struct {
 	Settings   Settings
 	Table      Table
@@ -47,6 +47,9 @@
 	// DeadPeers are members recorded as dead. They may become reachable again
 	// when a network partition heals.
 	DeadPeers []Neighbour
+	// DataCentreMembers are the members of this daemon's data centre that are not dead,
+	// with this one, in no order.
+	DataCentreMembers []Member
 	// Watching means that this daemon is one of the watchers of its region,
 	// which follow changes on the platform. WatcherRank is its position among
 	// them.
--- a/core/kernel/message.go
+++ b/core/kernel/message.go
@@ -128,6 +128,13 @@
 	Released  bool
 }
 
+// AddedTimeMeasured reports how late a timer of this daemon has fired.
+type AddedTimeMeasured struct{ Late time.Duration }
+
+// WithdrawalClaimed reports the order of this daemon's claim to withdraw from callers, or
+// 0 if it has none.
+type WithdrawalClaimed struct{ Order uint64 }
+
 func (Started) message()           {}
 func (Ticked) message()            {}
 func (RecordsMerged) message()     {}
@@ -148,3 +155,5 @@
 func (SuspectCompleted) message()  {}
 func (ClaimRequested) message()    {}
 func (ClaimClosed) message()       {}
+func (AddedTimeMeasured) message() {}
+func (WithdrawalClaimed) message() {}
--- a/core/kernel/view.go
+++ b/core/kernel/view.go
@@ -71,8 +71,11 @@
 	Leaving         bool        `json:"leaving,omitempty"`
 	// PlatformLost means that the daemon was to watch the platform and does not
 	// reach it.
-	PlatformLost bool   `json:"platformLost,omitempty"`
-	Target       Target `json:"target"`
+	PlatformLost bool `json:"platformLost,omitempty"`
+	// WithdrawalOrder is the order of the daemon's claim to withdraw from callers, or 0
+	// if it has none. See package withdraw.
+	WithdrawalOrder uint64 `json:"withdrawalOrder,omitempty"`
+	Target          Target `json:"target"`
 }
 
 // WithState returns a copy of the member with the given state.
@@ -81,12 +84,30 @@
 	return member
 }
 
+// WithClaim returns a copy of the member with a claim to withdraw from callers.
+func (member Member) WithClaim(order uint64) Member {
+	member.WithdrawalOrder = order
+	return member
+}
+
 // Serves reports whether the member has a target that accepts new requests.
 func (member Member) Serves() bool {
 	return member.Target.Service != "" && member.Target.State == TargetServing &&
 		member.State != MemberDead && !member.Leaving
 }
 
+// Withdrawal describes whether this daemon has withdrawn from callers. Since and Until,
+// its latest end, are zero if it has not. Reason says why it has withdrawn or returned.
+type Withdrawal struct {
+	Since  time.Time
+	Until  time.Time
+	Reason string
+}
+
+// InForce reports whether the daemon is withdrawn. The end is compared with the time here
+// as well, since a daemon that is slow may end a withdrawal late.
+func (withdrawal Withdrawal) InForce(at time.Time) bool { return at.Before(withdrawal.Until) }
+
 // Config is a configuration object that is in force. WrittenAt is when its
 // author wrote it, and ReceivedAt is when this daemon received it. Their JSON names
 // are kept for operators' tools.
@@ -130,6 +151,8 @@
 	// EvacuationsUnknown is set, the daemon is not ready.
 	Evacuated          []string
 	EvacuationsUnknown bool
+	// Withdrawal says whether this daemon has withdrawn from callers.
+	Withdrawal Withdrawal
 	// Watching means that this daemon is one of the watchers of its region.
 	Watching bool
 	// Routes is the operators' route table. It is nil where the request's host
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -70,10 +70,13 @@
 	lastFailure    map[string]time.Time
 	lastContact    time.Time
 	membersChanged bool
-	lastCleanup    time.Time
-	coordinators   [][]string
-	neighbours     []kernel.Neighbour
-	watching       bool
+	// claimsChanged is set if a record differs only in the claim to withdraw from callers,
+	// which changes nothing else that is derived from the members.
+	claimsChanged bool
+	lastCleanup   time.Time
+	coordinators  [][]string
+	neighbours    []kernel.Neighbour
+	watching      bool
 	// platformLostAt is when this daemon last reported that it does not reach the
 	// platform.
 	platformLostAt time.Time
@@ -133,6 +136,9 @@
 		return plugin.updateTarget(kernel.Target{}, "")
 	case kernel.DrainRequested:
 		return plugin.requestDrain(state, message.Leaving)
+	case kernel.WithdrawalClaimed:
+		plugin.self = plugin.self.WithClaim(message.Order)
+		return plugin.publishSelf()
 	case kernel.StopRequested:
 		return plugin.stop(event.At)
 	}
@@ -194,8 +200,13 @@
 		if json.Unmarshal(replica.Body, &update) != nil {
 			continue
 		}
-		plugin.membersChanged = true
-		if tracked := plugin.members[update.ID]; tracked.member.State == kernel.MemberSuspect && update.State == kernel.MemberAlive {
+		tracked := plugin.members[update.ID]
+		if isClaim := tracked.member.WithClaim(update.WithdrawalOrder) == plugin.departures.apply(update.Member); isClaim {
+			plugin.claimsChanged = true
+		} else {
+			plugin.membersChanged = true
+		}
+		if tracked.member.State == kernel.MemberSuspect && update.State == kernel.MemberAlive {
 			// The member has refuted the suspicion, so it must fail again
 			// before it becomes suspect again.
 			delete(plugin.failures, update.ID)
@@ -306,10 +317,13 @@
 	effects = append(effects, plugin.joinAfterTimeout(state, event.At)...)
 	effects = append(effects, plugin.reportPlatformLoss(state, event.At)...)
 	plugin.removeExpired(state, event.At)
+	if plugin.membersChanged || plugin.claimsChanged {
+		state.DataCentreMembers = plugin.dataCentreMembers()
+	}
 	if plugin.membersChanged {
-		plugin.membersChanged = false
 		plugin.rebuildTopology(state)
 	}
+	plugin.membersChanged, plugin.claimsChanged = false, false
 	return effects
 }
 
@@ -386,6 +400,18 @@
 	state.ViewDirty = true
 }
 
+// dataCentreMembers returns the members of the data centre of this daemon that are not dead.
+func (plugin *plugin) dataCentreMembers() []kernel.Member {
+	var members []kernel.Member
+	for _, tracked := range plugin.members {
+		member := tracked.member
+		if member.Region == plugin.self.Region && member.DataCentre == plugin.self.DataCentre && member.State != kernel.MemberDead {
+			members = append(members, member)
+		}
+	}
+	return members
+}
+
 func (plugin *plugin) rebuildCoordinators(state *kernel.State, live []kernel.Member) {
 	state.ClaimCoordinators = chooseCoordinators(state.Settings, live)
 	plugin.coordinators = state.ClaimCoordinators
--- a/daemon/callers.go
+++ b/daemon/callers.go
@@ -53,10 +53,10 @@
 const discoveryTime = 3 * time.Second
 
 // acceptsCallers reports whether the daemon is ready for callers: it has a
-// configuration, is not leaving, and knows a serving target for every service
+// configuration, is not leaving, has not withdrawn from them, and knows a serving target for every service
 // in the route table or has waited for discoveryTime.
 func (daemon *Daemon) acceptsCallers(view *kernel.View) bool {
-	if !view.Ready || daemon.leaving.Load() {
+	if !view.Ready || daemon.leaving.Load() || view.Withdrawal.InForce(time.Now()) {
 		return false
 	}
 	if view.Routes == nil || time.Since(daemon.startedAt) > discoveryTime {
--- a/daemon/changes.go
+++ b/daemon/changes.go
@@ -35,6 +35,7 @@
 	if !slices.Equal(before.Evacuated, now.Evacuated) {
 		log.Info("evacuations changed", "dataCentres", now.Evacuated, "was", before.Evacuated)
 	}
+	logWithdrawal(log, before.Withdrawal, now.Withdrawal)
 	if before.Watching != now.Watching {
 		log.Info("watcher changed", "watching", now.Watching)
 	}
@@ -49,6 +50,17 @@
 	}
 }
 
+// logWithdrawal logs that this daemon has withdrawn from callers or has returned, and why.
+func logWithdrawal(log *slog.Logger, before, now kernel.Withdrawal) {
+	switch {
+	case before.Since.Equal(now.Since):
+	case now.Since.IsZero():
+		log.Info("accepts callers again", "reason", now.Reason, "since", before.Since)
+	default:
+		log.Warn("withdrawn from callers", "reason", now.Reason, "until", now.Until)
+	}
+}
+
 func logRoutes(log *slog.Logger, before, now *kernel.View) {
 	old := uint64(0)
 	if before.Routes != nil {
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -47,6 +47,7 @@
 	_ "ibislift/core/once"
 	_ "ibislift/core/rollout"
 	_ "ibislift/core/spread"
+	_ "ibislift/core/withdraw"
 )
 
 // Error is the class of all errors of this package.
@@ -114,8 +115,10 @@
 	callerServer    *http1.Server
 	// leaving reports whether the daemon is stopping, and measuring whether
 	// measureUpstream is running.
-	leaving     atomic.Bool
-	measuring   atomic.Bool
+	leaving   atomic.Bool
+	measuring atomic.Bool
+	// addedTime is how late the last measured timer fired, in nanoseconds.
+	addedTime   atomic.Int64
 	serveErrors chan error
 	// liveSettings are the settings in force, which Reload may change.
 	liveSettings atomic.Pointer[Settings]
@@ -141,6 +144,9 @@
 	go daemon.control.run(background)
 	go daemon.gate.Run(background)
 	go daemon.runHousekeeping(background)
+	if daemon.Settings.WithdrawAfter > 0 {
+		go daemon.measureAddedTime(background)
+	}
 	if daemon.quotas != nil {
 		go daemon.quotas.Run(background)
 	}
--- a/daemon/flags.go
+++ b/daemon/flags.go
@@ -50,6 +50,8 @@
 		Default("30s").DurationVar(&settings.DrainTimeout)
 	command.Flag("service", "Service of the local upstream, if it is known beforehand.").StringVar(&settings.Service)
 	command.Flag("ready-address", "IP:port for readiness checks.").StringVar(&settings.ReadyAddress)
+	command.Flag("withdraw-after", "How long the daemon must have been slow itself before it fails its readiness checks for some seconds; 0 means that it never does.").
+		Default("0s").DurationVar(&settings.WithdrawAfter)
 	command.Flag("route-object", "Platform object KIND/NAME that holds the route table; without it a request's host selects its service.").
 		StringVar(&settings.RouteObject)
 	command.Flag("evacuation-prefix", "KIND/ of the platform objects that evacuate the data centres that they are named after; without it there are none.").
--- a/daemon/gauges.go
+++ b/daemon/gauges.go
@@ -42,6 +42,7 @@
 			"ibislift.evacuated.data.centres", "Data centres whose targets get nothing, as known here.",
 			func() int64 { return int64(len(daemon.control.view.Load().Evacuated)) },
 		},
+		{"ibislift.withdrawn", "Whether this daemon has withdrawn from callers: 1 if it has, otherwise 0.", daemon.withdrawnGauge},
 		{
 			"ibislift.probes.allowed", "Probes a minute that the measuring budget leaves this daemon.",
 			func() int64 { return probesPerMinute(daemon.control.view.Load().ProbeInterval) },
@@ -52,6 +53,8 @@
 	group.Add(daemon.meter.AddFloatGauge("ibislift.gate.rate.limit", "Requests a second that the upstream beside takes; -1 without a limit.", daemon.rateLimit))
 	group.Add(daemon.meter.AddFloatGauge("ibislift.gate.warmup.left.seconds", "How much longer the upstream beside is cold; 0 while it is warm.",
 		func() float64 { return daemon.gate.Load().WarmupLeft.Seconds() }))
+	group.Add(daemon.meter.AddFloatGauge("ibislift.timer.lateness.seconds", "How late the last measured timer of this daemon fired; 0 if it does not measure.",
+		func() float64 { return time.Duration(daemon.addedTime.Load()).Seconds() }))
 	if daemon.DroppedLogLines != nil {
 		group.Add(daemon.meter.AddCounter("ibislift.log.dropped", "Log lines left out.",
 			func() int64 { return int64(daemon.DroppedLogLines()) }))
@@ -101,6 +104,13 @@
 	return int64(time.Since(since).Seconds())
 }
 
+func (daemon *Daemon) withdrawnGauge() int64 {
+	if daemon.control.view.Load().Withdrawal.InForce(time.Now()) {
+		return 1
+	}
+	return 0
+}
+
 func probesPerMinute(interval time.Duration) int64 {
 	if interval <= 0 {
 		return 0
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -65,6 +65,10 @@
 	// ReadyAddress is where the daemon serves readiness checks. If it is
 	// empty, it serves none.
 	ReadyAddress string
+	// WithdrawAfter is how long the daemon must have added too much time to the requests
+	// of callers before it withdraws from them: its readiness check fails for some
+	// seconds, unless that of its neighbours does already. With 0 it never withdraws.
+	WithdrawAfter time.Duration
 	// RouteObject is the KIND/NAME of the platform object that holds the
 	// operators' route table. If it is empty, the host of a request selects its
 	// service.
@@ -172,6 +176,12 @@
 			add("ready-address", "%s", reason)
 		}
 	}
+	if settings.WithdrawAfter < 0 || settings.WithdrawAfter > maxWithdrawAfter {
+		add("withdraw-after", "%s is not in the range 0 to %s", settings.WithdrawAfter, maxWithdrawAfter)
+	}
+	if settings.WithdrawAfter > 0 && settings.ReadyAddress == "" {
+		add("withdraw-after", "needs a ready address, through which callers learn that the daemon has withdrawn")
+	}
 	if settings.RouteObject != "" && !strings.Contains(settings.RouteObject, "/") {
 		add("route-object", "%q is not KIND/NAME", settings.RouteObject)
 	}
@@ -229,6 +239,10 @@
 	return settingErrors
 }
 
+// maxWithdrawAfter is the upper bound of WithdrawAfter. Callers that have waited for longer
+// would not be helped by a withdrawal of a few seconds.
+const maxWithdrawAfter = 10 * time.Second
+
 func validateAddress(address string) string {
 	host, port, err := net.SplitHostPort(address)
 	if err != nil {
@@ -265,6 +279,7 @@
 		NoProfiles:      settings.Keyless,
 
 		EvacuationPrefix: settings.EvacuationPrefix,
+		WithdrawAfter:    settings.WithdrawAfter,
 	}
 }
 
--- a/daemon/settings_test.go
+++ b/daemon/settings_test.go
@@ -47,6 +47,17 @@
 		is.NoErr(err)
 		is.Equal(settings.PeerAddress, "10.0.0.1:1")
 	})
+	t.Run("a withdrawal needs a ready address and a time that helps callers", func(t *testing.T) {
+		is := is.New(t)
+		for _, arguments := range [][]string{{"--withdraw-after", "300ms"}, {"--withdraw-after=-1s"}, {"--withdraw-after", "1m", "--ready-address", "127.0.0.1:8005"}} {
+			_, err := parse(t, append(arguments, named...)...)
+			is.True(err != nil)
+			is.True(strings.Contains(err.Error(), "--withdraw-after:"))
+		}
+		settings, err := parse(t, append(named, "--withdraw-after", "300ms", "--ready-address", "127.0.0.1:8005")...)
+		is.NoErr(err)
+		is.Equal(settings.WithdrawAfter, 300*time.Millisecond)
+	})
 	t.Run("links", func(t *testing.T) {
 		settings, err := parse(t, append(named, "--link", "west=30ms,0.5", "--link", "north=10ms")...)
 		is := is.New(t)
--- a/io/caller/record.go
+++ b/io/caller/record.go
@@ -175,6 +175,9 @@
 // recordEvent adds an event to the record.
 func (exchange *exchange) recordEvent(event call.Event) {
 	name, detail := describeEvent(event)
+	if withdrawal := exchange.view.Withdrawal; event == (call.RequestArrived{}) && withdrawal.InForce(exchange.arrived) {
+		detail = "withdrawn from callers: " + withdrawal.Reason
+	}
 	exchange.addStep(Step{Event: name, Detail: detail})
 }
 
--- a/io/logs/fields.go
+++ b/io/logs/fields.go
@@ -41,7 +41,7 @@
 	"reading":     "whether the header of a request is being read",
 
 	// At the gate.
-	"reason":     "why the request was refused",
+	"reason":     "why the request was refused, or why the daemon has withdrawn from callers or returned",
 	"retryAfter": "when the request may be sent again",
 	"reached":    "whether the upstream itself refused the request; if not, the gate did",
 	"running":    "number of requests that hold a slot",
@@ -64,6 +64,7 @@
 	"leaving":     "whether the daemon is stopping",
 	"uptime":      "time since the daemon started",
 	"since":       "when the current state began",
+	"until":       "when the current state ends at the latest",
 	"lostAt":      "when the connection to the platform was lost",
 	"evacuated":   "whether the data centre of the target is evacuated",
 	"dataCentres": "data centres whose targets get nothing",
--- a/io/operator/status.go
+++ b/io/operator/status.go
@@ -25,6 +25,7 @@
 	PlatformDownSince *time.Time            `json:"platformDown,omitempty"`
 	PlatformCalls     PlatformCalls         `json:"platformCalls"`
 	RecordsDigest     string                `json:"root"`
+	Withdrawal        *Withdrawal           `json:"withdrawal,omitempty"`
 	ProbeInterval     string                `json:"probeGap"`
 	Load              admit.Load            `json:"load"`
 	ClaimCoordinators [][]string            `json:"clerks"`
@@ -33,6 +34,15 @@
 	Versions          []VersionStatus       `json:"versions"`
 }
 
+// Withdrawal describes a withdrawal of the daemon from callers. After its end, it has only
+// the reason why the daemon accepts callers again.
+type Withdrawal struct {
+	Withdrawn bool       `json:"withdrawn"`
+	Since     *time.Time `json:"since,omitempty"`
+	Until     *time.Time `json:"until,omitempty"`
+	Reason    string     `json:"reason"`
+}
+
 // PlatformCalls counts the calls to the platform that the daemon has made since
 // its start.
 type PlatformCalls struct {
@@ -82,9 +92,22 @@
 	if !view.PlatformDownSince.IsZero() {
 		status.PlatformDownSince = &view.PlatformDownSince
 	}
+	status.Withdrawal = withdrawalStatus(view.Withdrawal)
 	return ctx.JSON(http.StatusOK, status)
 }
 
+// withdrawalStatus returns nil if the daemon has never withdrawn.
+func withdrawalStatus(withdrawal kernel.Withdrawal) *Withdrawal {
+	switch {
+	case withdrawal.Reason == "":
+		return nil
+	case withdrawal.Since.IsZero():
+		return &Withdrawal{Reason: withdrawal.Reason}
+	default:
+		return &Withdrawal{Withdrawn: true, Since: &withdrawal.Since, Until: &withdrawal.Until, Reason: withdrawal.Reason}
+	}
+}
+
 func regionStatuses(view *kernel.View) []RegionStatus {
 	indexes := map[string]int{}
 	regions := []RegionStatus{}
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -25,6 +25,7 @@
 	_ "ibislift/core/profile"
 	_ "ibislift/core/route"
 	_ "ibislift/core/spread"
+	_ "ibislift/core/withdraw"
 )
 
 // peerTimeout is the time after which a call to a peer without a reply fails.
--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -538,4 +538,20 @@
   'return max(unreachablePause, quota.StartedAt+voteLease+borrowInterval-quota.now)' 'return unreachablePause' ./core/quota
 mutant "the header of the remaining warm-up is read in seconds" platform/headers.go \
   'dialect.WarmupHeader(headerWarmup, time.Millisecond)' 'dialect.WarmupHeader(headerWarmup, time.Second)' ./platform
+mutant "a daemon withdraws before it can know earlier claims" core/withdraw/withdraw.go \
+  'return SettleTime + settleFactor*decision.meanLate()' 'return 0' ./core/withdraw
+mutant "daemons withdraw although most of the data centre is slow" core/withdraw/withdraw.go \
+  'return 2*centre.claims > centre.available' 'return false' ./core/withdraw
+mutant "more than a quarter of a data centre withdraws" core/withdraw/withdraw.go \
+  'centre.ahead < centre.maxWithdrawn() &&' 'true &&' ./core/withdraw
+mutant "a daemon is withdrawn for more than an eighth of the time" core/withdraw/withdraw.go \
+  'decision.budget -= length + CheckInterval' 'decision.budget -= CheckInterval' ./core/withdraw
+mutant "a daemon that was frozen counts as slow" core/withdraw/withdraw.go \
+  'minLateSamples = 3' 'minLateSamples = 1' ./core/withdraw
+mutant "a daemon that reaches nobody stays withdrawn" core/withdraw/withdraw.go \
+  'case !connected:' 'case false:' ./core/withdraw
+mutant "claims do not reach the decision" core/member/member.go \
+  'if plugin.membersChanged || plugin.claimsChanged {' 'if plugin.membersChanged {' ./core/withdraw
+mutant "a slow control goroutine keeps callers away" core/kernel/view.go \
+  'return at.Before(withdrawal.Until)' 'return !withdrawal.Until.IsZero()' ./daemon -run Readiness
 exit $living
