core/withdraw, daemon, standin/play: fewer samples; what callers gain

Cause: a daemon sent every sample to its kernel, and a claim outlived the slow period that it was made for: of four daemons on a noisy machine, one withdrew after three late timers (281 ms) although it had recovered since its claim.

Change: the kernel gets late samples and the three that end a slow period.

Still off by default.

--- a/core/withdraw/withdraw.go
+++ b/core/withdraw/withdraw.go
@@ -32,13 +32,15 @@
 // objective of the fastest class, which is 200 ms.
 const MaxAddedTime = 20 * time.Millisecond
 
+// SamplesToRecover is the number of consecutive samples in time that end a slow period. Those
+// after them need not be recorded until one is late.
+const SamplesToRecover = 3
+
 // Limits for recognizing a slow daemon.
 const (
 	// minLateSamples is the number of late samples of a slow daemon. A daemon that was
 	// frozen has one.
 	minLateSamples = 3
-	// samplesToRecover is the number of consecutive samples in time that end a slow period.
-	samplesToRecover = 3
 	// quietTime is how long after a slow period a daemon counts as recovered.
 	quietTime = time.Second
 )
@@ -120,7 +122,7 @@
 func (decision *Decision) RecordAddedTime(at time.Time, late time.Duration) {
 	if late < MaxAddedTime {
 		decision.punctual++
-		if decision.punctual >= samplesToRecover {
+		if decision.punctual >= SamplesToRecover {
 			decision.slowSince, decision.lateCount, decision.lateSum = time.Time{}, 0, 0
 		}
 		return
@@ -148,6 +150,14 @@
 	return SettleTime + settleFactor*decision.meanLate()
 }
 
+// slowFor returns how long the slow period has lasted until its last late sample.
+func (decision *Decision) slowFor() time.Duration { return decision.slowAt.Sub(decision.slowSince) }
+
+// isSlowForLong reports whether the daemon has been slow for After.
+func (decision *Decision) isSlowForLong() bool {
+	return decision.isSlow() && decision.slowFor() >= decision.After
+}
+
 func (decision *Decision) isQuiet(at time.Time) bool {
 	return !decision.isSlow() && at.Sub(decision.slowAt) >= quietTime
 }
@@ -232,7 +242,7 @@
 func (centre centre) isOverloaded() bool { return 2*centre.claims > centre.available }
 
 func (decision *Decision) mayClaim(at time.Time, centre centre, connected bool) bool {
-	return decision.isSlow() && at.Sub(decision.slowSince) >= decision.After && connected &&
+	return decision.isSlowForLong() && connected &&
 		!at.Before(decision.pauseEnd) && decision.hasBudget() && centre.maxWithdrawn() > 0 && !centre.isOverloaded()
 }
 
@@ -246,12 +256,12 @@
 		decision.endClaim(at)
 	case centre.isOverloaded():
 		decision.claimedAt = at
-	case decision.isSlow() && at.Sub(decision.claimedAt) >= decision.settleTime() && centre.ahead < centre.maxWithdrawn() && decision.hasBudget():
+	case decision.isSlowForLong() && at.Sub(decision.claimedAt) >= decision.settleTime() && centre.ahead < centre.maxWithdrawn() && decision.hasBudget():
 		length := min(MaxWithdrawal, decision.budget-CheckInterval)
 		decision.budget -= length + CheckInterval
 		decision.withdrawnAt, decision.until = at, at.Add(length)
 		decision.reason = fmt.Sprintf("timers have fired late by a mean of %s for %s, and %d of %d daemons of the data centre are slow",
-			decision.meanLate().Round(time.Millisecond), at.Sub(decision.slowSince).Round(time.Millisecond),
+			decision.meanLate().Round(time.Millisecond), decision.slowFor().Round(time.Millisecond),
 			centre.claims, centre.available)
 	}
 }
--- a/core/withdraw/withdraw_test.go
+++ b/core/withdraw/withdraw_test.go
@@ -141,6 +141,23 @@
 	}
 }
 
+// A daemon that has recovered since its claim needs no withdrawal, even if one timer is late
+// again.
+func TestNewSlowPeriodAfterAClaim(t *testing.T) {
+	harness := newHarness(budgetTime)
+	harness.late = 60 * time.Millisecond
+	harness.run(500 * time.Millisecond)
+	is := is.New(t)
+	is.True(harness.claimed)
+	for range 5 {
+		harness.late = 0
+		harness.run(300 * time.Millisecond)
+		harness.late = 21 * time.Millisecond
+		harness.run(250 * time.Millisecond)
+		is.True(!harness.isWithdrawn())
+	}
+}
+
 func TestWithdrawalEnds(t *testing.T) {
 	withdrawnHarness := func(t *testing.T, uptime time.Duration) *harness {
 		t.Helper()
--- a/daemon/addedtime.go
+++ b/daemon/addedtime.go
@@ -8,14 +8,15 @@
 	"ibislift/core/withdraw"
 )
 
-// measureAddedTime measures how late the timers of this process fire and passes it to the
-// kernel, until the context ends. A process that gets too little processor time handles the
-// steps of a request as late. It measures 20 times a second, whether or not requests
-// arrive, and costs one wake-up each time.
+// measureAddedTime measures how late the timers of this process fire, until the context ends.
+// A process that gets too little processor time handles the steps of a request as late. It
+// measures 20 times a second, whether or not requests arrive, and costs one wake-up each
+// time.
 func (daemon *Daemon) measureAddedTime(ctx context.Context) {
 	timer := time.NewTimer(withdraw.SampleInterval)
 	defer timer.Stop()
 	due := time.Now().Add(withdraw.SampleInterval)
+	sampler := addedTimeSampler{}
 	for {
 		select {
 		case <-ctx.Done():
@@ -23,9 +24,28 @@
 		case <-timer.C:
 			late := max(0, time.Since(due))
 			daemon.addedTime.Store(int64(late))
-			daemon.control.send(kernel.AddedTimeMeasured{Late: late})
+			if sampler.isNeeded(late) {
+				daemon.control.send(kernel.AddedTimeMeasured{Late: late})
+			}
 			due = time.Now().Add(withdraw.SampleInterval)
 			timer.Reset(withdraw.SampleInterval)
 		}
 	}
 }
+
+// addedTimeSampler selects the samples that the kernel needs: those that are late, and the
+// next ones that end a slow period. A daemon whose timers fire in time sends it none.
+type addedTimeSampler struct{ left int }
+
+// isNeeded reports whether the kernel needs the next sample.
+func (sampler *addedTimeSampler) isNeeded(late time.Duration) bool {
+	if late >= withdraw.MaxAddedTime {
+		sampler.left = withdraw.SamplesToRecover
+		return true
+	}
+	if sampler.left == 0 {
+		return false
+	}
+	sampler.left--
+	return true
+}
--- a/standin/play/caller.go
+++ b/standin/play/caller.go
@@ -150,12 +150,12 @@
 	ingress := simulation.drawIngress(zone)
 	remaining := milliseconds(request.class.Deadline) - simulation.clock.now.Sub(request.startedAt)
 	latency := milliseconds(simulation.scenario.Links.Caller)
-	simulation.clock.runAfter(latency, func() {
+	simulation.clock.runAfter(latency+ingress.addedTime, func() {
 		if request.finished {
 			return
 		}
 		request.current = simulation.startExchange(ingress, request.class, request.workspace, remaining, func(response response) {
-			simulation.clock.runAfter(latency, func() { request.runInOrder(func() { request.receive(response) }) })
+			simulation.clock.runAfter(ingress.addedTime+latency, func() { request.runInOrder(func() { request.receive(response) }) })
 		})
 	})
 }
@@ -252,7 +252,8 @@
 	return zone
 }
 
-// drawIngress draws a daemon of the zone, or any daemon if the zone has none.
+// drawIngress draws a daemon of the zone that is in service, or any daemon if the zone has
+// none.
 func (simulation *simulation) drawIngress(zone *Zone) *daemon {
 	var candidates []*daemon
 	for _, daemon := range simulation.daemons {
@@ -263,5 +264,6 @@
 	if len(candidates) == 0 {
 		candidates = simulation.daemons
 	}
+	candidates = inService(candidates)
 	return candidates[simulation.modelRandom.IntN(len(candidates))]
 }
--- a/standin/play/daemon.go
+++ b/standin/play/daemon.go
@@ -36,6 +36,11 @@
 	budgets      map[string]*call.Budget
 	routePolicy  route.Policy
 	ageEstimator pick.AgeEstimator
+
+	// addedTime is how late the daemon handles each step of a request: the request of a
+	// caller, an attempt at its gate, and the responses on the way back.
+	addedTime time.Duration
+	readiness readiness
 }
 
 // subscriber is an ingress that receives load reports.
@@ -176,7 +181,8 @@
 	}
 	attempt := arrival.attempt
 	load := daemon.gate.LoadForClass(daemon.simulation.clock.now, attempt.exchange.class.Name)
-	daemon.simulation.clock.runAfter(daemon.simulation.latency(daemon, attempt.exchange.ingress), func() { attempt.receive(event(attempt), load) })
+	latency := daemon.addedTime + daemon.simulation.latency(daemon, attempt.exchange.ingress)
+	daemon.simulation.clock.runAfter(latency, func() { attempt.receive(event(attempt), load) })
 }
 
 func (daemon *daemon) replyRefused(id uint64, reason admit.Reason, retryAfter time.Duration, reached bool) {
--- a/standin/play/exchange.go
+++ b/standin/play/exchange.go
@@ -159,7 +159,7 @@
 	if send.Attempt > 0 {
 		simulation.tally(exchange.class).ExtraAttempts++
 	}
-	simulation.clock.runAfter(simulation.latency(exchange.ingress, attempt.daemon), func() {
+	simulation.clock.runAfter(simulation.latency(exchange.ingress, attempt.daemon)+attempt.daemon.addedTime, func() {
 		if !attempt.ended {
 			attempt.daemon.arrive(attempt)
 		}
--- a/standin/play/fault.go
+++ b/standin/play/fault.go
@@ -71,6 +71,15 @@
 		return changeFactor(func(upstream *upstreamModel, factor float64) { upstream.slowFactor = factor }, 1)
 	case "failing":
 		return changeFactor(func(upstream *upstreamModel, factor float64) { upstream.failureRate = factor }, 0)
+	case "slowDaemon":
+		for _, daemon := range affected {
+			daemon.addedTime = milliseconds(fault.Factor)
+		}
+		return func() {
+			for _, daemon := range affected {
+				daemon.addedTime = 0
+			}
+		}
 	case "shedding":
 		return changeFactor(func(upstream *upstreamModel, factor float64) { upstream.refusalRate = factor }, 0)
 	case "hanging":
--- a/standin/play/policy.go
+++ b/standin/play/policy.go
@@ -35,6 +35,9 @@
 	MaxSlownessAge time.Duration
 	// QueueOrder is the order of the gates. Empty means that of the product.
 	QueueOrder admit.Order
+	// WithdrawAfter is how long a daemon must have been slow itself before it withdraws from
+	// callers. With 0 it never does.
+	WithdrawAfter time.Duration
 	// ExactLoad gives each ingress the current load of every gate, which no real
 	// system can do. Losses that remain are due to a lack of capacity.
 	ExactLoad bool
@@ -43,6 +46,10 @@
 // maxSlownessAge is the value that the adapter to the users' platform sets.
 const maxSlownessAge = 100 * time.Millisecond
 
+// withdrawAfter is long enough for three late samples of a daemon that is little slower than
+// the bound.
+const withdrawAfter = 300 * time.Millisecond
+
 // Current is the name of the policy of the product.
 const Current = "now"
 
@@ -56,6 +63,7 @@
 	"withoutComeback":  {RoutePolicy: route.LeastTime, UseObjectives: true, UseGates: true, QueueBound: 64, Retries: true, Reports: true, MaxSlownessAge: maxSlownessAge},
 	"withoutRetries":   {RoutePolicy: route.LeastTime, UseObjectives: true, UseGates: true, QueueBound: 64, EstimateRetryAfter: true, Reports: true, MaxSlownessAge: maxSlownessAge},
 	"byObjective":      {RoutePolicy: route.LeastTime, UseObjectives: true, UseGates: true, QueueBound: 64, Retries: true, EstimateRetryAfter: true, Reports: true, MaxSlownessAge: maxSlownessAge, QueueOrder: admit.OrderObjective},
+	"withdrawal":       {RoutePolicy: route.LeastTime, UseObjectives: true, UseGates: true, QueueBound: 64, Retries: true, EstimateRetryAfter: true, Reports: true, MaxSlownessAge: maxSlownessAge, WithdrawAfter: withdrawAfter},
 	"adaptive":         {RoutePolicy: "adaptive", UseGates: true, QueueBound: 64, Retries: true},
 	"roundRobin":       {RoutePolicy: "roundRobin"},
 	"random":           {RoutePolicy: "random"},
--- a/standin/play/scenario.go
+++ b/standin/play/scenario.go
@@ -187,6 +187,7 @@
 	"crash":        "a share of the targets is down, and slow after its restart while it is cold",
 	"limited":      "a share of the targets names a limit of factor requests a second in its responses",
 	"lyingHealth":  "a share of the targets passes health checks but fails all requests at once",
+	"slowDaemon":   "a share of the daemons handles each step of a request factor milliseconds late, and their timers fire as late",
 	"staleReports": "gates send no load reports",
 }
 
--- a/standin/play/simulation.go
+++ b/standin/play/simulation.go
@@ -82,6 +82,7 @@
 		simulation.report.Workspaces = append(simulation.report.Workspaces, &workspace.tally)
 	}
 	simulation.build()
+	simulation.watchReadiness()
 	for index := range scenario.Zones {
 		simulation.scheduleRequests(&scenario.Zones[index])
 	}
@@ -188,7 +189,7 @@
 	remaining := min(milliseconds(class.Deadline), deadline.Sub(startedAt))
 	tally := simulation.tally(class)
 	tally.Offered++
-	simulation.startExchange(daemon, class, nil, remaining, func(response response) {
+	finish := func(response response) {
 		elapsed := simulation.clock.now.Sub(startedAt)
 		switch {
 		case response.succeeded:
@@ -199,5 +200,10 @@
 			tally.Failed++
 		}
 		onFinish(response.succeeded)
+	}
+	daemon.afterAddedTime(func() {
+		simulation.startExchange(daemon, class, nil, remaining, func(response response) {
+			daemon.afterAddedTime(func() { finish(response) })
+		})
 	})
 }
--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -552,6 +552,12 @@
   'case !connected:' 'case false:' ./core/withdraw
 mutant "claims do not reach the decision" core/member/member.go \
   'if plugin.membersChanged || plugin.claimsChanged {' 'if plugin.membersChanged {' ./core/withdraw
+mutant "a daemon that has recovered since its claim withdraws" core/withdraw/withdraw.go \
+  'case decision.isSlowForLong() &&' 'case decision.isSlow() &&' ./core/withdraw
+mutant "the kernel does not hear of the end of a slow period" daemon/addedtime.go \
+  'sampler.left = withdraw.SamplesToRecover' 'sampler.left = 0' ./daemon -run Samples
+mutant "callers use a withdrawn daemon" standin/play/caller.go \
+  'candidates = inService(candidates)' '' ./standin/play -run Withdraw
 mutant "a slow control goroutine keeps callers away" core/kernel/view.go \
   'return at.Before(withdrawal.Until)' 'return !withdrawal.Until.IsZero()' ./daemon -run Readiness
 exit $living
