--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -558,6 +558,8 @@
   'sampler.left = withdraw.SamplesToRecover' 'sampler.left = 0' ./daemon -run Samples
 mutant "callers use a withdrawn daemon" standin/play/caller.go \
   'candidates = inService(candidates)' '' ./standin/play -run Withdraw
+mutant "explain does not say that the daemon had withdrawn" io/caller/record.go \
+  'detail = "withdrawn from callers: " + withdrawal.Reason' '_ = withdrawal' ./io/caller -run Withdrawn
 mutant "a slow control goroutine keeps callers away" core/kernel/view.go \
   'return at.Before(withdrawal.Until)' 'return !withdrawal.Until.IsZero()' ./daemon -run Readiness
 exit $living
