core/withdraw: random courses keep the bound; the eighth is checked exactly

Cause: the fleet test made daemons slow in two patterns only, and the property of the time withdrawn allowed a second more than the rule.

Change: ten random courses in which daemons become slow by 20 to 270 ms and recover; the property without the second.

Conclusion: no change of the decision is needed.

--- a/core/withdraw/fleet_test.go
+++ b/core/withdraw/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
@@ -138,6 +139,30 @@
 	})
 }
 
+// Daemons become slow and recover at random, with timers that are late by 20 to 270 ms.
+func TestAQuarterWithdrawsInARandomCourse(t *testing.T) {
+	for seed := range uint64(10) {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			random := rand.New(rand.NewPCG(seed, 9))
+			size := 4 + random.IntN(14)
+			centres := newCentres(seed, 3*size, size)
+			centres.Run(budgetTime + 8*time.Second)
+			for range 10 {
+				for _, name := range centres.names {
+					switch random.IntN(12) {
+					case 0, 1:
+						centres.late[name] = time.Duration(20+random.IntN(250)) * time.Millisecond
+					case 2, 3:
+						centres.late[name] = 0
+					}
+				}
+				centres.watch(time.Duration(200+random.IntN(1500)) * time.Millisecond)
+			}
+			checkMost(t, centres, max(1, size/4))
+		})
+	}
+}
+
 func TestWithdrawalInAFleetWithFaults(t *testing.T) {
 	t.Run("a daemon that restarts is not withdrawn", func(t *testing.T) {
 		centres := newCentres(3, 12, 6)
--- a/core/withdraw/withdraw_test.go
+++ b/core/withdraw/withdraw_test.go
@@ -233,7 +233,7 @@
 					}
 				}
 				spent := harness.withdrawn + time.Duration(withdrawals)*withdraw.CheckInterval
-				if limit := harness.now.Sub(startedAt)/8 + withdraw.CheckInterval; spent > limit {
+				if limit := harness.now.Sub(startedAt) / 8; spent > limit {
 					t.Fatalf("withdrawn for %s of %s in %d withdrawals", spent, harness.now.Sub(startedAt), withdrawals)
 				}
 				if harness.decision.Until().Sub(harness.decision.Since()) > withdraw.MaxWithdrawal {
