--- a/cmd/ibislift/explainlog_test.go
+++ b/cmd/ibislift/explainlog_test.go
@@ -61,6 +61,10 @@
 			[]string{endedLine("r", "notRun", "503", "0 arrived; 1 refused (attempt 0: queueFull, displaced, workspace uses 3.1 times its share); 1 noTargetLeft")},
 			`the last as "queueFull, displaced, workspace uses 3.1 times its share"`,
 		},
+		"received by a daemon that had withdrawn": {
+			[]string{endedLine("r", "unknown", "504", "0 arrived (withdrawn from callers: timers have fired late by a mean of 60ms for 1s, and 1 of 12 daemons of the data centre are slow); 90 deadlinePassed")},
+			"the route's timeout or the caller's deadline passed; the daemon that received it was slow itself and had withdrawn from callers",
+		},
 		"other targets evacuated": {
 			[]string{endedLine("r", "notRun", "503", "1 refused (attempt 0: evacuated); 1 excluded (1 tried: t0, 3 evacuated: t1 t2 t3); 1 noTargetLeft")},
 			`the last as "evacuated"; targets were in evacuated data centres`,
--- a/standin/play/daemon.go
+++ b/standin/play/daemon.go
@@ -37,6 +37,11 @@
 	runCalls     call.RunCalls
 	routePolicy  route.Policy
 	ageEstimator pick.AgeEstimator
+
+	// addedTime is how late the daemon handles each step of a request: the request of a
+	// caller, an attempt at its gate, and the responses on the way back.
+	addedTime time.Duration
+	readiness readiness
 }
 
 // subscriber is an ingress that receives load reports.
@@ -188,7 +193,8 @@
 	}
 	attempt := arrival.attempt
 	load := daemon.gate.LoadForClass(daemon.simulation.clock.now, attempt.exchange.class.Name)
-	daemon.simulation.clock.runAfter(daemon.simulation.latency(daemon, attempt.exchange.ingress), func() { attempt.receive(event(attempt), load) })
+	latency := daemon.addedTime + daemon.simulation.latency(daemon, attempt.exchange.ingress)
+	daemon.simulation.clock.runAfter(latency, func() { attempt.receive(event(attempt), load) })
 }
 
 func (daemon *daemon) replyRefused(id uint64, reason admit.Reason, retryAfter time.Duration, reached bool) {
--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -594,4 +594,32 @@
   'all.complete == 0 || ' '' ./cmd/soak
 mutant "the runs of a flood allow marks for the flood" io/upstream/gate.go \
   'pending != nil && pending.class != class' 'pending != nil' ./io/upstream
+mutant "a daemon withdraws before it can know earlier claims" core/withdraw/withdraw.go \
+  'return SettleTime + settleFactor*decision.meanLate()' 'return 0' ./core/withdraw
+mutant "daemons withdraw although most of the data centre is slow" core/withdraw/withdraw.go \
+  'return 2*centre.claims > centre.available' 'return false' ./core/withdraw
+mutant "daemons that may not withdraw do not count as slow" core/withdraw/withdraw.go \
+  'case decision.isSlowForLong() && connected && !at.Before(decision.pauseEnd):' 'case false:' ./core/withdraw
+mutant "a daemon that is slow in bursts holds its claim" core/withdraw/withdraw.go \
+  'at.Sub(decision.longSlowAt) >= maxBurstyTime' 'false' ./core/withdraw
+mutant "more than a quarter of a data centre withdraws" core/withdraw/withdraw.go \
+  'centre.ahead < centre.maxWithdrawn() &&' 'true &&' ./core/withdraw
+mutant "a daemon is withdrawn for more than an eighth of the time" core/withdraw/withdraw.go \
+  'decision.budget -= length + CheckInterval' 'decision.budget -= CheckInterval' ./core/withdraw
+mutant "a daemon that was frozen counts as slow" core/withdraw/withdraw.go \
+  'minLateSamples = 3' 'minLateSamples = 1' ./core/withdraw
+mutant "a daemon that reaches nobody stays withdrawn" core/withdraw/withdraw.go \
+  'case !connected:' 'case false:' ./core/withdraw
+mutant "claims do not reach the decision" core/member/member.go \
+  'if plugin.membersChanged || plugin.claimsChanged {' 'if plugin.membersChanged {' ./core/withdraw
+mutant "a daemon that has recovered since its claim withdraws" core/withdraw/withdraw.go \
+  'case decision.isSlowForLong() &&' 'case decision.isSlow() &&' ./core/withdraw
+mutant "the kernel does not hear of the end of a slow period" daemon/addedtime.go \
+  'sampler.left = withdraw.SamplesToRecover' 'sampler.left = 0' ./daemon -run Samples
+mutant "callers use a withdrawn daemon" standin/play/caller.go \
+  'candidates = inService(candidates)' '' ./standin/play -run Withdraw
+mutant "explain does not say that the daemon had withdrawn" io/caller/record.go \
+  'detail = "withdrawn from callers: " + withdrawal.Reason' '_ = withdrawal' ./io/caller -run Withdrawn
+mutant "a slow control goroutine keeps callers away" core/kernel/view.go \
+  'return at.Before(withdrawal.Until)' 'return !withdrawal.Until.IsZero()' ./daemon -run Readiness
 exit $living
