standin/play: the credit net of the price of bytes

Cause: policies that send more or fewer bytes between regions could not be compared by credit alone, since bytes have a price in the scenarios. Change: Report.NetCredit and Report.CrossRegionBytes; bin/play prints the net credit of each policy. Conclusion: decisions on which requests cross regions can be judged by what callers get minus what their bytes cost.

--- a/standin/play/report.go
+++ b/standin/play/report.go
@@ -95,6 +95,8 @@
 
 	byName  map[string]*Tally
 	seconds float64
+	// zoneBytePrice and regionBytePrice are the prices of the scenario.
+	zoneBytePrice, regionBytePrice float64
 }
 
 // StepTime is the length of one step of a report.
@@ -111,7 +113,10 @@
 }
 
 func newReport(scenario *Scenario, policy Policy) *Report {
-	report := &Report{Scenario: scenario.Name, Policy: policy.Name, byName: map[string]*Tally{}, seconds: scenario.Seconds}
+	report := &Report{
+		Scenario: scenario.Name, Policy: policy.Name, byName: map[string]*Tally{}, seconds: scenario.Seconds,
+		zoneBytePrice: scenario.ZoneBytePrice, regionBytePrice: scenario.RegionBytePrice,
+	}
 	for _, class := range scenario.Classes {
 		tally := &Tally{Class: class.Name, maxCredit: class.Value}
 		if class.Weight == 0 {
@@ -181,12 +186,39 @@
 // Credit returns the credit that callers' requests earned, as a fraction of the
 // credit for responses in time to all awaited requests.
 func (report *Report) Credit() float64 {
-	earned, awaited := 0.0, 0.0
+	earned := 0.0
 	for _, tally := range report.Classes {
 		earned += tally.Credit
+	}
+	return earned / report.maxCredit()
+}
+
+// maxCredit returns the credit for responses in time to all awaited requests.
+func (report *Report) maxCredit() float64 {
+	awaited := 0.0
+	for _, tally := range report.Classes {
 		awaited += tally.maxCredit * float64(tally.Awaited())
 	}
-	return earned / max(1, awaited)
+	return max(1, awaited)
+}
+
+// NetCredit returns the credit minus the price of the bytes between zones and regions, as
+// a fraction of the same credit. A price of 1 counts as a credit of 1.
+func (report *Report) NetCredit() float64 {
+	price := 0.0
+	for _, tally := range report.Classes {
+		price += (tally.CrossZoneBytes*report.zoneBytePrice + tally.CrossRegionBytes*report.regionBytePrice) / 1e6
+	}
+	return report.Credit() - price/report.maxCredit()
+}
+
+// CrossRegionBytes returns the bytes of bodies that were sent to another region.
+func (report *Report) CrossRegionBytes() float64 {
+	bytes := 0.0
+	for _, tally := range report.Classes {
+		bytes += tally.CrossRegionBytes
+	}
+	return bytes
 }
 
 // ServedFraction returns the fraction of callers' awaited requests that got a
@@ -227,7 +259,7 @@
 // Compare prints one line per report, with its policy.
 func Compare(out io.Writer, reports []*Report) {
 	table := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
-	fmt.Fprintln(table, "policy\tcredit\tserved\tslots in use\twasted s\textra attempts\tcaller retries\tMB between zones\tMB between regions\tprobes\tworst class")
+	fmt.Fprintln(table, "policy\tcredit\tnet of bytes\tserved\tslots in use\twasted s\textra attempts\tcaller retries\tMB between zones\tMB between regions\tprobes\tworst class")
 	for _, report := range reports {
 		var wasted, zoneBytes, regionBytes float64
 		extraAttempts, callerRetries := 0, 0
@@ -244,7 +276,7 @@
 				}
 			}
 		}
-		fmt.Fprintf(table, "%s\t%.3f\t%.3f\t%.2f\t%.1f\t%d\t%d\t%.1f\t%.1f\t%d\t%s %.2f\n", report.Policy, report.Credit(), report.ServedFraction(),
+		fmt.Fprintf(table, "%s\t%.3f\t%.3f\t%.3f\t%.2f\t%.1f\t%d\t%d\t%.1f\t%.1f\t%d\t%s %.2f\n", report.Policy, report.Credit(), report.NetCredit(), report.ServedFraction(),
 			report.SlotUtilization(), wasted, extraAttempts, callerRetries, zoneBytes/1e6, regionBytes/1e6, report.Probes, name, worst)
 	}
 	_ = table.Flush()
