core/route: the decision which requests cross regions has its own file

Cause: which requests cross regions was decided inside the policy of the least time, and no test showed which load the decision answers. Change: crossing.go and its tests; play policies withoutPrice and ownRegion; the play test TestCrossing; two mutants, and two that moved with their lines. No decision has changed.

--- a/core/route/leasttime.go
+++ b/core/route/leasttime.go
@@ -30,7 +30,8 @@
 )
 
 // leastTime compares all candidates by the expected time for link, queue and
-// execution at the current slowness, and by the price of the bytes of both bodies.
+// execution at the current slowness, and by the price of the bytes of both bodies, which
+// crossing.go turns into a time.
 type leastTime struct{}
 
 func (leastTime) Choose(request Request, candidates []Candidate) int {
@@ -75,28 +76,6 @@
 	return time.Duration(least * float64(time.Second))
 }
 
-// worthSeconds is the delay that counts as much as the whole worth of a response:
-// the objective or, without one, the service time.
-func worthSeconds(request Request) float64 {
-	if request.Objective == 0 {
-		return request.ServiceTime.Seconds()
-	}
-	return request.Objective.Seconds()
-}
-
-// costSeconds returns the cost of a request on a candidate as a time: the expected
-// time and the price of the bytes.
-func costSeconds(request Request, candidate Candidate) float64 {
-	return expectedSeconds(request, candidate) + priceSeconds(request, candidate)
-}
-
-// priceSeconds returns the price of the request's bytes as a time. It is at most
-// what the response is worth, so that a request with a large body crosses a link
-// rather than wait for longer than its objective.
-func priceSeconds(request Request, candidate Candidate) float64 {
-	return min(1, request.Bytes*candidate.BytePrice) * worthSeconds(request)
-}
-
 // idleSeconds returns the time that a request takes on an idle target.
 func idleSeconds(request Request, candidate Candidate) float64 {
 	return 2*candidate.LinkLatency.Seconds() + request.ServiceTime.Seconds()
--- /dev/null
+++ b/standin/play/crossing_test.go
@@ -0,0 +1,77 @@
+package play_test
+
+import (
+	"os"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"ibislift/standin/play"
+)
+
+// outcome holds means over several seeds.
+type outcome struct{ credit, net, served, regionMegabytes float64 }
+
+// meanOutcome simulates a scenario under a policy with the seeds 1 to 8.
+func meanOutcome(t *testing.T, scenario *play.Scenario, policy string) outcome {
+	t.Helper()
+	const seeds = 8
+	var mean outcome
+	for seed := range seeds {
+		scenario.Seed = uint64(seed + 1)
+		report := simulate(t, scenario, policy)
+		mean.credit += report.Credit() / seeds
+		mean.net += report.NetCredit() / seeds
+		mean.served += report.ServedFraction() / seeds
+		mean.regionMegabytes += report.CrossRegionBytes() / 1e6 / seeds
+	}
+	t.Logf("%s: %+.4f", policy, mean)
+	return mean
+}
+
+// withWaves lets demand alternate between the two regions of a small scenario, so that each
+// in turn has more than its targets can take.
+func withWaves(scenario *play.Scenario) *play.Scenario {
+	for index := range scenario.Zones {
+		zone := &scenario.Zones[index]
+		zone.RequestsPerSecond, zone.Amplitude, zone.PeriodSeconds = 40, 0.55, 10
+		if zone.Region == "s" {
+			zone.Phase = 0.5
+		}
+	}
+	return scenario
+}
+
+func readScenario(t *testing.T, name string) *play.Scenario {
+	t.Helper()
+	text, err := os.ReadFile("../../scenarios/" + name + ".json")
+	is := is.New(t)
+	is.NoErr(err)
+	scenario, err := play.Parse(text)
+	is.NoErr(err)
+	return scenario
+}
+
+// TestCrossing guards against requests that stay in a region with too little capacity, and
+// against bytes between regions that are worth less to callers than they cost.
+func TestCrossing(t *testing.T) {
+	t.Run("waves: more credit net of bytes than if requests stay in their region", func(t *testing.T) {
+		current, ownRegion := meanOutcome(t, withWaves(withNoise(smallScenario())), play.Current), meanOutcome(t, withWaves(withNoise(smallScenario())), "ownRegion")
+		is.New(t).True(current.net > ownRegion.net+0.03)
+	})
+	t.Run("large responses: less than half the bytes and more credit net of them than without a price", func(t *testing.T) {
+		scenario := withWaves(withNoise(smallScenario()))
+		scenario.Classes[0].ResponseBytes = 20_000
+		current, withoutPrice, ownRegion := meanOutcome(t, scenario, play.Current), meanOutcome(t, scenario, "withoutPrice"), meanOutcome(t, scenario, "ownRegion")
+		is := is.New(t)
+		is.True(current.regionMegabytes < 0.5*withoutPrice.regionMegabytes)
+		is.True(current.net > withoutPrice.net+0.03)
+		is.True(current.credit > ownRegion.credit+0.005)
+	})
+	t.Run("cards: waves and a service with few targets", func(t *testing.T) {
+		scenario := readScenario(t, "cards-waves")
+		scenario.Seconds = 16 // one period of the waves
+		current, ownRegion := meanOutcome(t, scenario, play.Current), meanOutcome(t, scenario, "ownRegion")
+		is.New(t).True(current.net > ownRegion.net+0.01)
+	})
+}
--- a/standin/play/exchange.go
+++ b/standin/play/exchange.go
@@ -72,6 +72,9 @@
 		BodyBytes: class.RequestBytes, HasObjective: simulation.policy.UseObjectives, Objective: exchange.objective,
 		ObjectiveLength: milliseconds(class.Objective), Random: simulation.modelRandom.Uint64() | 1,
 	}
+	if simulation.policy.StayInRegion {
+		exchange.picker.Regions = []string{ingress.zone.Region}
+	}
 	budget := ingress.budget(class.Service)
 	if budget != nil {
 		budget.CountRequest()
--- a/standin/play/policy.go
+++ b/standin/play/policy.go
@@ -35,6 +35,10 @@
 	MaxSlownessAge time.Duration
 	// QueueOrder is the order of the gates. Empty means that of the product.
 	QueueOrder admit.Order
+	// IgnoreBytePrice lets daemons choose targets as if bytes had no price.
+	IgnoreBytePrice bool
+	// StayInRegion restricts requests to the region of the daemon that they arrive at.
+	StayInRegion bool
 	// ExactLoad gives each ingress the current load of every gate, which no real
 	// system can do. Losses that remain are due to a lack of capacity.
 	ExactLoad bool
@@ -56,6 +60,8 @@
 	"withoutComeback":  {RoutePolicy: route.LeastTime, UseObjectives: true, UseGates: true, QueueBound: 64, Retries: true, Reports: true, MaxSlownessAge: maxSlownessAge},
 	"withoutRetries":   {RoutePolicy: route.LeastTime, UseObjectives: true, UseGates: true, QueueBound: 64, EstimateRetryAfter: true, Reports: true, MaxSlownessAge: maxSlownessAge},
 	"byObjective":      {RoutePolicy: route.LeastTime, UseObjectives: true, UseGates: true, QueueBound: 64, Retries: true, EstimateRetryAfter: true, Reports: true, MaxSlownessAge: maxSlownessAge, QueueOrder: admit.OrderObjective},
+	"withoutPrice":     {RoutePolicy: route.LeastTime, UseObjectives: true, UseGates: true, QueueBound: 64, Retries: true, EstimateRetryAfter: true, Reports: true, MaxSlownessAge: maxSlownessAge, IgnoreBytePrice: true},
+	"ownRegion":        {RoutePolicy: route.LeastTime, UseObjectives: true, UseGates: true, QueueBound: 64, Retries: true, EstimateRetryAfter: true, Reports: true, MaxSlownessAge: maxSlownessAge, StayInRegion: true},
 	"adaptive":         {RoutePolicy: "adaptive", UseGates: true, QueueBound: 64, Retries: true},
 	"roundRobin":       {RoutePolicy: "roundRobin"},
 	"random":           {RoutePolicy: "random"},
--- a/standin/play/simulation.go
+++ b/standin/play/simulation.go
@@ -149,6 +149,14 @@
 
 // linkTo returns the assumed latency and cost of the link to a member.
 func (daemon *daemon) linkTo(member kernel.Member) route.Link {
+	link := daemon.pricedLinkTo(member)
+	if daemon.simulation.policy.IgnoreBytePrice {
+		link.BytePrice = 0
+	}
+	return link
+}
+
+func (daemon *daemon) pricedLinkTo(member kernel.Member) route.Link {
 	const bytesPerMegabyte = 1e6
 	scenario := daemon.simulation.scenario
 	switch {
--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -202,10 +202,14 @@
   'if len(table) < minCompressedSize {' 'if true {' ./core/rollout
 mutant "long messages are not compressed" io/peer/compress.go \
   'if proto.Size(message) < minCompressedSize {' 'if true {' ./io/peer
-mutant "bytes have no price" core/route/leasttime.go \
+mutant "bytes have no price" core/route/crossing.go \
   'return min(1, request.Bytes*candidate.BytePrice) * worthSeconds(request)' 'return 0' ./core/route ./core/pick
-mutant "the price of bytes has no limit" core/route/leasttime.go \
+mutant "the price of bytes has no limit" core/route/crossing.go \
   'min(1, request.Bytes*candidate.BytePrice)' '(request.Bytes * candidate.BytePrice)' ./core/route
+mutant "the price of bytes does not depend on the objective" core/route/crossing.go \
+  'if request.Objective == 0 {' 'if true {' ./core/route
+mutant "the expected time does not count" core/route/crossing.go \
+  'return expectedSeconds(request, candidate) + priceSeconds(request, candidate)' 'return priceSeconds(request, candidate)' ./core/route
 mutant "a far target that never reported is preferred" core/route/leasttime.go \
   'case !candidate.HasReport && isNear:' 'case !candidate.HasReport && (isNear || true):' ./core/route
 mutant "the own data centre is not preferred" core/pick/subset.go \
