standin/play: the seeds of TestCrossing run concurrently

Cause: with the race detector TestCrossing took 163 s, one simulation after the other, and all packages have 600 s. Change: the simulations of a scenario's eight seeds run on all processors. Conclusion: the test uses the processors that the checks have.

--- a/standin/play/crossing_test.go
+++ b/standin/play/crossing_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"sync"
 	"testing"
 
 	"github.com/matryer/is"
@@ -12,20 +13,28 @@
 // outcome holds means over several seeds.
 type outcome struct{ credit, net, served, regionMegabytes float64 }
 
-// meanOutcome simulates a scenario under a policy with the seeds 1 to 8.
-func meanOutcome(t *testing.T, scenario *play.Scenario, policy string) outcome {
+// meanOutcome simulates a scenario under a policy with the seeds 1 to 8, on all processors.
+func meanOutcome(t *testing.T, scenario *play.Scenario, name string) outcome {
 	t.Helper()
+	policy, err := play.FindPolicy(name)
+	is.New(t).NoErr(err)
 	const seeds = 8
-	var mean outcome
+	var reports [seeds]*play.Report
+	var group sync.WaitGroup
 	for seed := range seeds {
-		scenario.Seed = uint64(seed + 1)
-		report := simulate(t, scenario, policy)
+		seeded := *scenario
+		seeded.Seed = uint64(seed + 1)
+		group.Go(func() { reports[seed] = play.Run(&seeded, policy) })
+	}
+	group.Wait()
+	var mean outcome
+	for _, report := range reports {
 		mean.credit += report.Credit() / seeds
 		mean.net += report.NetCredit() / seeds
 		mean.served += report.ServedFraction() / seeds
 		mean.regionMegabytes += report.CrossRegionBytes() / 1e6 / seeds
 	}
-	t.Logf("%s: %+.4f", policy, mean)
+	t.Logf("%s: %+.4f", name, mean)
 	return mean
 }
 
