--- a/standin/play/policy.go
+++ b/standin/play/policy.go
@@ -41,6 +41,10 @@
 	// WithdrawAfter is how long a daemon must have been slow itself before it withdraws from
 	// callers. With 0 it never does.
 	WithdrawAfter time.Duration
+	// IgnoreBytePrice lets daemons choose targets as if bytes had no price.
+	IgnoreBytePrice bool
+	// StayInRegion restricts requests to the region of the daemon that they arrive at.
+	StayInRegion bool
 	// ExactLoad gives each ingress the current load of every gate, which no real
 	// system can do. Losses that remain are due to a lack of capacity.
 	ExactLoad bool
@@ -68,6 +72,8 @@
 	"byObjective":      {RoutePolicy: route.LeastTime, UseObjectives: true, UseGates: true, QueueBound: 64, Retries: true, EstimateRetryAfter: true, Reports: true, MaxSlownessAge: maxSlownessAge, QueueOrder: admit.OrderObjective},
 	"keylessAreCalls":  {RoutePolicy: route.LeastTime, UseObjectives: true, UseGates: true, QueueBound: 64, Retries: true, EstimateRetryAfter: true, Reports: true, MaxSlownessAge: maxSlownessAge, KeylessAreCalls: true},
 	"withdrawal":       {RoutePolicy: route.LeastTime, UseObjectives: true, UseGates: true, QueueBound: 64, Retries: true, EstimateRetryAfter: true, Reports: true, MaxSlownessAge: maxSlownessAge, WithdrawAfter: withdrawAfter},
+	"withoutPrice":     {RoutePolicy: route.LeastTime, UseObjectives: true, UseGates: true, QueueBound: 64, Retries: true, EstimateRetryAfter: true, Reports: true, MaxSlownessAge: maxSlownessAge, IgnoreBytePrice: true},
+	"ownRegion":        {RoutePolicy: route.LeastTime, UseObjectives: true, UseGates: true, QueueBound: 64, Retries: true, EstimateRetryAfter: true, Reports: true, MaxSlownessAge: maxSlownessAge, StayInRegion: true},
 	"adaptive":         {RoutePolicy: "adaptive", UseGates: true, QueueBound: 64, Retries: true},
 	"roundRobin":       {RoutePolicy: "roundRobin"},
 	"random":           {RoutePolicy: "random"},
