core/route, core/profile: requests cross regions by the value that is lost

A request crossed for a gain of time although it was in time in its own region, and paid for the bytes. Where the route table has workspaces, the best target of the own region is now compared with the best of the others by the expected loss of value: late, failed, and the price of the bytes. The profile's crossing selects auto (default), value or time.

--- a/core/pick/pick.go
+++ b/core/pick/pick.go
@@ -47,6 +47,9 @@
 	// the whole time that the objective allows.
 	Objective       time.Time
 	ObjectiveLength time.Duration
+	// CrossesByValue lets the expected loss of value decide whether the request goes to another
+	// region, instead of the time.
+	CrossesByValue bool
 	// Regions are the regions whose members are candidates. nil allows all regions.
 	Regions []string
 	// Random is the seed of the request's random numbers. It must not be 0.
@@ -104,6 +107,7 @@
 	request.MeanUtilization, request.MeanSlowness = picker.Tracker.Means()
 	if picker.HasObjective {
 		request.Objective = picker.ObjectiveLength
+		request.ObjectiveLeft, request.CrossesByValue = picker.Objective.Sub(now), picker.CrossesByValue
 	}
 	if request.ServiceTime == 0 && picker.HasObjective {
 		request.ServiceTime = picker.ObjectiveLength / unknownServiceTimeDivisor
--- a/core/profile/check.go
+++ b/core/profile/check.go
@@ -45,6 +45,7 @@
 		checkRange("crashLimit.crashes", float64(profile.CrashLimit.Crashes), 1, maxCrashes),
 		checkDuration("crashLimit.blockFor", time.Duration(profile.CrashLimit.BlockFor), time.Second, 24*time.Hour),
 		checkQueueOrder(profile.QueueOrder),
+		checkCrossing(profile.Crossing),
 	} {
 		if fieldError != nil {
 			return Error.Wrap(fieldError)
@@ -60,6 +61,14 @@
 	return &FieldError{Path: "policy", Reason: strconv.Quote(policy) + " is not a known policy"}
 }
 
+// checkCrossing checks what decides whether requests go to another region.
+func checkCrossing(crossing Crossing) *FieldError {
+	if crossing == CrossingAuto || crossing == CrossingByValue || crossing == CrossingByTime {
+		return nil
+	}
+	return &FieldError{Path: "crossing", Reason: strconv.Quote(string(crossing)) + " is none of auto, value and time"}
+}
+
 func checkQueueOrder(order admit.Order) *FieldError {
 	if order == admit.OrderCost || order == admit.OrderObjective {
 		return nil
--- a/core/profile/profile.go
+++ b/core/profile/profile.go
@@ -100,6 +100,25 @@
 	BlockFor Duration `json:"blockFor"`
 }
 
+// Crossing names what decides whether a request goes to a target in another region.
+type Crossing string
+
+// The kinds of decision.
+const (
+	// CrossingAuto is CrossingByValue where the route table has workspaces, and elsewhere
+	// CrossingByTime.
+	CrossingAuto Crossing = "auto"
+	// CrossingByValue compares the value that is expected to be lost.
+	CrossingByValue Crossing = "value"
+	// CrossingByTime compares the expected time and the price of the bytes.
+	CrossingByTime Crossing = "time"
+)
+
+// IsByValue reports whether the value that is expected to be lost decides.
+func (crossing Crossing) IsByValue(hasWorkspaces bool) bool {
+	return crossing == CrossingByValue || crossing == CrossingAuto && hasWorkspaces
+}
+
 // Profile defines how requests of a service are handled. It is immutable; the
 // With methods return modified copies.
 type Profile struct {
@@ -119,6 +138,8 @@
 	// QueueOrder is the order in which the gates of the service serve queued requests:
 	// admit.OrderCost or admit.OrderObjective.
 	QueueOrder admit.Order `json:"queueOrder"`
+	// Crossing is what decides whether requests go to another region.
+	Crossing Crossing `json:"crossing"`
 }
 
 // Default returns the profile of a service that has selected none.
@@ -138,6 +159,7 @@
 		SlowStart:       Duration(10 * time.Second),
 		CrashLimit:      CrashLimit{Crashes: 2, BlockFor: Duration(time.Minute)},
 		QueueOrder:      admit.OrderCost,
+		Crossing:        CrossingAuto,
 	}
 }
 
--- a/core/profile/profile_test.go
+++ b/core/profile/profile_test.go
@@ -28,6 +28,7 @@
 		"text after the JSON value": {`{} {}`, "$"},
 		"empty":                     {``, "$"},
 		"unknown queue order":       {`{"queueOrder": "newest"}`, "queueOrder"},
+		"unknown crossing":          {`{"crossing": "never"}`, "crossing"},
 		"negative number":           {`{"queueBound": -1}`, "queueBound"},
 	} {
 		t.Run(name, func(t *testing.T) { requireFieldError(t, example.text, example.field) })
@@ -54,3 +55,13 @@
 	is.True(!defaults.Repeatable("POST", "/enrol"))
 	is.True(!defaults.Repeatable("DELETE", "/logs/17"))
 }
+
+// Guards against a decision that changes for deployments whose route table has no
+// workspaces.
+func TestCrossing(t *testing.T) {
+	is := is.New(t)
+	is.True(profile.Default().Crossing.IsByValue(true))
+	is.True(!profile.Default().Crossing.IsByValue(false))
+	is.True(profile.CrossingByValue.IsByValue(false))
+	is.True(!profile.CrossingByTime.IsByValue(true))
+}
--- a/core/route/leasttime.go
+++ b/core/route/leasttime.go
@@ -43,9 +43,19 @@
 // expected time and the price of the bytes. maxDelay is the largest delay with which the best candidate is still
 // better than the second best: the cost of the second best minus the cost of the
 // best when idle. It is at least 1 ms, because 0 means that there is no limit, as
-// is the case if there is no other candidate.
+// is the case if there is no other candidate. With CrossesByValue, chooseRegion decides
+// whether the request goes to another region.
 func ChooseLeastTime(request Request, candidates []Candidate) (best int, maxDelay time.Duration) {
 	usable := usableIndexes(candidates)
+	if own, other, found := splitByRegion(request, candidates, usable); found {
+		return chooseRegion(request, candidates, own, other)
+	}
+	return chooseAmong(request, candidates, usable)
+}
+
+// chooseAmong is ChooseLeastTime for the candidates with some indexes, of which there is
+// at least one.
+func chooseAmong(request Request, candidates []Candidate, usable []int) (best int, maxDelay time.Duration) {
 	start := int(request.Random % uint64(len(usable)))
 	tie := tieFraction * request.ServiceTime.Seconds()
 	best, least, next := -1, math.Inf(1), math.Inf(1)
@@ -84,6 +94,12 @@
 // expectedSeconds returns the expected time of a request on a candidate,
 // including the penalty for failures.
 func expectedSeconds(request Request, candidate Candidate) float64 {
+	return responseSeconds(request, candidate) + candidate.FailureRate*worthSeconds(request)
+}
+
+// responseSeconds returns the expected time of a request on a candidate that does not
+// fail.
+func responseSeconds(request Request, candidate Candidate) float64 {
 	slowness := estimatedSlowness(request, candidate)
 	if candidate.HasReport {
 		slowness *= 1 + (coldStartFactor-1)*(1-candidate.Warmth)
@@ -95,9 +111,7 @@
 	if slotInterval == 0 {
 		slotInterval = serviceTime * slowness / slots
 	}
-	seconds := idleSeconds(request, candidate) + serviceTime*(slowness-1) + max(queueLength*slotInterval, rateDelaySeconds(candidate))
-	seconds += candidate.FailureRate * worthSeconds(request)
-	return seconds
+	return idleSeconds(request, candidate) + serviceTime*(slowness-1) + max(queueLength*slotInterval, rateDelaySeconds(candidate))
 }
 
 // nearTripFraction is the part of the service time that a trip to a target and back
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -40,6 +40,8 @@
 	// BytePrice is the price of sending one byte over the link, as a fraction of
 	// what a response in time is worth.
 	BytePrice float64
+	// CrossesRegion is set if the target is in another region than this daemon.
+	CrossesRegion bool
 	// InFlight is the number of requests that this daemon has sent to the
 	// target and that have not ended.
 	InFlight int
@@ -75,6 +77,12 @@
 	Bytes       float64
 	// Objective is the latency objective of the class, or 0 if it has none.
 	Objective time.Duration
+	// ObjectiveLeft is the time left until a response misses the objective, if there is one.
+	// It is negative after that.
+	ObjectiveLeft time.Duration
+	// CrossesByValue lets the expected loss of value decide whether the request goes to a
+	// target in another region.
+	CrossesByValue bool
 	// MeanUtilization and MeanSlowness are the running means over the
 	// service's targets, which replace the values of targets that have not
 	// reported recently. Utilization is the number of running and queued
--- a/core/route/tracker.go
+++ b/core/route/tracker.go
@@ -20,6 +20,8 @@
 	// BytePrice is the price of sending one byte over the link, as a fraction of
 	// what a response in time is worth.
 	BytePrice float64
+	// CrossesRegion is set if the daemon is in another region.
+	CrossesRegion bool
 }
 
 // Tracker records what one daemon knows about the targets of one service. It
@@ -287,6 +289,7 @@
 		candidate.LinkLatency = link.Latency
 		candidate.LinkCost = link.Cost
 		candidate.BytePrice = link.BytePrice
+		candidate.CrossesRegion = link.CrossesRegion
 		candidate.Warmth = warmth(at, member.Target.StartedAt, time.Duration(settings.SlowStart))
 		if candidate.Load.Slots == 0 {
 			candidate.Load.Slots = member.Target.Slots
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -296,10 +296,10 @@
 	}
 	for _, link := range settings.Links {
 		if link.Region == member.Region {
-			return route.Link{Latency: link.Latency, Cost: link.Cost, BytePrice: settings.RegionBytePrice / bytesPerMegabyte}
+			return route.Link{Latency: link.Latency, Cost: link.Cost, BytePrice: settings.RegionBytePrice / bytesPerMegabyte, CrossesRegion: true}
 		}
 	}
-	return route.Link{Latency: unknownLinkLatency, Cost: 1, BytePrice: settings.RegionBytePrice / bytesPerMegabyte}
+	return route.Link{Latency: unknownLinkLatency, Cost: 1, BytePrice: settings.RegionBytePrice / bytesPerMegabyte, CrossesRegion: true}
 }
 
 const bytesPerMegabyte = 1e6
--- a/io/caller/request.go
+++ b/io/caller/request.go
@@ -148,6 +148,7 @@
 		Tracker: service.tracker, Profile: service.profile, Policy: service.policy, Warmup: service.warmup, Class: request.class,
 		BodyBytes: request.bodyBytes, HasObjective: request.route != nil, Objective: request.objective,
 		ObjectiveLength: request.objectiveLength(), Regions: request.regions, Random: random,
+		CrossesByValue: service.profile.Crossing.IsByValue(request.hidesKey),
 	}
 }
 
--- a/standin/play/crossing_test.go
+++ b/standin/play/crossing_test.go
@@ -83,4 +83,15 @@
 		current, ownRegion := meanOutcome(t, scenario, play.Current), meanOutcome(t, scenario, "ownRegion")
 		is.New(t).True(current.net > ownRegion.net+0.01)
 	})
+	t.Run("workspaces: the loss of value decides, for more credit net of bytes than the time", func(t *testing.T) {
+		scenario := withWorkspaces(withWaves(withNoise(smallScenario())))
+		current, byTime := meanOutcome(t, scenario, play.Current), meanOutcome(t, scenario, "crossByTime")
+		is := is.New(t)
+		is.True(current.credit >= byTime.credit-0.005)
+		is.True(current.net > byTime.net)
+	})
+	t.Run("without workspaces the time decides", func(t *testing.T) {
+		scenario := withWaves(withNoise(smallScenario()))
+		is.New(t).Equal(meanOutcome(t, scenario, play.Current), meanOutcome(t, scenario, "crossByTime"))
+	})
 }
--- a/standin/play/exchange.go
+++ b/standin/play/exchange.go
@@ -77,6 +77,7 @@
 		BodyBytes: class.RequestBytes, HasObjective: simulation.policy.UseObjectives, Objective: exchange.objective,
 		ObjectiveLength: milliseconds(class.Objective), Random: simulation.modelRandom.Uint64() | 1,
 	}
+	exchange.picker.CrossesByValue = len(simulation.workspaces) > 0 && !simulation.policy.CrossByTime
 	if simulation.policy.StayInRegion {
 		exchange.picker.Regions = []string{ingress.zone.Region}
 	}
--- a/standin/play/policy.go
+++ b/standin/play/policy.go
@@ -35,6 +35,9 @@
 	MaxSlownessAge time.Duration
 	// QueueOrder is the order of the gates. Empty means that of the product.
 	QueueOrder admit.Order
+	// CrossByTime lets the time decide whether requests go to another region, also where they
+	// carry workspaces.
+	CrossByTime bool
 	// KeylessAreCalls lets gates take each request without a workspace for a call of a
 	// run, as earlier versions do.
 	KeylessAreCalls bool
@@ -69,6 +72,7 @@
 	"withoutMeasuring": {RoutePolicy: route.LeastTime, UseObjectives: true, UseGates: true, QueueBound: 64, Retries: true, EstimateRetryAfter: true, Reports: true},
 	"withoutComeback":  {RoutePolicy: route.LeastTime, UseObjectives: true, UseGates: true, QueueBound: 64, Retries: true, Reports: true, MaxSlownessAge: maxSlownessAge},
 	"withoutRetries":   {RoutePolicy: route.LeastTime, UseObjectives: true, UseGates: true, QueueBound: 64, EstimateRetryAfter: true, Reports: true, MaxSlownessAge: maxSlownessAge},
+	"crossByTime":      {RoutePolicy: route.LeastTime, UseObjectives: true, UseGates: true, QueueBound: 64, Retries: true, EstimateRetryAfter: true, Reports: true, MaxSlownessAge: maxSlownessAge, CrossByTime: true},
 	"byObjective":      {RoutePolicy: route.LeastTime, UseObjectives: true, UseGates: true, QueueBound: 64, Retries: true, EstimateRetryAfter: true, Reports: true, MaxSlownessAge: maxSlownessAge, QueueOrder: admit.OrderObjective},
 	"keylessAreCalls":  {RoutePolicy: route.LeastTime, UseObjectives: true, UseGates: true, QueueBound: 64, Retries: true, EstimateRetryAfter: true, Reports: true, MaxSlownessAge: maxSlownessAge, KeylessAreCalls: true},
 	"withdrawal":       {RoutePolicy: route.LeastTime, UseObjectives: true, UseGates: true, QueueBound: 64, Retries: true, EstimateRetryAfter: true, Reports: true, MaxSlownessAge: maxSlownessAge, WithdrawAfter: withdrawAfter},
--- a/standin/play/simulation.go
+++ b/standin/play/simulation.go
@@ -166,7 +166,7 @@
 	case member.Region == daemon.zone.Region:
 		return route.Link{Latency: assumedZoneLatency, BytePrice: scenario.ZoneBytePrice / bytesPerMegabyte}
 	default:
-		return route.Link{Latency: assumedRegionLatency, Cost: 1, BytePrice: scenario.RegionBytePrice / bytesPerMegabyte}
+		return route.Link{Latency: assumedRegionLatency, Cost: 1, BytePrice: scenario.RegionBytePrice / bytesPerMegabyte, CrossesRegion: true}
 	}
 }
 
--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -97,6 +97,10 @@
   'if gate.MaxSlownessAge <= 0' 'if true' ./core/admit ./standin/play
 mutant "the socket of a reporter may stay open after its end" io/peer/report.go \
   'defer func() { stop(); _ = reporter.socket.Close() }()' 'defer stop()' ./io/peer
+mutant "the loss of value does not count the price of the bytes" core/route/crossing.go \
+  'lateLoss*late + priceFraction(request, candidate)' 'lateLoss*late' ./core/route
+mutant "the loss of value decides also without workspaces" core/profile/profile.go \
+  'crossing == CrossingAuto && hasWorkspaces' 'crossing == CrossingAuto' ./core/profile -run TestCrossing
 mutant "load reports have no rate limit" io/peer/report.go \
   'if !reporter.byteLimiter.AllowN(at, len(datagram)+datagramOverhead) {' 'if false {' ./io/peer
 mutant "a request is sent to the same target twice" core/pick/pick.go \
