--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -179,6 +179,8 @@
   'if at.Sub(plugin.revisionAt) > maxRevisionAge {' 'if false {' ./core/rollout ./standin/fleet
 mutant "a watcher without the platform is not replaced" core/member/neighbours.go \
   'if !candidate.PlatformLost {' 'if true {' ./standin/fleet
+mutant "a watcher reports late that it does not reach the store" core/member/member.go \
+  'platformLossTime      = time.Second' 'platformLossTime      = 2500 * time.Millisecond' ./standin/fleet -run TestKeysAreInForceInTime
 mutant "a target's refusals do not count against it" core/route/tracker.go \
   'tracker.statsFor(id).raiseFailureRate(at)' '_ = id' ./core/route
 mutant "a lost answer ends a request although a target is left" core/pick/pick.go \
