core/admit: slots stay in use by cancelled requests that the upstream runs on

Cause: when a request was cancelled, the gate freed its slot at once. Some upstreams run it to its end, so they got more than the slots without the headroom, above which they are slower by a factor of 1.7.

Change: core/admit/handover.go counts cancelled runs. It compares the load that the upstream reports (responses and probes) with the requests handed over, as a lower and an upper bound, since requests under way may be in a report or not. A proof that a cancelled request runs on makes the gate hold the slots of such requests until a report shows their end. Where the upstream reports no load or drops cancelled requests, no decision changes. New events and effects: LoadReported, CheckDue, CheckAfter, MeasureLoad; Finished.Cancelled. io/peer passes loads and cancellations on; gauge ibislift_gate_cancelled_running. The player has targets that run cancelled requests on (runsCancelled) and the policy withoutLoad.

--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -69,11 +69,13 @@
 }
 
 // Finished reports the end of a request that was handed over. Failed requests do
-// not count towards the mean service time.
+// not count towards the mean service time. Cancelled means that the request was given up
+// before its response, so that the upstream may run it on.
 type Finished struct {
-	ID     uint64
-	At     time.Time
-	Failed bool
+	ID        uint64
+	At        time.Time
+	Failed    bool
+	Cancelled bool
 }
 
 // Ticked lets the gate expire reservations and queued requests. It is sent at
@@ -159,7 +161,8 @@
 
 // Load is the load of a gate, which it reports with every response.
 type Load struct {
-	// Running is the number of slots in use, which includes reserved slots.
+	// Running is the number of slots in use, which includes reserved slots and those of
+	// cancelled runs.
 	Running int `json:"running"`
 	Queued  int `json:"queued"`
 	// Slots is the number of requests that may run at once: the slots of the
@@ -186,6 +189,9 @@
 	// WarmupLeft is how much longer the warm-up limit is in force. It stays on this
 	// daemon.
 	WarmupLeft time.Duration `json:"warmupLeft,omitempty"`
+	// CancelledRuns is the number of slots that are held for cancelled requests which the
+	// upstream may still run. It stays on this daemon.
+	CancelledRuns int `json:"cancelledRuns,omitempty"`
 }
 
 type stage uint8
@@ -231,6 +237,7 @@
 	shares        shares
 	rateLimiter   rateLimiter
 	warmupLimiter warmupLimiter
+	handover      handover
 	// lastArrivalAt is when the last request arrived, measureRequestedAt when
 	// the gate last emitted MeasureSlowness.
 	lastArrivalAt      time.Time
@@ -279,6 +286,10 @@
 	case SlownessReported:
 		gate.recordSlowness(event)
 		return gate.decideMeasured(event.At, true)
+	case LoadReported:
+		return gate.recordLoad(event)
+	case CheckDue:
+		return gate.checkDue(event)
 	case RateLimitReported:
 		gate.rateLimiter.report(event)
 		return gate.fillSlots(event.At)
@@ -288,6 +299,7 @@
 	case UpstreamStarted:
 		gate.rateLimiter.start(event)
 		gate.warmupLimiter.start(event)
+		gate.handover.start(event)
 		return nil
 	case WarmupLimitSet:
 		gate.warmupLimiter.set(event)
@@ -318,7 +330,7 @@
 }
 
 // Load returns the load of the gate without SlotInterval, ClassServiceTime,
-// RateDelay, WarmupLeft and Slowness.
+// RateDelay, WarmupLeft, CancelledRuns and Slowness.
 func (gate *Gate) Load() Load {
 	return Load{
 		Running:     gate.slotsInUse,
@@ -332,10 +344,13 @@
 }
 
 // LoadForClass returns the load of the gate at a time, including SlotInterval, RateDelay,
-// WarmupLeft, the ClassServiceTime of a class of requests, and Slowness if the upstream reports it.
+// WarmupLeft, CancelledRuns, the ClassServiceTime of a class of requests, and Slowness if the
+// upstream reports it.
 func (gate *Gate) LoadForClass(at time.Time, class string) Load {
 	load := gate.Load()
 	load.SlotInterval = gate.slotInterval(at)
+	load.CancelledRuns = gate.handover.held(at)
+	load.Running += load.CancelledRuns
 	load.RateDelay = gate.limitDelay(at, len(gate.queue)+1)
 	if gate.warmupLimiter.isLimited(at) {
 		load.WarmupLeft = gate.warmupLimiter.left(at)
@@ -469,6 +484,10 @@
 	delete(gate.requests, finished.ID)
 	gate.slotsInUse--
 	gate.settle(request, finished.At)
+	if finished.Cancelled {
+		return gate.finishCancelled(request, finished.At)
+	}
+	gate.handover.finish(finished.At)
 	if !finished.Failed {
 		took := finished.At.Sub(request.started)
 		gate.serviceTime = movingAverage(gate.serviceTime, took)
--- a/core/admit/queue.go
+++ b/core/admit/queue.go
@@ -96,14 +96,14 @@
 // startDelay returns the expected time until the request at a position of the queue, the
 // first being 1, gets a slot and the limits let it through.
 func (gate *Gate) startDelay(at time.Time, position int) time.Duration {
-	freeSlots := gate.capacity() - gate.slotsInUse
+	freeSlots := gate.capacity() - gate.occupied(at)
 	waitForSlot := gate.slotInterval(at) * time.Duration(max(0, position-freeSlots))
 	return max(waitForSlot, gate.limitDelay(at, position))
 }
 
 // canStart reports whether a slot is free and the limits let a request through.
 func (gate *Gate) canStart(at time.Time) bool {
-	return gate.slotsInUse < gate.capacity() && gate.limitDelay(at, 1) == 0
+	return gate.occupied(at) < gate.capacity() && gate.limitDelay(at, 1) == 0
 }
 
 // expectedWait returns the expected time until an arriving request gets a slot.
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -114,9 +114,11 @@
 	callerServer    *http1.Server
 	// leaving reports whether the daemon is stopping, and measuring whether
 	// measureUpstream is running.
-	leaving     atomic.Bool
-	measuring   atomic.Bool
-	serveErrors chan error
+	leaving   atomic.Bool
+	measuring atomic.Bool
+	// measuringLoad is set while the upstream is asked how many requests it runs.
+	measuringLoad atomic.Bool
+	serveErrors   chan error
 	// liveSettings are the settings in force, which Reload may change.
 	liveSettings atomic.Pointer[Settings]
 	// configAppliedAt is when this daemon applied its current configuration.
@@ -172,7 +174,7 @@
 	daemon.Site = daemon.Site.withDefaults()
 	daemon.platform = &platform.Client{Address: daemon.Settings.PlatformAddress, Codec: daemon.Site.Codec, Log: daemon.Log, OnCallEnd: meter.PlatformCall}
 	daemon.client = &upstream.Client{Dialect: daemon.Site.Dialect}
-	daemon.gate = &upstream.Gate{Now: time.Now, Headroom: daemon.Settings.Headroom, RecordWait: meter.GateDecision, MaxSlownessAge: daemon.Settings.MaxSlownessAge, MeasureSlowness: daemon.measureUpstream}
+	daemon.gate = &upstream.Gate{Now: time.Now, Headroom: daemon.Settings.Headroom, RecordWait: meter.GateDecision, MaxSlownessAge: daemon.Settings.MaxSlownessAge, MeasureSlowness: daemon.measureUpstream, MeasureLoad: daemon.measureLoad}
 	daemon.control = newControl(daemon.Settings.kernelSettings(daemon.startedAt.UnixMilli()))
 	peerServer := &peer.Server{Gate: daemon.gate, Upstream: daemon.client, Control: daemon, CountBytes: daemon.countBytes, Log: daemon.Log}
 	counter := &peer.Counter{CountBytes: daemon.countBytes}
--- a/daemon/gauges.go
+++ b/daemon/gauges.go
@@ -24,6 +24,10 @@
 			"ibislift.gate.running", "Requests that hold a slot of the upstream beside.",
 			func() int64 { return int64(daemon.gate.Load().Running) },
 		},
+		{
+			"ibislift.gate.cancelled.running", "Slots held for cancelled requests that the upstream beside may still run.",
+			func() int64 { return int64(daemon.gate.Load().CancelledRuns) },
+		},
 		{
 			"ibislift.gate.queued", "Requests that wait for a slot.",
 			func() int64 { return int64(daemon.gate.Load().Queued) },
--- a/daemon/upstream.go
+++ b/daemon/upstream.go
@@ -99,6 +99,9 @@
 	defer cancel()
 	result := daemon.client.Probe(ctx, daemon.healthPath(announcement))
 	daemon.meter.Probe(result.Healthy)
+	if result.Load != nil {
+		daemon.gate.RecordLoad(*result.Load, result.SentAt)
+	}
 	if !leaving(result.Header) {
 		return false
 	}
@@ -163,6 +166,16 @@
 	}
 }
 
+// measureLoad asks the local upstream how many requests it runs, unless such a request is
+// under way.
+func (daemon *Daemon) measureLoad() {
+	if !daemon.measuringLoad.CompareAndSwap(false, true) {
+		return
+	}
+	defer daemon.measuringLoad.Store(false)
+	daemon.probe(daemon.healthPath(daemon.monitor.Current()))
+}
+
 // probe sends a health probe to the local upstream and records what the response says of
 // the upstream's own state.
 func (daemon *Daemon) probe(path string) upstream.ProbeResult {
--- a/io/peer/run.go
+++ b/io/peer/run.go
@@ -50,6 +50,9 @@
 		server.checkCrash()
 		return true, server.refuse(stream, admit.ReasonNoUpstream, time.Second)
 	case err != nil:
+		if ctx.Err() != nil {
+			stream.admission.MarkCancelled()
+		}
 		server.log(stream, slog.LevelInfo, "upstream failed", "error", err.Error(), "left", deadline.Sub(server.Gate.Now()), "givenUp", ctx.Err() != nil)
 		return true, server.sendLoss(stream, ctx.Err() == nil && server.checkCrash())
 	}
@@ -57,6 +60,7 @@
 	leaving := false
 	if kind == responseNormal || kind == responseNotRun {
 		leaving = server.recordStatements(response, handedOverAt)
+		server.recordLoad(stream, response, handedOverAt)
 	}
 	if kind != responseNormal {
 		if kind == responseNotRun || kind == responseMisdirected {
@@ -66,6 +70,15 @@
 		}
 		return true, server.sendFailure(stream, kind, response.Response)
 	}
+	failed, err := server.relay(stream, response, leaving)
+	if ctx.Err() != nil && (failed || err != nil) {
+		stream.admission.MarkCancelled()
+	}
+	return failed, err
+}
+
+// relay sends a response to the ingress. It reports whether the upstream failed.
+func (server *Server) relay(stream *requestStream, response *upstream.Response, leaving bool) (bool, error) {
 	if response.ContentLength >= 0 && response.ContentLength <= MaxInlineBodySize && len(response.Trailer) == 0 {
 		return server.sendComplete(stream, response, leaving)
 	}
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -103,9 +103,10 @@
 	return &peerpb.Nothing{}, nil
 }
 
-// requestStream is a GateStream with the ID and the class of its request.
+// requestStream is a GateStream with the ID, the class and the admission of its request.
 type requestStream struct {
 	GateStream
+	admission *upstream.Admission
 	requestID string
 	class     string
 	// committedBody is the body that arrived with the commit.
@@ -148,6 +149,7 @@
 	}, head.GetFingerprint())
 	failed := true
 	defer func() { admission.Finish(failed) }()
+	stream.admission = admission
 	decision, err := server.awaitDecision(ctx, stream, admission)
 	if err != nil {
 		return err
--- a/io/peer/statements.go
+++ b/io/peer/statements.go
@@ -37,10 +37,25 @@
 			server.logRateLimit(server.Gate.RecordRateLimit(admit.RateLimitReported{Named: true, PerSecond: perSecond}))
 		}
 	}
+	if result.Load != nil {
+		server.Gate.RecordLoad(*result.Load, result.SentAt)
+	}
 	server.recordWarmup(result.Header, result.SentAt)
 	server.recordLeaving(result.Header, result.Instance)
 }
 
+// recordLoad records how many requests the upstream says it runs, in the response to a
+// request that was handed over at handedOverAt.
+func (server *Server) recordLoad(stream *requestStream, response *upstream.Response, handedOverAt time.Time) {
+	parse := server.Upstream.EffectiveDialect().ParseLoad
+	if parse == nil {
+		return
+	}
+	if load, reported := parse(response.Header); reported {
+		stream.admission.RecordLoad(load, handedOverAt)
+	}
+}
+
 // recordWarmup records what a response to a request that was handed over at askedAt says
 // of how much longer the upstream stays cold.
 func (server *Server) recordWarmup(header http.Header, askedAt time.Time) {
--- a/io/upstream/gate.go
+++ b/io/upstream/gate.go
@@ -35,6 +35,9 @@
 	// goroutine, to request a new value. 0 turns this off.
 	MaxSlownessAge  time.Duration
 	MeasureSlowness func()
+	// MeasureLoad is called, in its own goroutine, to ask the upstream how many requests it
+	// runs. It must be set if MaxSlownessAge is.
+	MeasureLoad func()
 	// RecordWait, if set, is called with the first decision on each request:
 	// the class of the request, the reason if it was refused, and how long it
 	// waited.
@@ -106,6 +109,7 @@
 	decisions   chan Decision
 	fingerprint string
 	finished    bool
+	cancelled   bool
 }
 
 // Admit submits a request to the gate, which sets its ID and arrival time. Wait
@@ -176,7 +180,7 @@
 		delete(gate.pending, admission.id)
 		delete(gate.running, admission.id)
 		delete(gate.crashReported, admission.id)
-		return gate.machine.Update(admit.Finished{ID: admission.id, At: gate.Now(), Failed: failed})
+		return gate.machine.Update(admit.Finished{ID: admission.id, At: gate.Now(), Failed: failed, Cancelled: admission.cancelled})
 	})
 }
 
@@ -217,6 +221,10 @@
 		go gate.MeasureSlowness()
 	case admit.Wake:
 		gate.wake(effect.After)
+	case admit.CheckAfter:
+		gate.checkAfter(effect.After)
+	case admit.MeasureLoad:
+		go gate.MeasureLoad()
 	case admit.Drained:
 		close(gate.drained)
 	}
--- a/standin/play/daemon.go
+++ b/standin/play/daemon.go
@@ -57,7 +57,7 @@
 	}
 	daemon := &daemon{
 		simulation: simulation, name: name, zone: zone, routePolicy: policy,
-		upstream: &upstreamModel{clock: &simulation.clock, random: random, service: service, startedAt: simulation.clock.now.Add(-time.Hour)},
+		upstream: &upstreamModel{clock: &simulation.clock, random: random, service: service, headroom: simulation.scenario.Headroom, startedAt: simulation.clock.now.Add(-time.Hour)},
 		arrivals: map[uint64]*arrival{}, subscribers: map[*daemon]*subscriber{},
 		trackers: map[string]*route.Tracker{}, budgets: map[string]*call.Budget{},
 	}
@@ -66,6 +66,7 @@
 	daemon.gate.MaxSlownessAge = simulation.policy.MaxSlownessAge
 	daemon.update(admit.Resized{At: simulation.clock.now, Slots: service.Slots, QueueBound: simulation.policy.QueueBound})
 	daemon.upstream.start()
+	daemon.reportLoad(0, simulation.clock.now) // a daemon probes its target at its start
 	daemon.sendHeartbeats()
 	daemon.tick()
 	return daemon
@@ -151,6 +152,10 @@
 			daemon.measureSlowness()
 		case admit.Wake:
 			daemon.wake(effect.After)
+		case admit.CheckAfter:
+			daemon.simulation.clock.runAfter(effect.After, func() { daemon.update(admit.CheckDue{At: daemon.simulation.clock.now}) })
+		case admit.MeasureLoad:
+			daemon.measureLoad()
 		}
 	}
 }
@@ -162,7 +167,9 @@
 		return
 	}
 	daemon.upstream.countCold()
+	sentAt := daemon.simulation.clock.now
 	daemon.simulation.clock.runAfter(milliseconds(daemon.upstream.service.ProbeTime), func() {
+		daemon.reportLoad(0, sentAt)
 		daemon.update(admit.SlownessReported{At: daemon.simulation.clock.now, Slowness: daemon.upstream.slowness()})
 		daemon.sendReports()
 	})
@@ -201,9 +208,7 @@
 	}
 	delete(daemon.arrivals, id)
 	if arrival.run != nil {
-		daemon.upstream.release(arrival.run)
-		daemon.simulation.recordWastedWork(arrival.run)
-		daemon.recordFinished(id, true)
+		daemon.cancelRun(id, arrival.run)
 		return
 	}
 	if daemon.simulation.policy.UseGates {
@@ -225,6 +230,7 @@
 	run.onEnd = func(outcome outcome) { daemon.endRun(id, run, outcome) }
 	arrival.run = run
 	daemon.upstream.accept(run)
+	daemon.recordHeld()
 }
 
 // makeCalls makes the calls of a run, then resumes the run. It waits for calls that are
@@ -284,6 +290,7 @@
 	if outcome == outcomeSucceeded || outcome == outcomeFailed {
 		daemon.update(admit.SlownessReported{At: daemon.simulation.clock.now, Slowness: daemon.upstream.slowness()})
 		daemon.reportLimit(run)
+		daemon.reportLoad(id, run.arrivedAt)
 	}
 	switch outcome {
 	case outcomeSucceeded:
--- a/standin/play/policy.go
+++ b/standin/play/policy.go
@@ -33,6 +33,9 @@
 	// MaxSlownessAge is how old a target's reported slowness may become before
 	// its gate probes the target. 0 means that gates send no probes.
 	MaxSlownessAge time.Duration
+	// IgnoreReportedLoad keeps from gates how many requests their targets run, so that the
+	// slot of a cancelled request is free at once.
+	IgnoreReportedLoad bool
 	// QueueOrder is the order of the gates. Empty means that of the product.
 	QueueOrder admit.Order
 	// ExactLoad gives each ingress the current load of every gate, which no real
@@ -56,6 +59,7 @@
 	"withoutComeback":  {RoutePolicy: route.LeastTime, UseObjectives: true, UseGates: true, QueueBound: 64, Retries: true, Reports: true, MaxSlownessAge: maxSlownessAge},
 	"withoutRetries":   {RoutePolicy: route.LeastTime, UseObjectives: true, UseGates: true, QueueBound: 64, EstimateRetryAfter: true, Reports: true, MaxSlownessAge: maxSlownessAge},
 	"byObjective":      {RoutePolicy: route.LeastTime, UseObjectives: true, UseGates: true, QueueBound: 64, Retries: true, EstimateRetryAfter: true, Reports: true, MaxSlownessAge: maxSlownessAge, QueueOrder: admit.OrderObjective},
+	"withoutLoad":      {RoutePolicy: route.LeastTime, UseObjectives: true, UseGates: true, QueueBound: 64, Retries: true, EstimateRetryAfter: true, Reports: true, MaxSlownessAge: maxSlownessAge, IgnoreReportedLoad: true},
 	"adaptive":         {RoutePolicy: "adaptive", UseGates: true, QueueBound: 64, Retries: true},
 	"roundRobin":       {RoutePolicy: "roundRobin"},
 	"random":           {RoutePolicy: "random"},
--- a/standin/play/report.go
+++ b/standin/play/report.go
@@ -87,6 +87,19 @@
 	// OverWarmup counts the requests and health probes that cold targets got above the
 	// bound of a second.
 	OverWarmup int
+	// AboveHeadroom counts the requests with which more slots of a target were in use than
+	// those without the headroom, and FoundFull those that found no free slot. HighestUse is
+	// the highest number of requests at a target, as a fraction of its slots. HeldInVain counts
+	// the requests that were handed over while a slot was held for a cancelled run that had
+	// ended.
+	AboveHeadroom int
+	FoundFull     int
+	HighestUse    float64
+	HeldInVain    int
+	// LastAbove is when AboveHeadroom last rose, from the start.
+	LastAbove time.Duration
+	// LoadProbes counts the probes for how many requests a target runs.
+	LoadProbes int
 	refusals   []refusal
 	// Probes counts the probes for a target's slowness.
 	Probes int
--- a/standin/play/scenario.go
+++ b/standin/play/scenario.go
@@ -88,6 +88,9 @@
 	// target does when that is full: refuse, hang or reset.
 	QueueBound int    `json:"queue"`
 	WhenFull   string `json:"whenFull"`
+	// RunsCancelled makes targets run a cancelled request to its end. Otherwise they drop
+	// it at once.
+	RunsCancelled bool `json:"runsCancelled,omitempty"`
 	// For ColdSeconds after its start a target is ColdFactor times slower.
 	ColdSeconds float64 `json:"coldSeconds,omitempty"`
 	ColdFactor  float64 `json:"coldFactor,omitempty"`
--- a/standin/play/simulation.go
+++ b/standin/play/simulation.go
@@ -92,6 +92,7 @@
 	for _, daemon := range simulation.daemons {
 		simulation.report.OverLimit += daemon.upstream.overLimit
 		simulation.report.OverWarmup += daemon.upstream.cold.aboveBound
+		simulation.report.recordUse(daemon.upstream, simulation.startedAt)
 		simulation.report.SlotSeconds += daemon.upstream.slotTime.Seconds()
 		simulation.report.Slots += daemon.upstream.service.Slots
 	}
--- a/standin/play/upstream.go
+++ b/standin/play/upstream.go
@@ -35,15 +35,19 @@
 	startedAt  time.Time
 	started    bool
 	ended      bool
-	onEnd      func(outcome)
+	// cancelled is set if the target runs on although the request was cancelled.
+	cancelled bool
+	onEnd     func(outcome)
 }
 
 // upstreamModel models a target with slots, its own queue, and a speed that
 // changes within milliseconds. A run keeps the speed at which it started.
 type upstreamModel struct {
-	clock       *clock
-	random      *rand.Rand
-	service     *Service
+	clock   *clock
+	random  *rand.Rand
+	service *Service
+	// headroom is the fraction of the slots that gates keep free.
+	headroom    float64
 	running     []*run
 	waiting     []*run
 	startedAt   time.Time
@@ -65,6 +69,8 @@
 	// overLimit counts the requests that came above the limit.
 	overLimit int
 	cold      coldCounter
+	// use records how many of the slots were in use.
+	use useRecord
 	// slotTime is the total time for which runs held slots.
 	slotTime time.Duration
 }
@@ -201,6 +207,7 @@
 	default:
 		upstream.waiting = append(upstream.waiting, run)
 		upstream.startWaiting()
+		upstream.recordUse()
 	}
 }
 
--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -538,4 +538,20 @@
   'return max(unreachablePause, quota.StartedAt+voteLease+borrowInterval-quota.now)' 'return unreachablePause' ./core/quota
 mutant "the header of the remaining warm-up is read in seconds" platform/headers.go \
   'dialect.WarmupHeader(headerWarmup, time.Millisecond)' 'dialect.WarmupHeader(headerWarmup, time.Second)' ./platform
+mutant "a cancelled run that goes on frees its slot" core/admit/queue.go \
+  'return gate.occupied(at) < gate.capacity()' 'return gate.slotsInUse < gate.capacity()' ./core/admit
+mutant "slots are held at an upstream that drops cancelled requests" core/admit/handover.go \
+  'if !handover.runsOn {' 'if false {' ./core/admit
+mutant "a report ends a run that was cancelled after it" core/admit/handover.go \
+  'return !at.Before(run.cancelledAt.Add(transitTime))' 'return !run.cancelledAt.IsZero()' ./core/admit
+mutant "a request under way hides a cancelled run" core/admit/handover.go \
+  'if id != reported.ID && !request.started.After(from.Add(-transitTime)) {' 'if id != reported.ID {' ./core/admit
+mutant "a request that ended meanwhile counts as a cancelled run" core/admit/handover.go \
+  'if !finished.Before(from) {' 'if finished.IsZero() {' ./core/admit
+mutant "a cancelled run holds its slot for ever" core/admit/handover.go \
+  'lastEnd: at.Add(longest)' 'lastEnd: at.Add(1000 * longest)' ./core/admit
+mutant "the gate is not told of a cancellation" io/peer/run.go \
+  'stream.admission.MarkCancelled()' '' ./io/peer
+mutant "the reported load of a probe does not reach the gate" io/peer/statements.go \
+  'server.Gate.RecordLoad(*result.Load, result.SentAt)' '' ./io/peer
 exit $living
