--- a/daemon/flags.go
+++ b/daemon/flags.go
@@ -60,6 +60,7 @@
 	command.Flag("silence-time", "How long an upstream may go without a heartbeat.").
 		Default(upstream.DefaultSilenceTimeout.String()).DurationVar(&settings.SilenceTimeout)
 	command.Flag("linger-time", "How long a stopping daemon still accepts callers.").Default("0s").DurationVar(&settings.LingerTime)
+	command.Flag("hold-cancelled-runs", "Keep slots in use for cancelled requests that the upstream runs on, as its reports of its load show.").BoolVar(&settings.HoldCancelledRuns)
 	command.Flag("headroom", "Fraction of an upstream's slots that stays free, from 0 to below 1.").Default("0").Float64Var(&settings.Headroom)
 	command.Flag("data-centre-byte-price", "Price of a megabyte sent to another data centre of the region, in responses in time that it is worth.").
 		Default("0").Float64Var(&settings.DataCentreBytePrice)
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -89,6 +89,9 @@
 	// Headroom is the fraction of an upstream's slots that stays free, since
 	// upstreams slow down when they are nearly full.
 	Headroom float64
+	// HoldCancelledRuns keeps slots in use for cancelled requests that the upstream runs on,
+	// as its reports of its load show.
+	HoldCancelledRuns bool
 	// DataCentreBytePrice and RegionBytePrice are the prices of a megabyte that
 	// is sent to another data centre of the region and to another region, in
 	// responses in time that it is worth.
--- a/io/upstream/gate.go
+++ b/io/upstream/gate.go
@@ -37,6 +37,11 @@
 	// goroutine, to request a new value. 0 turns this off.
 	MaxSlownessAge  time.Duration
 	MeasureSlowness func()
+	// HoldCancelledRuns is that of admit.Gate.
+	HoldCancelledRuns bool
+	// MeasureLoad is called, in its own goroutine, to ask the upstream how many requests it
+	// runs. It must be set if MaxSlownessAge is.
+	MeasureLoad func()
 	// RecordWait, if set, is called with the first decision on each request:
 	// the class of the request, the reason if it was refused, and how long it
 	// waited.
@@ -109,6 +114,7 @@
 	decisions   chan Decision
 	fingerprint string
 	finished    bool
+	cancelled   bool
 }
 
 // Admit submits a request to the gate, which sets its ID and arrival time. Wait
@@ -179,7 +185,7 @@
 		delete(gate.pending, admission.id)
 		delete(gate.running, admission.id)
 		delete(gate.crashReported, admission.id)
-		return gate.machine.Update(admit.Finished{ID: admission.id, At: gate.Now(), Failed: failed})
+		return gate.machine.Update(admit.Finished{ID: admission.id, At: gate.Now(), Failed: failed, Cancelled: admission.cancelled})
 	})
 }
 
@@ -213,7 +219,7 @@
 		gate.running = map[uint64]string{}
 		gate.crashReported = map[uint64]bool{}
 		gate.drained = make(chan struct{})
-		gate.machine.Headroom = gate.Headroom
+		gate.machine.Headroom, gate.machine.HoldCancelledRuns = gate.Headroom, gate.HoldCancelledRuns
 		gate.machine.MaxSlownessAge = gate.MaxSlownessAge
 	}
 	for _, effect := range update() {
@@ -234,6 +240,10 @@
 		go gate.MeasureSlowness()
 	case admit.Wake:
 		gate.wake(effect.After)
+	case admit.CheckAfter:
+		gate.checkAfter(effect.After)
+	case admit.MeasureLoad:
+		go gate.MeasureLoad()
 	case admit.Drained:
 		close(gate.drained)
 	}
--- a/standin/play/policy.go
+++ b/standin/play/policy.go
@@ -33,6 +33,9 @@
 	// MaxSlownessAge is how old a target's reported slowness may become before
 	// its gate probes the target. 0 means that gates send no probes.
 	MaxSlownessAge time.Duration
+	// IgnoreReportedLoad keeps from gates how many requests their targets run, so that the
+	// slot of a cancelled request is free at once.
+	IgnoreReportedLoad bool
 	// QueueOrder is the order of the gates. Empty means that of the product.
 	QueueOrder admit.Order
 	// CrossByTime lets the time decide whether requests go to another region, also where they
@@ -78,6 +81,7 @@
 	"withdrawal":       {RoutePolicy: route.LeastTime, UseObjectives: true, UseGates: true, QueueBound: 64, Retries: true, EstimateRetryAfter: true, Reports: true, MaxSlownessAge: maxSlownessAge, WithdrawAfter: withdrawAfter},
 	"withoutPrice":     {RoutePolicy: route.LeastTime, UseObjectives: true, UseGates: true, QueueBound: 64, Retries: true, EstimateRetryAfter: true, Reports: true, MaxSlownessAge: maxSlownessAge, IgnoreBytePrice: true},
 	"ownRegion":        {RoutePolicy: route.LeastTime, UseObjectives: true, UseGates: true, QueueBound: 64, Retries: true, EstimateRetryAfter: true, Reports: true, MaxSlownessAge: maxSlownessAge, StayInRegion: true},
+	"withoutLoad":      {RoutePolicy: route.LeastTime, UseObjectives: true, UseGates: true, QueueBound: 64, Retries: true, EstimateRetryAfter: true, Reports: true, MaxSlownessAge: maxSlownessAge, IgnoreReportedLoad: true},
 	"adaptive":         {RoutePolicy: "adaptive", UseGates: true, QueueBound: 64, Retries: true},
 	"roundRobin":       {RoutePolicy: "roundRobin"},
 	"random":           {RoutePolicy: "random"},
--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -632,4 +632,26 @@
   'detail = "withdrawn from callers: " + withdrawal.Reason' '_ = withdrawal' ./io/caller -run Withdrawn
 mutant "a slow control goroutine keeps callers away" core/kernel/view.go \
   'return at.Before(withdrawal.Until)' 'return !withdrawal.Until.IsZero()' ./daemon -run Readiness
+mutant "a cancelled run that goes on frees its slot" core/admit/queue.go \
+  'return gate.occupied(at) < gate.capacity()' 'return gate.slotsInUse < gate.capacity()' ./core/admit
+mutant "slots are held at an upstream that drops cancelled requests" core/admit/handover.go \
+  'if !handover.runsOn {' 'if false {' ./core/admit
+mutant "a report ends a run that was cancelled after it" core/admit/handover.go \
+  'return !at.Before(run.cancelledAt.Add(transitTime))' 'return !run.cancelledAt.IsZero()' ./core/admit
+mutant "a request under way hides a cancelled run" core/admit/handover.go \
+  'if id != reported.ID && !request.started.After(from.Add(-transitTime)) {' 'if id != reported.ID {' ./core/admit
+mutant "a request that ended meanwhile counts as a cancelled run" core/admit/handover.go \
+  'if !finished.Before(from) {' 'if finished.IsZero() {' ./core/admit
+mutant "a probe that the upstream counts is taken for a cancelled run" core/admit/handover.go \
+  'reported.ID == 0 && gate.handover.countsProbes' 'false' ./core/admit
+mutant "slots are held for long without any report" core/admit/handover.go \
+  'handover.reportedAt.Add(run.serviceTime)' 'run.lastEnd' ./core/admit
+mutant "slots are held although the setting is off" core/admit/handover.go \
+  '!gate.HoldCancelledRuns || gate' 'gate' ./core/admit
+mutant "a cancelled run holds its slot for ever" core/admit/handover.go \
+  'lastEnd: at.Add(longest)' 'lastEnd: at.Add(1000 * longest)' ./core/admit
+mutant "the gate is not told of a cancellation" io/peer/run.go \
+  'stream.admission.MarkCancelled()' '' ./io/peer
+mutant "the reported load of a probe does not reach the gate" io/peer/statements.go \
+  'server.Gate.RecordLoad(*result.Load, result.SentAt)' '' ./io/peer
 exit $living
