--- a/core/admit/handover.go
+++ b/core/admit/handover.go
@@ -224,6 +224,9 @@
 
 // recordLoad derives from a report how many cancelled runs go on.
 func (gate *Gate) recordLoad(reported LoadReported) []Effect {
+	if !gate.HoldCancelledRuns {
+		return nil
+	}
 	handover := &gate.handover
 	handover.reportedAt = reported.At
 	if len(handover.cancelled) == 0 {
