standin, tools: long tests run in parallel; two mutants follow their lines

Two mutants looked for lines that had moved ("bytes have no price", "the use of any number of workspaces is kept"); they are caught again.

--- a/standin/fleet/evacuations_test.go
+++ b/standin/fleet/evacuations_test.go
@@ -83,6 +83,7 @@
 // Nothing may be sent to an evacuated data centre, whatever happens to the store after it
 // has acknowledged the evacuation.
 func TestEvacuations(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(4) {
 		t.Run(fmt.Sprintf("the store is down right after the change, seed %d", seed), func(t *testing.T) {
 			cluster := newEvacuable(seed, 27)
@@ -191,6 +192,7 @@
 // An evacuation is in force everywhere in time although watchers are killed, paused or
 // turned away by the store, and daemons restart.
 func TestEvacuationsUnderFaults(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		cluster := newEvacuable(rapid.Uint64().Draw(t, "seed"), 27)
 		cluster.Run(40 * time.Second)
--- a/standin/fleet/keys_test.go
+++ b/standin/fleet/keys_test.go
@@ -284,6 +284,7 @@
 // that no caller is refused with a valid key or served with a removed one after it. The
 // changes of a fleet follow each other, since its start takes longer than several of them.
 func TestKeysAreInForceInTime(t *testing.T) {
+	t.Parallel()
 	for _, size := range []struct {
 		daemons int
 		seeds   []uint64
--- a/standin/fleet/watchers_test.go
+++ b/standin/fleet/watchers_test.go
@@ -76,6 +76,7 @@
 // A change is in force everywhere in time although watchers are killed, paused or
 // turned away by the platform, which also turns away other daemons.
 func TestWatchersAreReplaced(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		cluster := newFleet(rapid.Uint64().Draw(t, "seed"), 36)
 		cluster.Run(40 * time.Second)
--- a/standin/play/crossing_test.go
+++ b/standin/play/crossing_test.go
@@ -69,6 +69,7 @@
 // TestCrossing guards against requests that stay in a region with too little capacity, and
 // against bytes between regions that are worth less to callers than they cost.
 func TestCrossing(t *testing.T) {
+	t.Parallel()
 	t.Run("waves: more credit net of bytes than if requests stay in their region", func(t *testing.T) {
 		current, ownRegion := meanOutcome(t, withWaves(withNoise(smallScenario())), play.Current), meanOutcome(t, withWaves(withNoise(smallScenario())), "ownRegion")
 		is.New(t).True(current.net > ownRegion.net+0.03)
--- a/standin/play/handover_test.go
+++ b/standin/play/handover_test.go
@@ -58,6 +58,7 @@
 // headroom since they run cancelled requests on, and against capacity that is lost where
 // targets drop them.
 func TestCancelledRunsAtTargets(t *testing.T) {
+	t.Parallel()
 	scenarioOf := func(runsCancelled bool) func() *play.Scenario {
 		return func() *play.Scenario {
 			scenario := kneeScenario(9)
@@ -89,6 +90,7 @@
 // TestHeadroom shows why gates keep 0.2 of the slots free: targets that slow down above serve
 // fewer requests, and fewer of them in time, when gates hand over as many as there are slots.
 func TestHeadroom(t *testing.T) {
+	t.Parallel()
 	scenarioWith := func(headroom float64) func() *play.Scenario {
 		return func() *play.Scenario {
 			scenario := kneeScenario(18)
--- a/standin/play/withdraw_test.go
+++ b/standin/play/withdraw_test.go
@@ -44,6 +44,7 @@
 }
 
 func TestCallersGainFromWithdrawals(t *testing.T) {
+	t.Parallel()
 	for _, test := range []struct{ share, late, margin float64 }{{0.15, 60, 0.004}, {0.4, 60, 0.004}, {0.15, 25, 0}} {
 		t.Run(fmt.Sprintf("a share of %g of the daemons is late by %g ms", test.share, test.late), func(t *testing.T) {
 			without, with := meanCredits(t, slowDaemonScenario(test.share, test.late))
--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -209,7 +209,7 @@
 mutant "long messages are not compressed" io/peer/compress.go \
   'if proto.Size(message) < minCompressedSize {' 'if true {' ./io/peer
 mutant "bytes have no price" core/route/crossing.go \
-  'return min(1, request.Bytes*candidate.BytePrice) * worthSeconds(request)' 'return 0' ./core/route ./core/pick
+  'return priceFraction(request, candidate) * worthSeconds(request)' 'return 0' ./core/route ./core/pick
 mutant "the price of bytes has no limit" core/route/crossing.go \
   'min(1, request.Bytes*candidate.BytePrice)' '(request.Bytes * candidate.BytePrice)' ./core/route
 mutant "the price of bytes does not depend on the objective" core/route/crossing.go \
@@ -535,9 +535,7 @@
 mutant "the use of workspaces is kept for ever" core/admit/share.go \
   '&& share.started+share.refused < idleCount' '&& share.started < 0' ./core/admit
 mutant "the use of any number of workspaces is kept" core/admit/share.go \
-  'if len(shares.byWorkspace) >= maxShares {
-			return nil' 'if false {
-			return nil' ./core/admit
+  'if len(shares.byWorkspace) >= maxShares && workspace != noWorkspace {' 'if false {' ./core/admit
 mutant "a workspace is charged for the estimate only" core/admit/cost.go \
   'at.Sub(request.started)-request.charged)' '0)' ./core/admit
 mutant "a long body is sent before a slot is granted" io/caller/attempt.go \
