--- a/core/kernel/message.go
+++ b/core/kernel/message.go
@@ -128,32 +128,32 @@
 	Released  bool
 }
 
-// AddedTimeMeasured reports how late a timer of this daemon has fired.
-type AddedTimeMeasured struct{ Late time.Duration }
+// TimerLatenessMeasured reports how late a timer of this daemon has fired.
+type TimerLatenessMeasured struct{ Late time.Duration }
 
 // WithdrawalClaimed reports the order of this daemon's claim to withdraw from callers, or
 // 0 if it has none.
 type WithdrawalClaimed struct{ Order uint64 }
 
-func (Started) message()           {}
-func (Ticked) message()            {}
-func (RecordsMerged) message()     {}
-func (EnvelopeReceived) message()  {}
-func (PeerReplied) message()       {}
-func (PeerFailed) message()        {}
-func (PeerSynced) message()        {}
-func (PeersFound) message()        {}
-func (NoPeersFound) message()      {}
-func (PlatformCallEnded) message() {}
-func (ChangeRequested) message()   {}
-func (UpstreamAnnounced) message() {}
-func (UpstreamDeparted) message()  {}
-func (UpstreamSilent) message()    {}
-func (DrainRequested) message()    {}
-func (StopRequested) message()     {}
-func (UpstreamCrashed) message()   {}
-func (SuspectCompleted) message()  {}
-func (ClaimRequested) message()    {}
-func (ClaimClosed) message()       {}
-func (AddedTimeMeasured) message() {}
-func (WithdrawalClaimed) message() {}
+func (Started) message()               {}
+func (Ticked) message()                {}
+func (RecordsMerged) message()         {}
+func (EnvelopeReceived) message()      {}
+func (PeerReplied) message()           {}
+func (PeerFailed) message()            {}
+func (PeerSynced) message()            {}
+func (PeersFound) message()            {}
+func (NoPeersFound) message()          {}
+func (PlatformCallEnded) message()     {}
+func (ChangeRequested) message()       {}
+func (UpstreamAnnounced) message()     {}
+func (UpstreamDeparted) message()      {}
+func (UpstreamSilent) message()        {}
+func (DrainRequested) message()        {}
+func (StopRequested) message()         {}
+func (UpstreamCrashed) message()       {}
+func (SuspectCompleted) message()      {}
+func (ClaimRequested) message()        {}
+func (ClaimClosed) message()           {}
+func (TimerLatenessMeasured) message() {}
+func (WithdrawalClaimed) message()     {}
--- a/core/kernel/settings.go
+++ b/core/kernel/settings.go
@@ -46,8 +46,8 @@
 	// RegionCapacity is the maximum number of daemons of one service in one
 	// region. Each daemon gets the measuring budget divided by it.
 	RegionCapacity int
-	// WithdrawAfter is how long this daemon must have added too much time to the
-	// requests of callers before it withdraws from them. With 0 it never does.
+	// WithdrawAfter is how long the timers of this daemon must have been late before it
+	// withdraws from callers. With 0 it never does.
 	WithdrawAfter time.Duration
 }
 
--- a/core/route/crossing.go
+++ b/core/route/crossing.go
@@ -48,7 +48,7 @@
 // Weights of the decision whether a request crosses to another region.
 const (
 	// lateLoss is the fraction of its value that a response loses after its objective.
-	// Callers of the users' deployments value a late response at about a tenth.
+	// A late response is worth about a tenth of one in time to callers.
 	lateLoss = 0.9
 	// timeDeviation is the standard deviation of the time at a target, as a fraction of
 	// the expected time. In the player 0.15 to 0.3 earn the same credit within the noise;
--- a/core/withdraw/fleet_test.go
+++ b/core/withdraw/fleet_test.go
@@ -57,7 +57,7 @@
 	late := centres.late[name]
 	centres.Schedule(withdraw.SampleInterval+late, func() {
 		if node := centres.Nodes[name]; !node.Stopped && !node.FrozenUntil.After(centres.Now) {
-			centres.Deliver(name, kernel.AddedTimeMeasured{Late: late})
+			centres.Deliver(name, kernel.TimerLatenessMeasured{Late: late})
 		}
 		if late := centres.late[name]; late > 0 {
 			centres.Schedule(withdraw.SampleInterval, func() { centres.Nodes[name].FrozenUntil = centres.Now.Add(late) })
--- a/core/withdraw/plugin.go
+++ b/core/withdraw/plugin.go
@@ -31,8 +31,8 @@
 		plugin.decision = Decision{Name: state.Settings.Self, After: state.Settings.WithdrawAfter}
 	case kernel.EnvelopeReceived, kernel.PeerReplied:
 		plugin.lastContact = event.At
-	case kernel.AddedTimeMeasured:
-		plugin.decision.RecordAddedTime(event.At, message.Late)
+	case kernel.TimerLatenessMeasured:
+		plugin.decision.RecordTimerLateness(event.At, message.Late)
 	case kernel.Ticked:
 		return plugin.tick(state, event.At)
 	}
--- a/core/withdraw/withdraw.go
+++ b/core/withdraw/withdraw.go
@@ -13,7 +13,7 @@
 //
 // The package registers a kernel plug-in when it is imported. The plug-in does nothing
 // unless kernel.Settings.WithdrawAfter is set and the driver sends
-// kernel.AddedTimeMeasured. kernel.View.Withdrawal has the result.
+// kernel.TimerLatenessMeasured. kernel.View.Withdrawal has the result.
 package withdraw
 
 import (
@@ -27,10 +27,10 @@
 // SampleInterval is how often a daemon measures how late its timers fire.
 const SampleInterval = 50 * time.Millisecond
 
-// MaxAddedTime is the lateness of a timer from which a sample counts as late. A request
+// MaxTimerLateness is the lateness of a timer from which a sample counts as late. A request
 // waits for about four wake-ups of its daemon, so a late one loses 80 ms and more of the
 // objective of the fastest class, which is 200 ms.
-const MaxAddedTime = 20 * time.Millisecond
+const MaxTimerLateness = 20 * time.Millisecond
 
 // SamplesToRecover is the number of consecutive samples in time that end a slow period. Those
 // after them need not be recorded until one is late.
@@ -128,9 +128,9 @@
 // Reason returns why the daemon withdrew or, if it is not withdrawn, why it returned.
 func (decision *Decision) Reason() string { return decision.reason }
 
-// RecordAddedTime records how late a timer of the daemon has fired.
-func (decision *Decision) RecordAddedTime(at time.Time, late time.Duration) {
-	if late < MaxAddedTime {
+// RecordTimerLateness records how late a timer of the daemon has fired.
+func (decision *Decision) RecordTimerLateness(at time.Time, late time.Duration) {
+	if late < MaxTimerLateness {
 		decision.punctual++
 		if decision.punctual >= SamplesToRecover {
 			decision.slowSince, decision.lateCount, decision.lateSum = time.Time{}, 0, 0
--- a/core/withdraw/withdraw_test.go
+++ b/core/withdraw/withdraw_test.go
@@ -46,7 +46,7 @@
 	const step = 10 * time.Millisecond
 	for end := harness.now.Add(duration); harness.now.Before(end); harness.now = harness.now.Add(step) {
 		if !harness.now.Before(harness.nextSample) {
-			harness.decision.RecordAddedTime(harness.now, harness.late)
+			harness.decision.RecordTimerLateness(harness.now, harness.late)
 			harness.nextSample = harness.now.Add(withdraw.SampleInterval + harness.late)
 		}
 		if harness.now.UnixMilli()%100 == 0 {
@@ -127,7 +127,7 @@
 	})
 	t.Run("not for timers that are a little late", func(t *testing.T) {
 		harness := newHarness(budgetTime)
-		harness.late = withdraw.MaxAddedTime - 1
+		harness.late = withdraw.MaxTimerLateness - 1
 		harness.run(4 * time.Second)
 		is.New(t).True(!harness.claimed)
 	})
@@ -165,7 +165,7 @@
 			harness := newHarness(budgetTime)
 			for range test.freezes {
 				harness.now = harness.now.Add(2 * time.Second)
-				harness.decision.RecordAddedTime(harness.now, 2*time.Second)
+				harness.decision.RecordTimerLateness(harness.now, 2*time.Second)
 				harness.nextSample = harness.now.Add(withdraw.SampleInterval)
 				harness.run(test.pause)
 			}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -117,8 +117,8 @@
 	// measureUpstream is running.
 	leaving   atomic.Bool
 	measuring atomic.Bool
-	// addedTime is how late the last measured timer fired, in nanoseconds.
-	addedTime atomic.Int64
+	// timerLateness is how late the last measured timer fired, in nanoseconds.
+	timerLateness atomic.Int64
 	// measuringLoad is set while the upstream is asked how many requests it runs.
 	measuringLoad atomic.Bool
 	serveErrors   chan error
@@ -147,7 +147,7 @@
 	go daemon.gate.Run(background)
 	go daemon.runHousekeeping(background)
 	if daemon.Settings.WithdrawAfter > 0 {
-		go daemon.measureAddedTime(background)
+		go daemon.measureTimerLateness(background)
 	}
 	if daemon.quotas != nil {
 		go daemon.quotas.Run(background)
--- a/daemon/gauges.go
+++ b/daemon/gauges.go
@@ -70,7 +70,7 @@
 		group.Add(daemon.meter.AddCounter(counter.name, counter.description, func() int64 { return int64(counter.value(daemon.gate.CauseCounts())) }))
 	}
 	group.Add(daemon.meter.AddFloatGauge("ibislift.timer.lateness.seconds", "How late the last measured timer of this daemon fired; 0 if it does not measure.",
-		func() float64 { return time.Duration(daemon.addedTime.Load()).Seconds() }))
+		func() float64 { return time.Duration(daemon.timerLateness.Load()).Seconds() }))
 	if daemon.DroppedLogLines != nil {
 		group.Add(daemon.meter.AddCounter("ibislift.log.dropped", "Log lines left out.",
 			func() int64 { return int64(daemon.DroppedLogLines()) }))
--- a/daemon/addedtime.go
+++ b/daemon/lateness.go
@@ -8,24 +8,24 @@
 	"ibislift/core/withdraw"
 )
 
-// measureAddedTime measures how late the timers of this process fire, until the context ends.
+// measureTimerLateness measures how late the timers of this process fire, until the context ends.
 // A process that gets too little processor time handles the steps of a request as late. It
 // measures 20 times a second, whether or not requests arrive, and costs one wake-up each
 // time.
-func (daemon *Daemon) measureAddedTime(ctx context.Context) {
+func (daemon *Daemon) measureTimerLateness(ctx context.Context) {
 	timer := time.NewTimer(withdraw.SampleInterval)
 	defer timer.Stop()
 	due := time.Now().Add(withdraw.SampleInterval)
-	sampler := addedTimeSampler{}
+	sampler := latenessSampler{}
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-timer.C:
 			late := max(0, time.Since(due))
-			daemon.addedTime.Store(int64(late))
+			daemon.timerLateness.Store(int64(late))
 			if sampler.isNeeded(late) {
-				daemon.control.send(kernel.AddedTimeMeasured{Late: late})
+				daemon.control.send(kernel.TimerLatenessMeasured{Late: late})
 			}
 			due = time.Now().Add(withdraw.SampleInterval)
 			timer.Reset(withdraw.SampleInterval)
@@ -33,13 +33,13 @@
 	}
 }
 
-// addedTimeSampler selects the samples that the kernel needs: those that are late, and the
+// latenessSampler selects the samples that the kernel needs: those that are late, and the
 // next ones that end a slow period. A daemon whose timers fire in time sends it none.
-type addedTimeSampler struct{ left int }
+type latenessSampler struct{ left int }
 
 // isNeeded reports whether the kernel needs the next sample.
-func (sampler *addedTimeSampler) isNeeded(late time.Duration) bool {
-	if late >= withdraw.MaxAddedTime {
+func (sampler *latenessSampler) isNeeded(late time.Duration) bool {
+	if late >= withdraw.MaxTimerLateness {
 		sampler.left = withdraw.SamplesToRecover
 		return true
 	}
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -65,8 +65,8 @@
 	// ReadyAddress is where the daemon serves readiness checks. If it is
 	// empty, it serves none.
 	ReadyAddress string
-	// WithdrawAfter is how long the daemon must have added too much time to the requests
-	// of callers before it withdraws from them: its readiness check fails for some
+	// WithdrawAfter is how long the timers of the daemon must have been late before it
+	// withdraws from callers: its readiness check fails for some
 	// seconds, unless that of its neighbours does already. With 0 it never withdraws.
 	WithdrawAfter time.Duration
 	// RouteObject is the KIND/NAME of the platform object that holds the
--- a/daemon/withdraw_test.go
+++ b/daemon/withdraw_test.go
@@ -47,34 +47,34 @@
 	})
 }
 
-func TestAddedTimeIsMeasured(t *testing.T) {
+func TestTimerLatenessIsMeasured(t *testing.T) {
 	daemon := newWithdrawal(kernel.Withdrawal{})
-	daemon.addedTime.Store(-1)
+	daemon.timerLateness.Store(-1)
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
-		daemon.measureAddedTime(ctx)
+		daemon.measureTimerLateness(ctx)
 	}()
 	is := is.New(t)
-	for end := time.Now().Add(20 * time.Second); daemon.addedTime.Load() < 0 && time.Now().Before(end); {
+	for end := time.Now().Add(20 * time.Second); daemon.timerLateness.Load() < 0 && time.Now().Before(end); {
 		time.Sleep(time.Millisecond)
 	}
-	is.True(daemon.addedTime.Load() >= 0)
+	is.True(daemon.timerLateness.Load() >= 0)
 	cancel()
 	<-ended
 }
 
 // The kernel must get the end of a slow period, and no samples while timers fire in time.
 func TestSamplesThatTheKernelNeeds(t *testing.T) {
-	sampler := addedTimeSampler{}
+	sampler := latenessSampler{}
 	is := is.New(t)
 	is.True(!sampler.isNeeded(0))
-	is.True(sampler.isNeeded(withdraw.MaxAddedTime))
+	is.True(sampler.isNeeded(withdraw.MaxTimerLateness))
 	for range withdraw.SamplesToRecover {
-		is.True(sampler.isNeeded(withdraw.MaxAddedTime - 1))
+		is.True(sampler.isNeeded(withdraw.MaxTimerLateness - 1))
 	}
-	is.True(!sampler.isNeeded(withdraw.MaxAddedTime - 1))
+	is.True(!sampler.isNeeded(withdraw.MaxTimerLateness - 1))
 	is.True(sampler.isNeeded(time.Second))
 }
 
--- a/standin/play/withdraw.go
+++ b/standin/play/withdraw.go
@@ -37,18 +37,18 @@
 	for index, daemon := range simulation.daemons {
 		daemon.readiness.decision = withdraw.Decision{Name: daemon.name, After: simulation.policy.WithdrawAfter}
 		daemon.readiness.decision.Tick(simulation.clock.now.Add(-time.Hour), nil, true)
-		daemon.sampleAddedTime()
+		daemon.sampleTimerLateness()
 		daemon.tickReadiness()
 		offset := checkInterval * time.Duration(index) / time.Duration(len(simulation.daemons))
 		simulation.clock.runAfter(offset, daemon.checkReadiness)
 	}
 }
 
-func (daemon *daemon) sampleAddedTime() {
+func (daemon *daemon) sampleTimerLateness() {
 	late := daemon.addedTime
 	daemon.simulation.clock.runAfter(withdraw.SampleInterval+late, func() {
-		daemon.readiness.decision.RecordAddedTime(daemon.simulation.clock.now, late)
-		daemon.sampleAddedTime()
+		daemon.readiness.decision.RecordTimerLateness(daemon.simulation.clock.now, late)
+		daemon.sampleTimerLateness()
 	})
 }
 
--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -622,7 +622,7 @@
   'if plugin.membersChanged || plugin.claimsChanged {' 'if plugin.membersChanged {' ./core/withdraw
 mutant "a daemon that has recovered since its claim withdraws" core/withdraw/withdraw.go \
   'case decision.isSlowForLong() &&' 'case decision.isSlow() &&' ./core/withdraw
-mutant "the kernel does not hear of the end of a slow period" daemon/addedtime.go \
+mutant "the kernel does not hear of the end of a slow period" daemon/lateness.go \
   'sampler.left = withdraw.SamplesToRecover' 'sampler.left = 0' ./daemon -run Samples
 mutant "callers use a withdrawn daemon" standin/play/caller.go \
   'candidates = inService(candidates)' '' ./standin/play -run Withdraw
