contact: a daemon that starts with the whole fleet watches within 3 s

Cause: a daemon does not watch before it knows the watchers of its region. It waited until no replicated record of any kind had been added for a second, for 3.5 to 8 s. Targets that leave add records, so nobody followed the platform for the longest time, which is twice the 4 s in which a change has to be in force.

Ruled out: stale first reads. With reads that are 3 s behind, the same wait keeps all daemons on the older table.

Change: only new members extend the wait, which lasts 2 s at least and 3 s at most, for route tables and evacuations alike. The stand-in's platform can return objects of an earlier time to reads that may be stale.

Why it works: with 3 s, the current read of the watchers comes before any daemon has run for 4 s, and the watch that follows starts from its revision.

--- a/core/contact/contact.go
+++ b/core/contact/contact.go
@@ -29,14 +29,18 @@
 	minFailedNeighbours = 2
 )
 
-// Settling is how long a daemon waits after its start before it watches, since it learns
-// only then who the watchers of its region are: Least, and while new records still arrive
-// until none has arrived for Quiet, but no longer than Most.
-type Settling struct{ Least, Quiet, Most time.Duration }
-
-// DefaultSettling suits changes that need not be in force within seconds of the fleet's
-// start.
-var DefaultSettling = Settling{Least: 3500 * time.Millisecond, Quiet: time.Second, Most: 8 * time.Second}
+// Limits for the time that a daemon waits after its start before it watches, since it learns
+// only then who the watchers of its region are.
+const (
+	// minSettlingTime is the least time. The records of a fleet that starts reach most of
+	// its daemons within it.
+	minSettlingTime = 2 * time.Second
+	// memberQuietTime is how long no new member must have appeared.
+	memberQuietTime = 500 * time.Millisecond
+	// maxSettlingTime is the longest time. Until its end a daemon that starts with the whole
+	// fleet may miss a change, which has to be in force 4 s after the start.
+	maxSettlingTime = 3 * time.Second
+)
 
 // Contact follows the exchanges with the neighbours. The zero value has had none.
 type Contact struct {
@@ -45,10 +49,10 @@
 	// and failedPeers the time of the last failed one by the peer's address.
 	lastContact time.Time
 	failedPeers map[string]time.Time
-	// recordCount is the number of replicated records, and recordsChangedAt when it
-	// last changed.
-	recordCount      int
-	recordsChangedAt time.Time
+	// memberCount is the number of known members, and membersChangedAt when it last
+	// changed.
+	memberCount      int
+	membersChangedAt time.Time
 }
 
 // Update handles the start of the daemon and the end of an exchange. It ignores other
@@ -80,15 +84,15 @@
 }
 
 // IsSettling reports whether this daemon has started too recently to watch.
-func (contact *Contact) IsSettling(state *kernel.State, at time.Time, settling Settling) bool {
-	if count := state.Table.Len(); count != contact.recordCount {
-		contact.recordCount, contact.recordsChangedAt = count, at
+func (contact *Contact) IsSettling(state *kernel.State, at time.Time) bool {
+	if count := state.Table.Count(kernel.KindMember); count != contact.memberCount {
+		contact.memberCount, contact.membersChangedAt = count, at
 	}
 	switch age := at.Sub(contact.startedAt); {
-	case age < settling.Least:
+	case age < minSettlingTime:
 		return true
-	case age < settling.Most:
-		return at.Sub(contact.recordsChangedAt) < settling.Quiet
+	case age < maxSettlingTime:
+		return at.Sub(contact.membersChangedAt) < memberQuietTime
 	default:
 		return false
 	}
--- a/core/kernel/table.go
+++ b/core/kernel/table.go
@@ -51,6 +51,7 @@
 	records map[Key]Record
 	digests [BucketCount]uint64
 	keys    [BucketCount]map[Key]struct{}
+	counts  map[Kind]int
 }
 
 // IsNewer reports whether the record is newer than the stored version, or not
@@ -69,10 +70,13 @@
 	old, known := table.records[record.Key]
 	if table.records == nil {
 		table.records = map[Key]Record{}
+		table.counts = map[Kind]int{}
 	}
 	bucket := bucketOf(record.Key)
 	if known {
 		table.digests[bucket] ^= digestOf(old)
+	} else {
+		table.counts[record.Kind]++
 	}
 	table.digests[bucket] ^= digestOf(record)
 	if table.keys[bucket] == nil {
@@ -93,6 +97,7 @@
 	table.digests[bucket] ^= digestOf(old)
 	delete(table.keys[bucket], key)
 	delete(table.records, key)
+	table.counts[key.Kind]--
 }
 
 // Get returns the record with the given key.
@@ -101,8 +106,8 @@
 	return record, known
 }
 
-// Len returns the number of records.
-func (table *Table) Len() int { return len(table.records) }
+// Count returns the number of records of a kind.
+func (table *Table) Count(kind Kind) int { return table.counts[kind] }
 
 // Each calls visit for every record of a kind, sorted by name.
 func (table *Table) Each(kind Kind, visit func(Record)) {
--- a/standin/fleet/platform.go
+++ b/standin/fleet/platform.go
@@ -35,6 +35,8 @@
 	// Unreadable is the number of objects in each list that cannot be decoded. They are
 	// left out of the reply.
 	Unreadable int
+	// StaleAge is how old the objects are that a read returns which may be stale.
+	StaleAge time.Duration
 	// HidesRemovals makes watches miss the removal of objects.
 	HidesRemovals bool
 	// DropWriteReply reports whether the reply to a write is lost although the
@@ -73,12 +75,7 @@
 // Restore replaces all objects with a copy of the given age and begins a new era.
 // Watches that wait are cut off.
 func (platform *Platform) Restore(fleet *Fleet, age time.Duration) {
-	restored := copyOfObjects{}
-	for _, earlier := range platform.copies {
-		if !earlier.at.After(fleet.Now.Add(-age)) {
-			restored = earlier
-		}
-	}
+	restored := platform.copyAt(fleet.Now, age)
 	platform.objects = maps.Clone(restored.objects)
 	platform.revision = restored.revision
 	platform.copies = []copyOfObjects{restored}
@@ -90,9 +87,20 @@
 	platform.watches = nil
 }
 
-// keepCopy keeps a copy of all objects, if the platform has eras.
+// copyAt returns the latest copy that is at least as old as the given age.
+func (platform *Platform) copyAt(now time.Time, age time.Duration) copyOfObjects {
+	found := copyOfObjects{}
+	for _, earlier := range platform.copies {
+		if !earlier.at.After(now.Add(-age)) {
+			found = earlier
+		}
+	}
+	return found
+}
+
+// keepCopy keeps a copy of all objects, if the platform has eras or stale reads.
 func (platform *Platform) keepCopy(at time.Time) {
-	if platform.Era > 0 {
+	if platform.Era > 0 || platform.StaleAge > 0 {
 		platform.copies = append(platform.copies, copyOfObjects{at: at, objects: maps.Clone(platform.objects), revision: platform.revision})
 	}
 }
@@ -164,10 +172,11 @@
 		reply(platform.read(call.Name), platformLatency)
 	case kernel.ListObjects:
 		platform.Reads++
+		result := platform.list(call.Prefix, 0)
 		if call.StaleAllowed {
 			platform.StaleReads++
+			result = platform.staleList(fleet.Now, call.Prefix, result)
 		}
-		result := platform.list(call.Prefix, 0)
 		result.Invalid = platform.Unreadable
 		reply(result, platformLatency)
 	case kernel.WatchObjects:
@@ -224,6 +233,21 @@
 	return result
 }
 
+// staleList returns a list as it was StaleAge ago. current is the list as it is now.
+func (platform *Platform) staleList(now time.Time, prefix string, current kernel.PlatformResult) kernel.PlatformResult {
+	if platform.StaleAge == 0 {
+		return current
+	}
+	earlier := platform.copyAt(now, platform.StaleAge)
+	result := kernel.PlatformResult{Revision: earlier.revision}
+	for _, object := range current.Objects {
+		if object, known := earlier.objects[object.Name]; known {
+			result.Objects = append(result.Objects, object)
+		}
+	}
+	return result
+}
+
 func (platform *Platform) write(fleet *Fleet, call kernel.WriteObject, reply func(kernel.PlatformResult, time.Duration)) {
 	delay := time.Duration(0)
 	if platform.WriteDelay != nil {
--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -652,4 +652,8 @@
   'stream.admission.MarkCancelled()' '' ./io/peer
 mutant "the reported load of a probe does not reach the gate" io/peer/statements.go \
   'server.Gate.RecordLoad(*result.Load, result.SentAt)' '' ./io/peer
+mutant "records of any kind keep a daemon from watching" core/contact/contact.go \
+  'state.Table.Count(kernel.KindMember)' 'state.Table.Count(kernel.KindMember) + state.Table.Count(kernel.KindDepartures)' ./core/contact
+mutant "a daemon watches late while members appear" core/contact/contact.go \
+  'maxSettlingTime = 3 * time.Second' 'maxSettlingTime = 8 * time.Second' ./core/contact
 exit $living
