http1: tests shut a server down only after it has begun to accept

TestLeaving, "a connection opened just before a shutdown gets its response", failed once beside seven other processes: the write was reset.

If Shutdown runs first, Serve closes the listener at once and resets the waiting connection. A sleep of 20 ms before Serve gives the same failure each time.

The connection may still wait to be accepted, so the check is as strict as before. A daemon serves callers long before it can be stopped in this way.

--- a/io/http1/server_test.go
+++ b/io/http1/server_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -16,13 +17,28 @@
 	"ibislift/io/http1"
 )
 
-// serve starts a server and returns a client connection to it.
+// announcingListener closes accepting at the first call of Accept.
+type announcingListener struct {
+	*net.TCPListener
+	once      sync.Once
+	accepting chan struct{}
+}
+
+func (announcingListener *announcingListener) Accept() (net.Conn, error) {
+	announcingListener.once.Do(func() { close(announcingListener.accepting) })
+	return announcingListener.TCPListener.Accept()
+}
+
+// serve starts a server and returns a client connection to it. The server has begun to
+// accept connections: a shutdown before that resets those that were opened.
 func serve(t *testing.T, server *http1.Server) (net.Conn, *bufio.Reader) {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	is.New(t).NoErr(err)
-	go func() { _ = server.Serve(listener) }()
+	announcing := &announcingListener{TCPListener: listener.(*net.TCPListener), accepting: make(chan struct{})}
+	go func() { _ = server.Serve(announcing) }()
 	t.Cleanup(func() { _ = server.Close() })
+	<-announcing.accepting
 	conn, err := net.Dial("tcp", listener.Addr().String())
 	is.New(t).NoErr(err)
 	t.Cleanup(func() { _ = conn.Close() })
