caller: a request ends at its deadline although the gate of its target stalls

Cause: the gate ends a stream at the deadline of its request, and the ingress relied on that: while it relayed a response, and once the first byte of a frame had arrived, its reads had no limit. Neither had its write of a commit to a gate that does not read, or a gate's write to an ingress that does not read; the latter kept the target's slot occupied.

Ruled out: the deadline itself (it was right, and ended requests that waited for the first frame) and the client's side.

Change: the context of an attempt ends with the deadline of its request and closes the stream. That counts as the deadline, so no further attempt is made. A gate stops sending half a second after the deadline.

Why it works: every read and write of the stream ends when its connection is closed, and the timer for that runs in the daemon that waits.

--- a/io/caller/attempt.go
+++ b/io/caller/attempt.go
@@ -39,11 +39,12 @@
 	spentToken bool
 }
 
-// newAttempt creates an attempt and records its start in the tracker.
+// newAttempt creates an attempt and records its start in the tracker. The stream ends with
+// the deadline of the request, since the gate that is to end it may be suspended.
 func newAttempt(exchange *exchange, member kernel.Member, send call.Send) *attempt {
-	ctx, stop := context.WithCancel(context.Background())
 	tracker := exchange.service.tracker
 	started := exchange.handler.Now()
+	ctx, stop := context.WithTimeout(context.Background(), exchange.request.deadline.Sub(started))
 	tracker.RecordStart(member.ID, started)
 	return &attempt{
 		index:       send.Attempt,
@@ -72,12 +73,21 @@
 	if err := attempt.sendHead(head); err != nil {
 		attempt.recordFailure(exchange)
 		exchange.readers++
-		exchange.events <- call.AttemptLost{Attempt: attempt.index}
+		exchange.events <- attempt.lost()
 		return
 	}
 	exchange.startReading(attempt)
 }
 
+// lost returns the event that the end of the stream means. At the deadline this daemon ends
+// it itself, which must not lead to another attempt.
+func (attempt *attempt) lost() call.Event {
+	if errors.Is(attempt.ctx.Err(), context.DeadlineExceeded) {
+		return call.DeadlinePassed{}
+	}
+	return call.AttemptLost{Attempt: attempt.index}
+}
+
 func (attempt *attempt) sendHead(head *peerpb.CallHead) error {
 	return attempt.stream.Send(&peerpb.CallFrame{Frame: &peerpb.CallFrame_Head{Head: head}})
 }
@@ -149,12 +159,16 @@
 	stream, err := exchange.handler.Peers.Open(attempt.ctx, attempt.member)
 	if err != nil {
 		attempt.recordFailure(exchange)
-		return call.AttemptLost{Attempt: attempt.index, Unsent: true}
+		if lost, isLost := attempt.lost().(call.AttemptLost); isLost {
+			lost.Unsent = true
+			return lost
+		}
+		return call.DeadlinePassed{}
 	}
 	attempt.stream = stream
 	if err := attempt.sendHead(head); err != nil {
 		attempt.recordFailure(exchange)
-		return call.AttemptLost{Attempt: attempt.index}
+		return attempt.lost()
 	}
 	return attempt.nextEvent(exchange)
 }
@@ -165,7 +179,7 @@
 		frame, err := attempt.stream.Recv()
 		if err != nil {
 			attempt.recordFailure(exchange)
-			return call.AttemptLost{Attempt: attempt.index}
+			return attempt.lost()
 		}
 		if event := attempt.handleFrame(exchange, frame); event != nil {
 			return event
@@ -183,7 +197,7 @@
 		}
 		if err != nil {
 			attempt.recordFailure(exchange)
-			return call.AttemptLost{Attempt: attempt.index}, false
+			return attempt.lost(), false
 		}
 		if event := attempt.handleFrame(exchange, frame); event != nil {
 			return event, false
--- a/io/peer/forward_server.go
+++ b/io/peer/forward_server.go
@@ -151,6 +151,9 @@
 		gateConnStream.cancel()
 		return nil, err
 	}
+	if head := frame.GetHead(); head != nil {
+		gateConnStream.conn.limitSending(head)
+	}
 	gateConnStream.updateUnread(frame)
 	gateConnStream.startWatch()
 	return frame, nil
--- a/io/peer/gate_conn.go
+++ b/io/peer/gate_conn.go
@@ -18,6 +18,11 @@
 // interrupted is a deadline that ends a read in progress and prevents further ones.
 var interrupted = time.Unix(1, 0)
 
+// sendSlack is how long after the deadline of a request its gate may still send what the
+// ingress does not read, which covers the report of the end. After that the request's slot is
+// free, also if the ingress is suspended.
+const sendSlack = 500 * time.Millisecond
+
 // errDismissed is returned for a request that was read from a dismissed connection.
 var errDismissed = errors.New("the connection is dismissed")
 
@@ -66,6 +71,13 @@
 	defer gateConn.mutex.Unlock()
 	gateConn.undecided = true
 	gateConn.resetReadDeadline()
+	_ = gateConn.SetWriteDeadline(time.Time{})
+}
+
+// limitSending ends the sending of a response to a request some time after its deadline.
+func (gateConn *gateConn) limitSending(head *peerpb.CallHead) {
+	remaining := time.Duration(head.GetRemainingMicroseconds()) * time.Microsecond
+	_ = gateConn.SetWriteDeadline(time.Now().Add(remaining + sendSlack))
 }
 
 // allowReading ends an interruption, unless the connection is dismissed.
--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -656,4 +656,8 @@
   'state.Table.Count(kernel.KindMember)' 'state.Table.Count(kernel.KindMember) + state.Table.Count(kernel.KindDepartures)' ./core/contact
 mutant "a daemon watches late while members appear" core/contact/contact.go \
   'maxSettlingTime = 3 * time.Second' 'maxSettlingTime = 8 * time.Second' ./core/contact
+mutant "a request waits for a suspended gate" io/caller/attempt.go \
+  'context.WithTimeout(context.Background(), exchange.request.deadline.Sub(started))' 'context.WithCancel(context.Background())' ./io/caller -run Stalls
+mutant "a suspended ingress keeps a slot" io/peer/gate_conn.go \
+  '_ = gateConn.SetWriteDeadline(time.Now().Add(remaining + sendSlack))' '_ = remaining' ./io/peer -run Stalls
 exit $living
