member: a watcher goes on until those in its place follow the platform

Cause: rank alone decided who watches. A watcher ended as soon as it knew a daemon that comes before it, and that one did not watch before it had settled. Each other change of rank had such a moment: watchers that were restarted, and one that had lost the platform and is due again.

Ruled out: the settling time alone. With 2 to 3 s the case holds, but a version is late when members appear one after another and stale reads bring nothing new.

Change: a daemon reports in its record that its watch has begun. One that follows the platform goes on until two before it have reported that; if none follows it, the third in rank takes over after 0.5 s, the fourth after 1 s. Suspected watchers do not count.

Why it works: the old watch ends only after the new one has begun from a revision that was read half a second before at most.

--- a/core/beacon/beacon.go
+++ b/core/beacon/beacon.go
@@ -138,7 +138,7 @@
 		return nil
 	case !plugin.listed:
 		return plugin.list(at)
-	case state.Watching:
+	case state.Watching && state.WatcherRank >= 0:
 		plugin.nextCallAt = at.Add(RefreshInterval)
 		return plugin.call(at, readToken, kernel.ReadObject{Name: ownName(state)})
 	default:
--- a/core/evacuate/calls.go
+++ b/core/evacuate/calls.go
@@ -20,6 +20,9 @@
 }
 
 func (plugin *plugin) watch(state *kernel.State, at time.Time) []kernel.Effect {
+	if state.Settings.RouteObject == "" && state.Settings.NoProfiles {
+		state.Following = true
+	}
 	plugin.watchToken = firstWatchToken + plugin.watchCount
 	plugin.watchCount++
 	return plugin.call(at, plugin.watchToken, kernel.WatchObjects{Prefix: state.Settings.EvacuationPrefix, Revision: plugin.revision, Wait: watchTimeout})
--- a/core/kernel/kernel.go
+++ b/core/kernel/kernel.go
@@ -40,6 +40,7 @@
 // State is shared by all plug-ins. It has the daemon's settings, the table of
 // replicated records, and what the member plug-in derives from the membership:
 // Neighbours, DeadPeers, DataCentreMembers, Watching, WatcherRank and ClaimCoordinators.
+// The plug-in whose watch brings the configuration sets Following.
 type State struct {
 	Settings   Settings
 	Table      Table
@@ -52,9 +53,12 @@
 	DataCentreMembers []Member
 	// Watching means that this daemon is one of the watchers of its region,
 	// which follow changes on the platform. WatcherRank is its position among
-	// them.
+	// them, or negative if it watches in place of others.
 	Watching    bool
 	WatcherRank int
+	// Following means that the watch of this daemon has begun, so that no change on the
+	// platform escapes it.
+	Following bool
 	// PlatformDownSince is when the calls of this daemon's watches began to fail,
 	// or zero while they succeed.
 	PlatformDownSince time.Time
--- a/core/kernel/view.go
+++ b/core/kernel/view.go
@@ -72,6 +72,8 @@
 	// PlatformLost means that the daemon was to watch the platform and does not
 	// reach it.
 	PlatformLost bool `json:"platformLost,omitempty"`
+	// Following means that the daemon watches the platform and that its watch has begun.
+	Following bool `json:"following,omitempty"`
 	// WithdrawalOrder is the order of the daemon's claim to withdraw from callers, or 0
 	// if it has none. See package withdraw.
 	WithdrawalOrder uint64 `json:"withdrawalOrder,omitempty"`
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -77,6 +77,8 @@
 	coordinators  [][]string
 	neighbours    []kernel.Neighbour
 	watching      bool
+	watcherChoice watcherChoice
+	startedAt     time.Time
 	// platformLostAt is when this daemon last reported that it does not reach the
 	// platform.
 	platformLostAt time.Time
@@ -149,6 +151,8 @@
 	settings := state.Settings
 	plugin.members = map[string]trackedMember{}
 	plugin.departures = departures{}
+	plugin.startedAt = event.At
+	plugin.watcherChoice.followedAt = event.At.Add(firstTakeOver)
 	plugin.ownDepartures = ownDepartures{startedAt: event.At}
 	plugin.failures = map[string]int{}
 	plugin.lastFailure = map[string]time.Time{}
@@ -324,7 +328,7 @@
 		plugin.rebuildTopology(state)
 	}
 	plugin.membersChanged, plugin.claimsChanged = false, false
-	return effects
+	return append(effects, plugin.updateWatching(state, event.At)...)
 }
 
 // reportPlatformLoss publishes that this daemon is to watch the platform and does
@@ -340,6 +344,8 @@
 	}
 	if lost {
 		plugin.platformLostAt = at
+		state.Following = false
+		plugin.self.Following = false
 	}
 	plugin.self.PlatformLost = lost
 	return plugin.publishSelf()
@@ -394,9 +400,8 @@
 	}
 	state.Neighbours = chooseNeighbours(plugin.self, live)
 	plugin.neighbours = state.Neighbours
-	state.WatcherRank, state.Watching = watcherRank(plugin.self, live)
+	plugin.watcherChoice.candidates = watcherCandidates(plugin.self, live)
 	plugin.rebuildCoordinators(state, live)
-	plugin.watching = state.Watching
 	state.ViewDirty = true
 }
 
--- a/core/member/neighbours.go
+++ b/core/member/neighbours.go
@@ -19,8 +19,6 @@
 	// bridgesPerRegion is how many daemons of a region exchange records with
 	// the bridges of the other regions.
 	bridgesPerRegion = 2
-	// watchersPerRegion is how many daemons of a region watch the platform.
-	watchersPerRegion = 2
 	// coordinatorsPerPartition is how many daemons may coordinate the claims
 	// of a partition: the first one, and those that take over in turn when it
 	// cannot be reached.
@@ -105,55 +103,6 @@
 	return firstN(rankByHash(region, "bridge"), bridgesPerRegion)
 }
 
-// maxWatcherCandidates is how many daemons of a region may become watchers because
-// those before them do not reach the platform. It bounds the calls while the
-// platform is down for all.
-const maxWatcherCandidates = 6
-
-// watcherRank returns the position of self among the daemons of its region that
-// watch the platform, and whether self is one of them. Daemons that do not reach
-// the platform are passed over, and those in different data centres come first.
-func watcherRank(self kernel.Member, members []kernel.Member) (int, bool) {
-	var region []kernel.Member
-	for _, member := range members {
-		if member.Region == self.Region {
-			region = append(region, member)
-		}
-	}
-	candidates := firstN(spreadOverDataCentres(rankByHash(region, "watch")), maxWatcherCandidates)
-	var reaching []kernel.Member
-	for _, candidate := range candidates {
-		if !candidate.PlatformLost {
-			reaching = append(reaching, candidate)
-		}
-	}
-	if len(reaching) > 0 {
-		candidates = reaching
-	}
-	for rank, member := range firstN(candidates, watchersPerRegion) {
-		if member.ID == self.ID {
-			return rank, true
-		}
-	}
-	return 0, false
-}
-
-// spreadOverDataCentres moves the first daemon of each data centre to the front,
-// and keeps the order otherwise.
-func spreadOverDataCentres(ranked []kernel.Member) []kernel.Member {
-	seen := map[string]bool{}
-	var first, others []kernel.Member
-	for _, member := range ranked {
-		if seen[member.DataCentre] {
-			others = append(others, member)
-			continue
-		}
-		seen[member.DataCentre] = true
-		first = append(first, member)
-	}
-	return append(first, others...)
-}
-
 // chooseCoordinators returns the claim coordinators of each partition in the
 // order in which they take over. They are chosen by rendezvous hashing among
 // the daemons in the region of the platform's store that are not leaving, or
--- a/core/profile/plugin.go
+++ b/core/profile/plugin.go
@@ -156,7 +156,10 @@
 		return append(effects, plugin.list()...)
 	}
 	if state.Watching {
-		return append(effects, plugin.watch()...)
+		return append(effects, plugin.watch(state)...)
+	}
+	if state.Settings.RouteObject == "" {
+		state.Following = false
 	}
 	return effects
 }
@@ -166,8 +169,10 @@
 	return []kernel.Effect{plugin.call(listToken, kernel.ListObjects{Prefix: ObjectPrefix})}
 }
 
-func (plugin *plugin) watch() []kernel.Effect {
+func (plugin *plugin) watch(state *kernel.State) []kernel.Effect {
 	plugin.watching = true
+	// Where there is a route table, its watch counts.
+	state.Following = state.Following || state.Settings.RouteObject == ""
 	watch := kernel.WatchObjects{Prefix: ObjectPrefix, Revision: plugin.revision, Wait: watchTimeout}
 	return []kernel.Effect{plugin.call(watchToken, watch)}
 }
--- a/core/rollout/rollout.go
+++ b/core/rollout/rollout.go
@@ -173,6 +173,7 @@
 		return plugin.checkWatch(state, at)
 	}
 	if !state.Watching && plugin.contact.IsConnected(at) {
+		state.Following = false
 		return plugin.recheck(state, at)
 	}
 	if plugin.revision == 0 {
@@ -203,6 +204,7 @@
 }
 
 func (plugin *plugin) watch(state *kernel.State, at time.Time) []kernel.Effect {
+	state.Following = true
 	plugin.watchToken = firstWatchToken + plugin.watchCount
 	plugin.watchCount++
 	return plugin.call(at, plugin.watchToken, kernel.WatchObjects{Prefix: objectPrefix(state), Revision: plugin.revision, Wait: watchTimeout})
--- a/daemon/changes.go
+++ b/daemon/changes.go
@@ -37,7 +37,8 @@
 	}
 	logWithdrawal(log, before.Withdrawal, now.Withdrawal)
 	if before.Watching != now.Watching {
-		log.Info("watcher changed", "watching", now.Watching)
+		self, _ := now.Member(now.Self)
+		log.Info("watcher changed", "watching", now.Watching, "following", self.Following, "platformLost", self.PlatformLost)
 	}
 	switch {
 	case before.PlatformDownSince.IsZero() && !now.PlatformDownSince.IsZero():
--- a/standin/fleet/platform.go
+++ b/standin/fleet/platform.go
@@ -39,6 +39,8 @@
 	StaleAge time.Duration
 	// HidesRemovals makes watches miss the removal of objects.
 	HidesRemovals bool
+	// OnWatch, if set, is called when a daemon begins a watch.
+	OnWatch func(caller kernel.Settings)
 	// DropWriteReply reports whether the reply to a write is lost although the
 	// write takes effect. No reply is lost if it is nil.
 	DropWriteReply func() bool
@@ -181,6 +183,9 @@
 		reply(result, platformLatency)
 	case kernel.WatchObjects:
 		platform.Reads++
+		if platform.OnWatch != nil {
+			platform.OnWatch(caller)
+		}
 		platform.watch(fleet, caller, call, reply)
 	case kernel.ReadRevision:
 		platform.RevisionReads++
--- a/standin/fleet/restarts_test.go
+++ b/standin/fleet/restarts_test.go
@@ -22,6 +22,16 @@
 	addDaemons(cluster, daemons)
 }
 
+// newStaleFleet is newFleet with a platform whose stale reads return objects as they were
+// some seconds ago, so that a daemon that starts brings nothing new.
+func newStaleFleet(seed uint64, daemons int) *fleet.Fleet {
+	cluster := fleet.New(seed)
+	cluster.Platform.StaleAge = 3 * time.Second
+	cluster.Platform.Set(cluster, "config/main", tableBody(1))
+	addDaemons(cluster, daemons)
+	return cluster
+}
+
 // depart lets the upstreams of some daemons leave, one after the other. Each adds a
 // replicated record.
 func depart(cluster *fleet.Fleet, count int, first, interval time.Duration) {
@@ -62,10 +72,7 @@
 			requireInForceFrom(t, cluster, 2, stableTime-written, 10*time.Second)
 		})
 		t.Run(fmt.Sprintf("written before the restart, with stale reads after it, seed %d", seed), func(t *testing.T) {
-			cluster := fleet.New(seed)
-			cluster.Platform.StaleAge = 3 * time.Second
-			cluster.Platform.Set(cluster, "config/main", tableBody(1))
-			addDaemons(cluster, daemons)
+			cluster := newStaleFleet(seed, daemons)
 			cluster.Run(40 * time.Second)
 			cluster.Platform.Set(cluster, "config/main", tableBody(2))
 			restartAll(cluster, daemons, 500*time.Millisecond)
--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -660,4 +660,12 @@
   'context.WithTimeout(context.Background(), exchange.request.deadline.Sub(started))' 'context.WithCancel(context.Background())' ./io/caller -run Stalls
 mutant "a suspended ingress keeps a slot" io/peer/gate_conn.go \
   '_ = gateConn.SetWriteDeadline(time.Now().Add(remaining + sendSlack))' '_ = remaining' ./io/peer -run Stalls
+mutant "a watcher ends before those in its place have begun" core/member/watchers.go \
+  'return standInRank, followers < watchersPerRegion' 'return standInRank, false' ./core/member ./standin/fleet -run 'WatcherChoice|WatchersAreReplaced'
+mutant "nobody takes over from watchers that were restarted" core/member/watchers.go \
+  'return standInRank, unfollowed >=' 'return standInRank, false && unfollowed >=' ./core/member -run WatcherChoice
+mutant "a suspected watcher counts as one that follows" core/member/watchers.go \
+  '!candidate.Following || candidate.State != kernel.MemberAlive' '!candidate.Following' ./core/member -run WatcherChoice
+mutant "a daemon reports that it follows the platform before its watch has begun" core/member/watchers.go \
+  'follows := state.Watching && state.Following &&' 'follows := state.Watching &&' ./standin/fleet -run FollowersHaveBegun
 exit $living
