upstream: a response that is reset during an upload is cut

Callers saw: a target answered a long upload at once with a 200 that had no length, sent part of its body and reset the connection while the upload was still being written.

Cause: the operating system reports a reset to one call. The write of the upload got it, and the read of the response found an ordinary end, which ends a body without a length.

Ruled out: the relay to the ingress and to the caller, which cuts a response after any other error.

Change: a connection records its first failed write. At the end of a response without a length the writing is interrupted; if a write had failed, the response is cut.

Why it works: a reset that the read has missed has been returned by a write, and the read waits until a write in progress has returned.

--- a/io/upstream/client.go
+++ b/io/upstream/client.go
@@ -166,6 +166,9 @@
 		response.Abort()
 		return nil, Error.Wrap(err)
 	}
+	if endsWithConnection(response.Response) {
+		response.Body = &untilEndBody{ReadCloser: response.Body, writer: connection.request}
+	}
 	return response, nil
 }
 
--- a/io/upstream/connection.go
+++ b/io/upstream/connection.go
@@ -48,6 +48,8 @@
 	head    *headReader
 	reader  *bufio.Reader
 	writer  *bufio.Writer
+	// request is what writer writes to.
+	request *requestWriter
 	// idleSince is when the last data of the last response arrived.
 	idleSince time.Time
 	// keepAliveTimeout is how long the upstream keeps an idle connection, as
@@ -139,13 +141,14 @@
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
-	head := &headReader{Reader: conn}
+	head, request := &headReader{Reader: conn}, &requestWriter{Conn: conn}
 	return &connection{
 		Conn:    conn,
 		address: address,
 		head:    head,
 		reader:  bufio.NewReaderSize(head, bufferSize),
-		writer:  bufio.NewWriterSize(conn, bufferSize),
+		writer:  bufio.NewWriterSize(request, bufferSize),
+		request: request,
 	}, nil
 }
 
--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -668,4 +668,8 @@
   '!candidate.Following || candidate.State != kernel.MemberAlive' '!candidate.Following' ./core/member -run WatcherChoice
 mutant "a daemon reports that it follows the platform before its watch has begun" core/member/watchers.go \
   'follows := state.Watching && state.Following &&' 'follows := state.Watching &&' ./standin/fleet -run FollowersHaveBegun
+mutant "a reset that a write has met looks like the end of a response" io/upstream/early_end.go \
+  'untilEndBody.writer.interrupt() != nil' 'false' ./io/upstream -run ResponseWithoutALength
+mutant "the end of a response waits for an upload that the upstream does not read" io/upstream/early_end.go \
+  'SetWriteDeadline(time.Unix(1, 0))' 'SetWriteDeadline(time.Time{})' ./io/upstream -run ResponseWithoutALength
 exit $living
