caller: a stopping daemon refuses what it cannot finish

Cause: the ingress knows when it ends all requests, and did not compare that with what a new request needs. Connections end with the linger time, but one whose request is still arriving is kept.

Change: a request whose deadline is after that end is refused with 503 "stopping", not run, if less time is left than its latency objective and than twice the service time of its class. explain, OPERATIONS.md and the list of answers name it.

Evidence: TestStoppingDaemonRefusesWhatItCannotFinish got 504 before and gets 503 now, and the upstream has run nothing; a request that comes 0.2 s after SIGTERM is served as before.

--- a/cmd/ibislift/explainlog.go
+++ b/cmd/ibislift/explainlog.go
@@ -135,6 +135,7 @@
 var earlyCauses = map[string]string{
 	"evacuated":         "the data centres of all targets were evacuated",
 	"notReady":          "the daemon had no configuration yet",
+	"stopping":          "the daemon was stopping and had too little time left for the request",
 	"unknownRoute":      "no route of the table in force matched; see the line \"route table in force\"",
 	"unknownKey":        "no API key of the table in force; see the lines \"API keys changed\"",
 	"noAllowedRegion":   "the route and the workspace allow no common region",
--- a/io/caller/caller.go
+++ b/io/caller/caller.go
@@ -251,6 +251,9 @@
 		return bodyProblem(err)
 	}
 	request.setFingerprint(original, handler.CallerService)
+	if refusal := handler.refuseLate(request, service); refusal != nil {
+		return refusal
+	}
 	return checkBlocked(request, view, now)
 }
 
--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -672,4 +672,6 @@
   'untilEndBody.writer.interrupt() != nil' 'false' ./io/upstream -run ResponseWithoutALength
 mutant "the end of a response waits for an upload that the upstream does not read" io/upstream/early_end.go \
   'SetWriteDeadline(time.Unix(1, 0))' 'SetWriteDeadline(time.Time{})' ./io/upstream -run ResponseWithoutALength
+mutant "a stopping daemon passes on what it cannot finish" io/caller/stop.go \
+  'if left >= needed {' 'if left >= 0 {' ./daemon -run StoppingDaemonRefuses
 exit $living
