admit: the gate of a stopping daemon refuses what it would cut

Cause: the gate did not know when the daemon would end the running requests.

Evidence: TestStoppingGateAdmitsWhatItCanFinish; without the comparison (a mutant) the gate admits such a request.

--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -263,6 +263,8 @@
 	draining    bool
 	drained     bool
 	evacuated   bool
+	// endAt is when a daemon that is stopping ends the running requests, or the zero time.
+	endAt time.Time
 }
 
 // Update processes an event and returns the effects to perform, in order.
@@ -286,6 +288,9 @@
 		return append(effects, gate.measureSlowness(event.At)...)
 	case DrainRequested:
 		return gate.drain()
+	case StopScheduled:
+		gate.endAt = event.EndAt
+		return nil
 	case Reopened:
 		gate.draining = false
 		gate.drained = false
@@ -399,6 +404,9 @@
 	}
 	wait := gate.expectedWait(arrived)
 	serviceTime := gate.expectedServiceTime(arrived.At, arrived.Class)
+	if gate.isCutByStop(arrived, wait+stopServiceTimes*serviceTime) {
+		return refuse(arrived.ID, ReasonDraining, 0)
+	}
 	if arrived.At.Add(wait + serviceTime/2).After(arrived.Deadline) {
 		return gate.turnAway(arrived, arrived.At, ReasonDeadline, wait)
 	}
--- a/io/upstream/gate.go
+++ b/io/upstream/gate.go
@@ -394,6 +394,12 @@
 	return drained
 }
 
+// ScheduleStop makes the gate refuse what it cannot finish by the time at which the daemon
+// ends.
+func (gate *Gate) ScheduleStop(endAt time.Time) {
+	gate.apply(func() []admit.Effect { return gate.machine.Update(admit.StopScheduled{At: gate.Now(), EndAt: endAt}) })
+}
+
 // Close is like Drain, for a daemon that stops: an upstream that is replaced meanwhile
 // does not open the gate again.
 func (gate *Gate) Close() <-chan struct{} {
--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -674,4 +674,6 @@
   'SetWriteDeadline(time.Unix(1, 0))' 'SetWriteDeadline(time.Time{})' ./io/upstream -run ResponseWithoutALength
 mutant "a stopping daemon passes on what it cannot finish" io/caller/stop.go \
   'if left >= needed {' 'if left >= 0 {' ./daemon -run StoppingDaemonRefuses
+mutant "a stopping gate admits what it will cut" core/admit/admit.go \
+  'gate.isCutByStop(arrived, wait+stopServiceTimes*serviceTime)' 'gate.isCutByStop(arrived, 0)' ./core/admit -run StoppingGate
 exit $living
