--- a/cmd/soak/trial.go
+++ b/cmd/soak/trial.go
@@ -82,6 +82,7 @@
 	trial.checkQuota()
 	trial.checkColdTargets()
 	trial.checkRetryBudgets()
+	trial.checkFleetRestart()
 }
 
 // plan returns a deployment that is small enough to run several at a time. With
