member, upstream: names and comments after a read of the change

A check of a waiting watch only sets that a daemon follows the platform and does not clear it: a check that ends while a watch is begun anew would have published two records for nothing.

--- a/core/kernel/kernel.go
+++ b/core/kernel/kernel.go
@@ -40,7 +40,6 @@
 // State is shared by all plug-ins. It has the daemon's settings, the table of
 // replicated records, and what the member plug-in derives from the membership:
 // Neighbours, DeadPeers, DataCentreMembers, Watching, WatcherRank and ClaimCoordinators.
-// The plug-in whose watch brings the configuration sets Following.
 type State struct {
 	Settings   Settings
 	Table      Table
@@ -56,8 +55,8 @@
 	// them, or negative if it watches in place of others.
 	Watching    bool
 	WatcherRank int
-	// Following means that the watch of this daemon has begun, so that no change on the
-	// platform escapes it.
+	// Following means that the watch of this daemon has begun. The plug-in whose watch brings
+	// the configuration sets it.
 	Following bool
 	// PlatformDownSince is when the calls of this daemon's watches began to fail,
 	// or zero while they succeed.
--- a/core/member/watchers.go
+++ b/core/member/watchers.go
@@ -29,10 +29,10 @@
 // standInRank is kernel.State.WatcherRank of a watcher that is not among the first in rank.
 const standInRank = -1
 
-// watcherChoice decides whether this daemon watches the platform. The first daemons of a
-// region in rank do. They need some time before they do it, so that a daemon which follows the
-// platform goes on until those before it have reported that they follow it, and others
-// take their place if none does.
+// watcherChoice decides whether this daemon watches the platform, which is the task of the
+// first daemons of a region in rank. Their watches begin some time after they have got the
+// task. A daemon that follows the platform therefore goes on until those before it have reported
+// that they do, and the next one in rank stands in if none does.
 type watcherChoice struct {
 	// candidates are the daemons of the region that may watch, in the order of their rank.
 	candidates []kernel.Member
@@ -40,8 +40,8 @@
 	followedAt time.Time
 }
 
-// update returns whether this daemon watches, and its rank. follows says that it does so
-// already and may continue.
+// update returns whether this daemon watches, and its rank. follows says that it watches
+// already and that its watch has begun.
 func (watcherChoice *watcherChoice) update(self kernel.Member, at time.Time, follows bool) (rank int, watching bool) {
 	position := positionIn(watcherChoice.candidates, self)
 	followers := 0
--- a/core/rollout/check.go
+++ b/core/rollout/check.go
@@ -33,7 +33,8 @@
 // reported it. The change may be one that the watch does not ask for, so the cheaper
 // read suffices, which may be some seconds old.
 func (plugin *plugin) handleCheck(state *kernel.State, at time.Time, result kernel.PlatformResult) []kernel.Effect {
-	state.Following = plugin.watchToken != 0
+	// The reply shows that the waiting watch has missed nothing, or what it has missed.
+	state.Following = state.Following || plugin.watchToken != 0
 	if plugin.watchToken == 0 || plugin.readPending || result.Revision <= plugin.checkedRevision {
 		return nil
 	}
--- a/io/upstream/client.go
+++ b/io/upstream/client.go
@@ -167,7 +167,7 @@
 		return nil, Error.Wrap(err)
 	}
 	if endsWithConnection(response.Response) {
-		response.Body = &untilEndBody{ReadCloser: response.Body, writer: connection.request}
+		response.Body = &untilEndBody{ReadCloser: response.Body, writer: connection.unbuffered}
 	}
 	return response, nil
 }
--- a/io/upstream/connection.go
+++ b/io/upstream/connection.go
@@ -48,8 +48,8 @@
 	head    *headReader
 	reader  *bufio.Reader
 	writer  *bufio.Writer
-	// request is what writer writes to.
-	request *requestWriter
+	// unbuffered is what writer writes to.
+	unbuffered *requestWriter
 	// idleSince is when the last data of the last response arrived.
 	idleSince time.Time
 	// keepAliveTimeout is how long the upstream keeps an idle connection, as
@@ -141,14 +141,14 @@
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
-	head, request := &headReader{Reader: conn}, &requestWriter{Conn: conn}
+	head, unbuffered := &headReader{Reader: conn}, &requestWriter{Conn: conn}
 	return &connection{
-		Conn:    conn,
-		address: address,
-		head:    head,
-		reader:  bufio.NewReaderSize(head, bufferSize),
-		writer:  bufio.NewWriterSize(request, bufferSize),
-		request: request,
+		Conn:       conn,
+		address:    address,
+		head:       head,
+		reader:     bufio.NewReaderSize(head, bufferSize),
+		writer:     bufio.NewWriterSize(unbuffered, bufferSize),
+		unbuffered: unbuffered,
 	}, nil
 }
 
