mutants: three whose lines had moved; candidates of watchers have a test

The mutant of a watcher without the platform was no longer caught: the third in rank takes over 0.5 s later in any case. TestWatcherCandidates catches it. The stand-in's stale list has no unused parameter any more (revive).

--- a/core/member/watchers_test.go
+++ b/core/member/watchers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -62,3 +63,36 @@
 		})
 	}
 }
+
+// Guards against a region whose first daemons do not reach the platform and are waited for.
+func TestWatcherCandidates(t *testing.T) {
+	var members []kernel.Member
+	for number := range 2 * maxWatcherCandidates {
+		members = append(members, kernel.Member{ID: fmt.Sprint(number), Region: fmt.Sprint("r", number%2), DataCentre: fmt.Sprint("d", number%4)})
+	}
+	self := members[0]
+	t.Run("they are those of the own region", func(t *testing.T) {
+		is := is.New(t)
+		candidates := watcherCandidates(self, members)
+		is.Equal(len(candidates), maxWatcherCandidates)
+		for _, candidate := range candidates {
+			is.Equal(candidate.Region, self.Region)
+		}
+		is.True(candidates[0].DataCentre != candidates[1].DataCentre)
+	})
+	lose := func(count int) []kernel.Member {
+		lost := watcherCandidates(self, members)[:count]
+		changed := slices.Clone(members)
+		for number, member := range changed {
+			changed[number].PlatformLost = positionIn(lost, member) < len(lost)
+		}
+		return changed
+	}
+	t.Run("those that do not reach the platform are passed over", func(t *testing.T) {
+		is := is.New(t)
+		is.Equal(watcherCandidates(self, lose(2))[0].ID, watcherCandidates(self, members)[2].ID)
+	})
+	t.Run("if none reaches it, all remain", func(t *testing.T) {
+		is.New(t).Equal(len(watcherCandidates(self, lose(maxWatcherCandidates))), maxWatcherCandidates)
+	})
+}
--- a/standin/fleet/platform.go
+++ b/standin/fleet/platform.go
@@ -177,7 +177,7 @@
 		result := platform.list(call.Prefix, 0)
 		if call.StaleAllowed {
 			platform.StaleReads++
-			result = platform.staleList(fleet.Now, call.Prefix, result)
+			result = platform.staleList(fleet.Now, result)
 		}
 		result.Invalid = platform.Unreadable
 		reply(result, platformLatency)
@@ -239,7 +239,7 @@
 }
 
 // staleList returns a list as it was StaleAge ago. current is the list as it is now.
-func (platform *Platform) staleList(now time.Time, prefix string, current kernel.PlatformResult) kernel.PlatformResult {
+func (platform *Platform) staleList(now time.Time, current kernel.PlatformResult) kernel.PlatformResult {
 	if platform.StaleAge == 0 {
 		return current
 	}
--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -158,7 +158,7 @@
 mutant "a stopping daemon takes callers until its gate has drained" daemon/daemon.go \
   'drained := daemon.gate.Close()' 'drained := daemon.gate.Close(); <-drained' ./daemon
 mutant "requests in progress are cut when the drain timeout has passed" daemon/daemon.go \
-  'daemon.ingress.EndRequestsAt(time.Now().Add(settings.DrainTimeout))' '' ./daemon
+  'daemon.ingress.EndRequestsAt(endAt)' '' ./daemon
 mutant "a draining server reads on while a request is in progress" io/http1/conn.go \
   'if conn.server.draining.Load() {
 		<-conn.lastDone' 'if conn.server.draining.Load() && false {
@@ -181,8 +181,8 @@
   'return version{era: known.era, number: number}, number > known.number' 'return version{era: eraTracker.era, number: number}, true' ./core/rollout
 mutant "a watch starts from an old revision" core/rollout/rollout.go \
   'if at.Sub(plugin.revisionAt) > maxRevisionAge {' 'if false {' ./core/rollout ./standin/fleet
-mutant "a watcher without the platform is not replaced" core/member/neighbours.go \
-  'if !candidate.PlatformLost {' 'if true {' ./standin/fleet
+mutant "a watcher without the platform is not replaced" core/member/watchers.go \
+  'if !candidate.PlatformLost {' 'if true {' ./core/member -run Watcher
 mutant "a watcher reports late that it does not reach the store" core/member/member.go \
   'platformLossTime      = time.Second' 'platformLossTime      = 2500 * time.Millisecond' ./standin/fleet -run TestKeysAreInForceInTime
 mutant "a target's refusals do not count against it" core/route/tracker.go \
@@ -497,8 +497,8 @@
   'lost = earlier.all()' 'lost = nil' ./standin/fleet
 mutant "objects that cannot be decoded end evacuations" core/evacuate/calls.go \
   'known && result.Invalid > 0 {' 'known && false {' ./core/evacuate
-mutant "a fleet that has just started watches late for evacuations" core/evacuate/evacuate.go \
-  'Least: 2 * time.Second,' 'Least: 3500 * time.Millisecond,' ./standin/fleet
+mutant "a fleet that has just started watches late for evacuations" core/contact/contact.go \
+  'minSettlingTime = 2 * time.Second' 'minSettlingTime = 3500 * time.Millisecond' ./core/contact ./standin/fleet -run 'Settling|Evacuat'
 mutant "a deletion is not passed on" platform/store.go \
   'result.Deleted = append(result.Deleted, full)' '_ = full' ./platform
 mutant "an ingress sends to an evacuated data centre" core/pick/pick.go \
