--- a/io/caller/access_test.go
+++ b/io/caller/access_test.go
@@ -220,6 +220,10 @@
 			route.Regions = []string{route.Name}
 		case "keyed":
 			route.Repeatable = false
+		case "split":
+			// On a busy machine a gate may respond so late that a hedge is sent, which would
+			// be counted as well.
+			route.Objective = time.Second
 		}
 	}
 	var members []kernel.Member
